--- /dev/null
+++ b/src/main/java/dappleseam/Main.java
@@ -0,0 +1,23 @@
+package dappleseam;
+
+import dappleseam.drill.Drill;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** Command line of dappleseam. */
+@Command(name = "dappleseam", mixinStandardHelpOptions = true, version = "dappleseam 0.1.0-SNAPSHOT",
+        description = "Client-side router for fleets of cache servers.", subcommands = Drill.class,
+        synopsisSubcommandLabel = "COMMAND")
+public final class Main implements Runnable {
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "Missing required subcommand");
+    }
+
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new Main()).execute(args));
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/router/Deployment.java
@@ -0,0 +1,26 @@
+package dappleseam.router;
+
+import java.util.List;
+
+/**
+ * What one deployment allows and asks for, as far as the router reads it. {@code originModel} is -1 where the nodes
+ * fetch by themselves; {@code askEveryMs} is 0 where the list is pushed; the report places are -1 where not reported.
+ */
+public record Deployment(
+        List<ServiceGrade> grades,
+        int zone,
+        int originModel,
+        boolean scaleIsStable,
+        double tickMs,
+        int mostExecutions,
+        boolean parallelExecutions,
+        boolean mayCancel,
+        boolean mayProbe,
+        double maxRetryAfterMs,
+        double askEveryMs,
+        double coldFrom,
+        double warmAfterMs,
+        double fallMultiple,
+        double fallMs,
+        int reportOutstanding,
+        int reportRecentMs) {}
--- /dev/null
+++ b/src/main/java/dappleseam/router/Host.java
@@ -0,0 +1,31 @@
+package dappleseam.router;
+
+/** What the router can do. Every call takes effect at the time of the event being handled. */
+public interface Host {
+    /** Starts the query's next execution; they are numbered 0, 1, 2 ... A time-out of 0 lasts until the client quits. */
+    void execute(QueryId query, NodeId node, double timeoutMs);
+
+    void cancel(QueryId query, int execution);
+
+    /** Final answer: trying again is harmless, after {@code retryAfterMs} where that is over 0. */
+    void reject(QueryId query, double retryAfterMs);
+
+    /** Final answer that promises nothing about what was done. */
+    void abort(QueryId query);
+
+    void probe(NodeId node);
+
+    /** Asks for changes of the list from now on; what was missed comes first. */
+    void followList();
+
+    /** Asks for the whole list, once. */
+    void fetchList();
+
+    /** Sends a short message to every other proxy. */
+    void tellPeers(byte[] message);
+
+    /** Calls {@link Router#woken} after the delay. */
+    void wake(TimerId timer, double delayMs);
+
+    void log(String text);
+}
--- /dev/null
+++ b/src/main/java/dappleseam/router/Key.java
@@ -0,0 +1,6 @@
+package dappleseam.router;
+
+/** What a query concerns. {@link #NONE} for a query that concerns nothing in particular. */
+public record Key(long value) {
+    public static final Key NONE = new Key(0);
+}
--- /dev/null
+++ b/src/main/java/dappleseam/router/Query.java
@@ -0,0 +1,76 @@
+package dappleseam.router;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A query that the router has taken, until it is answered and its last execution has ended. */
+final class Query {
+    final QueryId id;
+    final ServiceGrade grade;
+    final Key key;
+    final boolean write;
+    final List<Execution> execs = new ArrayList<>(3);
+    long hash;
+    double quitAt;
+    double usefulUntil;
+    int out;
+    boolean answered;
+    boolean streaming;
+    /** The last walk of the ring met a cache whose limit was reached. */
+    boolean crowded;
+    Execution firstThatMayHaveRun;
+    Fetch fetch;
+    Fetch waitingFor;
+
+    Query(QueryId id, ServiceGrade grade, Key key, boolean write) {
+        this.id = id;
+        this.grade = grade;
+        this.key = key;
+        this.write = write;
+    }
+
+    int execsLeft(Deployment site) {
+        return site.mostExecutions() - execs.size();
+    }
+
+    boolean triedAt(Node node) {
+        for (Execution e : execs) {
+            if (e.node == node) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    boolean atOrigin() {
+        for (Execution e : execs) {
+            if (e.node.isOrigin && !e.ended) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    static final class Execution {
+        final Node node;
+        final double sentAt;
+        boolean ended;
+        boolean missed;
+        boolean neverRan;
+
+        Execution(Node node, double sentAt) {
+            this.node = node;
+            this.sentAt = sentAt;
+        }
+    }
+
+    /** A read of the origin that is out, and the queries for the same key that wait for what it stores. */
+    static final class Fetch {
+        final Node storedAt;
+        final List<Query> waiting = new ArrayList<>();
+
+        Fetch(Node storedAt) {
+            this.storedAt = storedAt;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/router/Tally.java
@@ -0,0 +1,55 @@
+package dappleseam.router;
+
+import java.util.Arrays;
+
+/** Counts in fixed buckets of time that are used again in a ring. */
+final class Tally {
+    static final int SENT = 0;
+    static final int GOOD = 1;
+    static final int BAD = 2;
+    private static final int KINDS = 3;
+
+    private final int buckets;
+    private final double bucketMs;
+    private final int[] counts;
+    private long newest;
+
+    Tally(int buckets, double bucketMs) {
+        this.buckets = buckets;
+        this.bucketMs = bucketMs;
+        counts = new int[buckets * KINDS];
+    }
+
+    void add(double atMs, int kind) {
+        advance(atMs);
+        counts[(int) (newest % buckets) * KINDS + kind]++;
+    }
+
+    /** The count over at least the span that ends now, as far as the buckets reach. */
+    int count(double atMs, double spanMs, int kind) {
+        advance(atMs);
+        int sum = 0;
+        int span = (int) Math.min(buckets, Math.ceil(spanMs / bucketMs) + 1);
+        for (int i = 0; i < span && i <= newest; i++) {
+            sum += counts[(int) ((newest - i) % buckets) * KINDS + kind];
+        }
+        return sum;
+    }
+
+    void clear() {
+        Arrays.fill(counts, 0);
+    }
+
+    private void advance(double atMs) {
+        long bucket = (long) (atMs / bucketMs);
+        if (bucket - newest >= buckets) {
+            clear();
+            newest = bucket;
+        }
+        while (newest < bucket) {
+            newest++;
+            int from = (int) (newest % buckets) * KINDS;
+            Arrays.fill(counts, from, from + KINDS, 0);
+        }
+    }
+}
