--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -48,12 +48,17 @@
     private static final int TRIAL_GOOD = 3;
     /** In-flight limits, in executions: first size, least size, and the share kept by a cut. */
     private static final double LIMIT_FIRST = 16;
-    private static final double LIMIT_LEAST = 2;
+    private static final double LIMIT_LEAST = 1;
     private static final double LIMIT_KEPT = 0.7;
     /** Time between two cuts of a limit, in ms: one bad moment counts once. */
     private static final double CUT_EVERY_MS = 250;
     /** Share of the SLO time after which an answer tells of a queue. */
     private static final double SLOW_ANSWER = 0.6;
+    /** Share of slow or missing answers, and the fewest counted, that tell of an overload of the whole fleet. */
+    private static final double OVERLOAD_SHARE = 0.15;
+    private static final int OVERLOAD_LEAST = 8;
+    /** First size of the fleet's limit, in executions a cache: a few queued on each. */
+    private static final double FLEET_FIRST = 4;
     /** Share of a limit open to the least important query; the rest opens evenly with importance. */
     private static final double LIMIT_FOR_ALL = 0.6;
     /** Cold budget: multiple of the due load let through, under any fall multiple seen, and what is always let in. */
@@ -75,7 +80,8 @@
     private final Map<QueryId, Query> queries = new HashMap<>();
     private final Map<Key, Query.Fetch> fetches = new HashMap<>();
     private final Map<Integer, Runnable> timers = new HashMap<>();
-    private final Tally sentToAll = new Tally(BUCKETS, BUCKET_MS);
+    private final Tally fleet = new Tally(BUCKETS, BUCKET_MS);
+    private final Limit fleetLimit = new Limit();
     private double now;
     private int lastTimer;
     private List<Node> caches = List.of();
@@ -202,6 +208,9 @@
         }
         Arrays.sort(positions);
         ring = positions;
+        if (caches.isEmpty()) {
+            fleetLimit.size = FLEET_FIRST * ready.size();
+        }
         caches = ready;
     }
 
@@ -261,9 +270,12 @@
             join(q, fetch);
             return;
         }
-        Node n = choose(q);
+        // Guards against an overload of all caches: more in flight would only make every answer late.
+        Node n = outAtCaches < room(fleetLimit, q) ? choose(q) : null;
         if (n != null) {
             send(q, n);
+        } else if (outAtCaches >= room(fleetLimit, q)) {
+            giveUp(q);
         } else if (aside && !q.crowded) {
             toOrigin(q);
         } else {
@@ -290,7 +302,7 @@
                 continue;
             }
             seen++;
-            boolean full = n.out >= room(n, q);
+            boolean full = n.out >= room(n.limit, q);
             q.crowded |= full;
             if (!full && !overloaded(n)) {
                 return n;
@@ -308,8 +320,8 @@
         return at == ring.length ? 0 : at;
     }
 
-    private double room(Node n, Query q) {
-        return n.limit.size * (LIMIT_FOR_ALL + (1 - LIMIT_FOR_ALL) * q.grade.importance() / highestImportance);
+    private double room(Limit limit, Query q) {
+        return limit.size * (LIMIT_FOR_ALL + (1 - LIMIT_FOR_ALL) * q.grade.importance() / highestImportance);
     }
 
     private boolean overloaded(Node n) {
@@ -327,11 +339,14 @@
         if (warmth >= 1) {
             return true;
         }
-        // Guards a cold cache: the same share of its keys at every proxy, and a bound on what hot keys add.
-        double draw = (mix(q.hash ^ n.seed) >>> 11) * 0x1p-53;
-        double due = sentToAll.count(now, site.fallMs(), Tally.SENT) * n.scale / Math.max(n.scale, ringScale);
-        return draw < warmth
-                && n.tally.count(now, site.fallMs(), Tally.SENT) < COLD_LEAST + COLD_MULTIPLE * warmth * due;
+        // Guards a cold cache: every proxy sends it the same share of its keys.
+        return (mix(q.hash ^ n.seed) >>> 11) * 0x1p-53 < warmth && withinColdBudget(n);
+    }
+
+    /** Guards a cold cache against hot keys and overload: bounded by what the others answer, not what they are sent. */
+    private boolean withinColdBudget(Node n) {
+        double due = fleet.count(now, site.fallMs(), Tally.GOOD) * n.scale / Math.max(n.scale, ringScale);
+        return n.tally.count(now, site.fallMs(), Tally.SENT) < COLD_LEAST + COLD_MULTIPLE * warmth(n) * due;
     }
 
     private double warmth(Node n) {
@@ -404,7 +419,6 @@
         n.tally.add(now, Tally.SENT);
         if (!n.isOrigin) {
             outAtCaches++;
-            sentToAll.add(now, Tally.SENT);
         }
         host.execute(q.id, n.id, timeout);
         if (repeatable && site.parallelExecutions() && q.execs.size() == 1) {
@@ -437,7 +451,7 @@
             return;
         }
         // Guards the origin: what is in flight there is limited, and the last of it is kept for importance.
-        if (origin == null || q.execsLeft(site) == 0 || !mayGoTo(q, origin) || origin.out >= room(origin, q)) {
+        if (origin == null || q.execsLeft(site) == 0 || !mayGoTo(q, origin) || origin.out >= room(origin.limit, q)) {
             giveUp(q);
             return;
         }
@@ -478,7 +492,8 @@
                 continue;
             }
             w.waitingFor = null;
-            if (stored && fetch.storedAt.state == Member.State.READY && fetch.storedAt.asideUntil <= 0) {
+            if (stored && fetch.storedAt.state == Member.State.READY && fetch.storedAt.asideUntil <= 0
+                    && (warmth(fetch.storedAt) >= 1 || withinColdBudget(fetch.storedAt))) {
                 send(w, fetch.storedAt);
             } else if (w.execs.isEmpty()) {
                 route(w);
@@ -502,9 +517,11 @@
         e.missed = outcome == Outcome.MISS;
         e.neverRan = outcome.neverRan;
         q.out--;
-        e.node.out--;
-        if (!e.node.isOrigin) {
-            outAtCaches--;
+        if (outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED) {
+            // Guards a node that goes on with work given up on: its place counts as taken for as long again.
+            later(tookMs, () -> release(e.node));
+        } else {
+            release(e.node);
         }
         judge(e, outcome, tookMs, q.grade);
         if (finished && !q.answered) {
@@ -528,6 +545,11 @@
         next(q, outcome);
     }
 
+    private void release(Node n) {
+        n.out--;
+        outAtCaches -= n.isOrigin ? 0 : 1;
+    }
+
     private void next(Query q, Outcome outcome) {
         if (outcome == Outcome.MISS) {
             if (!q.atOrigin()) {
@@ -556,6 +578,9 @@
             case COMPLETED, MISS -> {
                 n.heard(now);
                 n.tally.add(now, Tally.GOOD);
+                if (!n.isOrigin) {
+                    pace(slow);
+                }
                 if (n.trialsLeft > 0 && --n.trialsLeft == 0) {
                     n.asideUntil = 0;
                     n.tally.clear();
@@ -581,6 +606,9 @@
             }
             case TIMED_OUT -> {
                 n.limit.cut(now);
+                if (!n.isOrigin) {
+                    pace(true);
+                }
                 if (n.heardAt < e.sentAt) {
                     strike(n, "silence");
                 }
@@ -593,6 +621,17 @@
         }
     }
 
+    private void pace(boolean slow) {
+        fleet.add(now, slow ? Tally.BAD : Tally.GOOD);
+        double bad = fleet.count(now, BUCKET_MS, Tally.BAD);
+        if (!slow) {
+            fleetLimit.grow(outAtCaches);
+        } else if (bad + fleet.count(now, BUCKET_MS, Tally.GOOD) >= OVERLOAD_LEAST
+                && bad > OVERLOAD_SHARE * (bad + fleet.count(now, BUCKET_MS, Tally.GOOD))) {
+            fleetLimit.cut(now);
+        }
+    }
+
     private void strike(Node n, String why) {
         if (++n.strikes >= STRIKES || n.trialsLeft > 0) {
             setAside(n, why);
