--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -55,10 +55,12 @@
     /** Share of the SLO time after which an answer tells of a queue. */
     private static final double SLOW_ANSWER = 0.6;
     /** Share of slow or missing answers, and the fewest counted, that tell of an overload of the whole fleet. */
-    private static final double OVERLOAD_SHARE = 0.15;
-    private static final int OVERLOAD_LEAST = 8;
+    private static final double OVERLOAD_SHARE = 0.2;
+    private static final int OVERLOAD_LEAST = 10;
+    private static final double OVERLOAD_MS = 750;
     /** First size of the fleet's limit, in executions a cache: a few queued on each. */
     private static final double FLEET_FIRST = 4;
+    private static final double FLEET_LEAST = 0.25;
     /** Share of a limit open to the least important query; the rest opens evenly with importance. */
     private static final double LIMIT_FOR_ALL = 0.6;
     /** Cold budget: multiple of the due load let through, under any fall multiple seen, and what is always let in. */
@@ -379,8 +381,8 @@
         n.probing = false;
         if (outcome == Outcome.COMPLETED) {
             n.heard(now);
-            n.trialsLeft = TRIAL_GOOD;
-        } else if (n.asideUntil > 0) {
+            n.trialsLeft = n.asideUntil > 0 ? TRIAL_GOOD : 0;
+        } else {
             setAside(n, "probe " + outcome);
         }
     }
@@ -432,7 +434,7 @@
             return;
         }
         if (first.node.heardAt < first.sentAt) {
-            strike(first.node, "silence");
+            suspect(first.node);
         }
         if (q.out != 1 || extras < 1 || q.execsLeft(site) < (site.originModel() >= 0 ? 2 : 1)) {
             return;
@@ -610,7 +612,7 @@
                     pace(true);
                 }
                 if (n.heardAt < e.sentAt) {
-                    strike(n, "silence");
+                    suspect(n);
                 }
             }
             case CONNECT_FAILED, RESET -> {
@@ -623,12 +625,29 @@
 
     private void pace(boolean slow) {
         fleet.add(now, slow ? Tally.BAD : Tally.GOOD);
-        double bad = fleet.count(now, BUCKET_MS, Tally.BAD);
         if (!slow) {
             fleetLimit.grow(outAtCaches);
-        } else if (bad + fleet.count(now, BUCKET_MS, Tally.GOOD) >= OVERLOAD_LEAST
-                && bad > OVERLOAD_SHARE * (bad + fleet.count(now, BUCKET_MS, Tally.GOOD))) {
+        } else if (overloadOfAll() && now - fleetLimit.lastCut >= OVERLOAD_MS) {
             fleetLimit.cut(now);
+            fleetLimit.size = Math.max(fleetLimit.size, FLEET_LEAST * caches.size());
+        }
+    }
+
+    private boolean overloadOfAll() {
+        double bad = fleet.count(now, OVERLOAD_MS, Tally.BAD);
+        double all = bad + fleet.count(now, OVERLOAD_MS, Tally.GOOD);
+        return all >= OVERLOAD_LEAST && bad > OVERLOAD_SHARE * all;
+    }
+
+    /** Guards against a silent machine, told from an overload by the others, and by a probe where those are allowed. */
+    private void suspect(Node n) {
+        if (site.mayProbe() && n.asideUntil == 0) {
+            if (!n.probing) {
+                n.probing = true;
+                host.probe(n.id);
+            }
+        } else if (!overloadOfAll()) {
+            strike(n, "silence");
         }
     }
 
