--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -57,6 +57,8 @@
         boolean ended;
         boolean missed;
         boolean neverRan;
+        /** The key was not known to be held there. */
+        boolean mayFetch;
 
         Execution(Node node, double sentAt) {
             this.node = node;
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -58,6 +58,8 @@
     private static final double OVERLOAD_SHARE = 0.2;
     private static final int OVERLOAD_LEAST = 10;
     private static final double OVERLOAD_MS = 750;
+    /** Keys remembered as held, in keys: well over what one proxy asks for while a cache keeps them. */
+    private static final int HELD_MOST = 1 << 14;
     /** First size of the fleet's limit, in executions a cache: a few queued on each. */
     private static final double FLEET_FIRST = 4;
     private static final double FLEET_LEAST = 0.25;
@@ -84,6 +86,17 @@
     private final Map<Integer, Runnable> timers = new HashMap<>();
     private final Tally fleet = new Tally(BUCKETS, BUCKET_MS);
     private final Limit fleetLimit = new Limit();
+    private final Tally fetching = new Tally(BUCKETS, BUCKET_MS);
+    private final Limit fetchLimit = new Limit();
+    private int fetchesOut;
+    private final Map<Key, Node> held = new LinkedHashMap<>(64, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Key, Node> eldest) {
+            return size() > HELD_MOST;
+        }
+    };
     private double now;
     private int lastTimer;
     private List<Node> caches = List.of();
@@ -273,11 +286,12 @@
             return;
         }
         // Guards against an overload of all caches: more in flight would only make every answer late.
-        Node n = outAtCaches < room(fleetLimit, q) ? choose(q) : null;
-        if (n != null) {
-            send(q, n);
-        } else if (outAtCaches >= room(fleetLimit, q)) {
+        boolean room = outAtCaches < room(fleetLimit, q);
+        Node n = room ? choose(q) : null;
+        if (!room || n != null && mayFetch(q, n) && fetchesOut >= room(fetchLimit, q)) {
             giveUp(q);
+        } else if (n != null) {
+            send(q, n);
         } else if (aside && !q.crowded) {
             toOrigin(q);
         } else {
@@ -316,6 +330,11 @@
         return least;
     }
 
+    /** Guards the origin where caches fetch for themselves, and their slots: keys not known to be held are limited. */
+    private boolean mayFetch(Query q, Node n) {
+        return site.originModel() < 0 && held.get(q.key) != n;
+    }
+
     private int firstAtOrAbove(long hash) {
         int found = Arrays.binarySearch(ring, hash >> INDEX_BITS << INDEX_BITS);
         int at = found < 0 ? -found - 1 : found;
@@ -347,7 +366,8 @@
 
     /** Guards a cold cache against hot keys and overload: bounded by what the others answer, not what they are sent. */
     private boolean withinColdBudget(Node n) {
-        double due = fleet.count(now, site.fallMs(), Tally.GOOD) * n.scale / Math.max(n.scale, ringScale);
+        double due = (fleet.count(now, site.fallMs(), Tally.GOOD)
+                + fetching.count(now, site.fallMs(), Tally.GOOD)) * n.scale / Math.max(n.scale, ringScale);
         return n.tally.count(now, site.fallMs(), Tally.SENT) < COLD_LEAST + COLD_MULTIPLE * warmth(n) * due;
     }
 
@@ -382,8 +402,10 @@
         if (outcome == Outcome.COMPLETED) {
             n.heard(now);
             n.trialsLeft = n.asideUntil > 0 ? TRIAL_GOOD : 0;
-        } else {
+        } else if (outcome == Outcome.CONNECT_FAILED || n.asideUntil > 0) {
             setAside(n, "probe " + outcome);
+        } else if (!overload(fleet)) {
+            strike(n, "probe " + outcome);
         }
     }
 
@@ -412,6 +434,8 @@
             timeout = Math.min(left, Math.max(PATIENCE * left, TOO_LATE * q.grade.sloMs()));
         }
         Query.Execution e = new Query.Execution(n, now);
+        e.mayFetch = mayFetch(q, n);
+        fetchesOut += e.mayFetch ? 1 : 0;
         q.execs.add(e);
         q.out++;
         if (q.firstThatMayHaveRun == null) {
@@ -521,9 +545,12 @@
         q.out--;
         if (outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED) {
             // Guards a node that goes on with work given up on: its place counts as taken for as long again.
-            later(tookMs, () -> release(e.node));
+            later(tookMs, () -> release(e));
         } else {
-            release(e.node);
+            release(e);
+        }
+        if (outcome == Outcome.COMPLETED && site.originModel() < 0) {
+            held.put(q.key, e.node);
         }
         judge(e, outcome, tookMs, q.grade);
         if (finished && !q.answered) {
@@ -547,9 +574,10 @@
         next(q, outcome);
     }
 
-    private void release(Node n) {
-        n.out--;
-        outAtCaches -= n.isOrigin ? 0 : 1;
+    private void release(Query.Execution e) {
+        e.node.out--;
+        outAtCaches -= e.node.isOrigin ? 0 : 1;
+        fetchesOut -= e.mayFetch ? 1 : 0;
     }
 
     private void next(Query q, Outcome outcome) {
@@ -581,7 +609,7 @@
                 n.heard(now);
                 n.tally.add(now, Tally.GOOD);
                 if (!n.isOrigin) {
-                    pace(slow);
+                    pace(e, slow);
                 }
                 if (n.trialsLeft > 0 && --n.trialsLeft == 0) {
                     n.asideUntil = 0;
@@ -609,7 +637,7 @@
             case TIMED_OUT -> {
                 n.limit.cut(now);
                 if (!n.isOrigin) {
-                    pace(true);
+                    pace(e, true);
                 }
                 if (n.heardAt < e.sentAt) {
                     suspect(n);
@@ -623,19 +651,21 @@
         }
     }
 
-    private void pace(boolean slow) {
-        fleet.add(now, slow ? Tally.BAD : Tally.GOOD);
+    private void pace(Query.Execution e, boolean slow) {
+        Tally tally = e.mayFetch ? fetching : fleet;
+        Limit limit = e.mayFetch ? fetchLimit : fleetLimit;
+        tally.add(now, slow ? Tally.BAD : Tally.GOOD);
         if (!slow) {
-            fleetLimit.grow(outAtCaches);
-        } else if (overloadOfAll() && now - fleetLimit.lastCut >= OVERLOAD_MS) {
-            fleetLimit.cut(now);
+            limit.grow(e.mayFetch ? fetchesOut : outAtCaches);
+        } else if (overload(tally) && now - limit.lastCut >= OVERLOAD_MS) {
+            limit.cut(now);
             fleetLimit.size = Math.max(fleetLimit.size, FLEET_LEAST * caches.size());
         }
     }
 
-    private boolean overloadOfAll() {
-        double bad = fleet.count(now, OVERLOAD_MS, Tally.BAD);
-        double all = bad + fleet.count(now, OVERLOAD_MS, Tally.GOOD);
+    private boolean overload(Tally tally) {
+        double bad = tally.count(now, OVERLOAD_MS, Tally.BAD);
+        double all = bad + tally.count(now, OVERLOAD_MS, Tally.GOOD);
         return all >= OVERLOAD_LEAST && bad > OVERLOAD_SHARE * all;
     }
 
@@ -646,7 +676,7 @@
                 n.probing = true;
                 host.probe(n.id);
             }
-        } else if (!overloadOfAll()) {
+        } else if (!overload(fleet)) {
             strike(n, "silence");
         }
     }
