--- a/src/main/java/dappleseam/drill/DeploymentReader.java
+++ b/src/main/java/dappleseam/drill/DeploymentReader.java
@@ -70,6 +70,7 @@
                 },
                 grade.path("windowS").asDouble() * MS_PER_S,
                 number(grade, "sloTimeS") * MS_PER_S,
+                number(grade, "statementTimeoutS") * MS_PER_S,
                 grade.path("importance").asDouble(1),
                 grade.path("tardyImportance").asDouble(),
                 grade.path("stream").asBoolean());
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -65,6 +65,12 @@
     private static final double FLEET_LEAST = 0.25;
     /** Share of a limit open to the least important query; the rest opens evenly with importance. */
     private static final double LIMIT_FOR_ALL = 0.6;
+    /** Share of a limit open to a query past its SLO time that earns nothing there; served where there is room. */
+    private static final double LIMIT_FOR_TARDY = 0.3;
+    /** Share of the statement timeout by which a try's time left must stray from the usual to tell of earlier tries. */
+    private static final double STRAY = 0.02;
+    /** Time to come back after a rejection, as a share of the SLO time, and its random part: a retry in time. */
+    private static final double COME_BACK = 0.2;
     /** Cold budget: multiple of the due load let through, under any fall multiple seen, and what is always let in. */
     private static final double COLD_MULTIPLE = 1.5;
     private static final int COLD_LEAST = 2;
@@ -105,6 +111,7 @@
     private Node origin;
     private int outAtCaches;
     private int walk;
+    private final double[] usualLeft;
     private double extras = EXTRA_MOST;
     private boolean followed;
     private int askTurn;
@@ -114,6 +121,7 @@
         this.random = random;
         this.host = host;
         now = nowMs;
+        usualLeft = new double[site.grades().size()];
         highestImportance = site.grades().stream().mapToDouble(ServiceGrade::importance).max().orElse(1);
         if (site.askEveryMs() > 0) {
             askAfter(random.nextDouble() * ASK_AGAIN_MS);
@@ -236,15 +244,24 @@
         Query q = new Query(id, site.grades().get(grade), key, write);
         q.hash = mix(key.equals(Key.NONE) ? id.value() : key.value());
         q.quitAt = now + leftMs;
-        double sloAt = now + q.grade.sloMs() - 2 * site.tickMs() - LAST_HOP_MS;
+        double sloLeft = q.grade.sloMs() - spentBefore(grade, leftMs) - 2 * site.tickMs() - LAST_HOP_MS;
+        q.tardy = sloLeft < TOO_LATE * q.grade.sloMs();
         // Past its SLO time an answer that earns nothing is given up, and its node freed.
-        q.usefulUntil = q.grade.tardyShare() > 0 || q.grade.repeat() == ServiceGrade.Repeat.NON_IDEMPOTENT
-                ? q.quitAt : Math.min(q.quitAt, sloAt);
+        q.usefulUntil = q.grade.tardyShare() > 0 || q.grade.repeat() == ServiceGrade.Repeat.NON_IDEMPOTENT || q.tardy
+                ? q.quitAt : Math.min(q.quitAt, now + sloLeft);
         queries.put(id, q);
         extras = Math.min(EXTRA_MOST, extras + EXTRA_SHARE);
         route(q);
     }
 
+    /** Guards an overload against late retries: a try with other than the usual time left has spent the rest before. */
+    private double spentBefore(int grade, double leftMs) {
+        double step = STRAY * site.grades().get(grade).statementTimeoutMs();
+        double stray = usualLeft[grade] == 0 ? 0 : leftMs - usualLeft[grade];
+        usualLeft[grade] = usualLeft[grade] == 0 ? leftMs : usualLeft[grade] + Math.max(-step, Math.min(step, stray));
+        return Math.abs(stray) < 2 * step ? 0 : Math.max(0, site.grades().get(grade).statementTimeoutMs() - leftMs);
+    }
+
     public void clientLeft(double nowMs, QueryId id) {
         now = nowMs;
         Query q = queries.get(id);
@@ -342,7 +359,8 @@
     }
 
     private double room(Limit limit, Query q) {
-        return limit.size * (LIMIT_FOR_ALL + (1 - LIMIT_FOR_ALL) * q.grade.importance() / highestImportance);
+        double importance = q.grade.importance() / highestImportance * (q.tardy ? q.grade.tardyShare() : 1);
+        return limit.size * (importance > 0 ? LIMIT_FOR_ALL + (1 - LIMIT_FOR_ALL) * importance : LIMIT_FOR_TARDY);
     }
 
     private boolean overloaded(Node n) {
@@ -711,7 +729,8 @@
     private void giveUp(Query q) {
         boolean harmless = q.grade.repeat() == ServiceGrade.Repeat.IDEMPOTENT || q.firstThatMayHaveRun == null;
         if (harmless) {
-            host.reject(q.id, site.maxRetryAfterMs() * (0.5 + 0.5 * random.nextDouble()));
+            double comeBack = COME_BACK * (1 + random.nextDouble()) * q.grade.sloMs();
+            host.reject(q.id, Math.min(site.maxRetryAfterMs(), comeBack));
         } else {
             host.abort(q.id);
         }
