--- a/src/main/java/dappleseam/drill/DeploymentReader.java
+++ b/src/main/java/dappleseam/drill/DeploymentReader.java
@@ -27,7 +27,6 @@
         JsonNode ceilings = need(root, "ceilings");
         JsonNode rules = need(root, "rules");
         JsonNode extra = root.path("extra");
-        JsonNode fields = root.path("report").path("fields");
         List<ServiceGrade> grades = new ArrayList<>();
         for (JsonNode grade : need(root, "serviceGrades")) {
             grades.add(grade(grade));
@@ -35,6 +34,8 @@
         if (grades.isEmpty()) {
             throw new MalformedFrameException("settings: serviceGrades is empty");
         }
+        boolean retryAfter = ceilings.path("retryAfter").asBoolean();
+        boolean onRequest = root.path("membershipMode").asText().equals("on_request");
         String scale = root.path("weightSource").asText();
         return new Deployment(
                 List.copyOf(grades),
@@ -46,14 +47,11 @@
                 ceilings.path("parallelTries").asBoolean(),
                 ceilings.path("mayCancel").asBoolean(),
                 ceilings.path("probing").asBoolean(),
-                ceilings.path("retryAfter").asBoolean() ? ceilings.path("maxRetryAfterS").asDouble() * MS_PER_S : 0,
-                root.path("membershipMode").asText().equals("on_request") ? number(rules, "askEveryS") * MS_PER_S : 0,
+                retryAfter ? ceilings.path("maxRetryAfterS").asDouble() * MS_PER_S : 0,
+                onRequest ? number(rules, "askEveryS") * MS_PER_S : 0,
                 number(rules, "coldFrom"),
                 number(rules, "warmAfterS") * MS_PER_S,
-                number(rules, "fallMultiple"),
-                number(rules, "fallS") * MS_PER_S,
-                place(fields, "outstanding"),
-                place(fields, "recent_ms"));
+                number(rules, "fallS") * MS_PER_S);
     }
 
     private static ServiceGrade grade(JsonNode grade) {
@@ -76,15 +74,6 @@
                 grade.path("stream").asBoolean());
     }
 
-    private static int place(JsonNode fields, String name) {
-        for (int i = 0; i < fields.size(); i++) {
-            if (fields.get(i).asText().equals(name)) {
-                return i;
-            }
-        }
-        return -1;
-    }
-
     private static JsonNode need(JsonNode node, String name) {
         JsonNode found = node.get(name);
         if (found == null || found.isNull()) {
--- a/src/main/java/dappleseam/drill/Drill.java
+++ b/src/main/java/dappleseam/drill/Drill.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 
-/** Runs routers on the simulator's wire: a batch of events on standard input, a reply on standard output, in turn. */
+/** Runs routers on the simulator's wire: batches on standard input, each answered on standard output. */
 @Command(name = "drill", mixinStandardHelpOptions = true,
         description = "Decide for the instances that the simulator plays, on standard input and output.")
 public final class Drill implements Callable<Integer> {
@@ -47,7 +47,8 @@
                 }
                 int read = in.readNBytes(body, 0, length);
                 if (read < length) {
-                    throw new MalformedFrameException("input ends after " + read + " of " + length + " bytes");
+                    throw new MalformedFrameException(
+                            "input ends after " + read + " of " + length + " bytes");
                 }
                 ByteBuffer batch = ByteBuffer.wrap(body, 0, length).order(ByteOrder.LITTLE_ENDIAN);
                 ByteBuffer reply = exchange.answer(records, batch);
--- a/src/main/java/dappleseam/drill/Exchange.java
+++ b/src/main/java/dappleseam/drill/Exchange.java
@@ -16,15 +16,15 @@
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
-/** Hands each event of a batch to the router of its instance, and gathers what the routers do into the reply. */
+/** Hands each event of a batch to the router of its instance, and gathers what they do into the reply. */
 final class Exchange {
     private static final double MS_PER_S = 1000;
     private static final int RECORD_HEADER = 5;
     private static final int WRITE_BIT = 4;
     private static final float[] NO_REPORT = {};
     private static final Outcome[] ENDINGS = {
-        Outcome.ERRED, Outcome.FULL, Outcome.TIMED_OUT, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.CANCELLED,
-        Outcome.UNSENT
+        Outcome.ERRED, Outcome.FULL, Outcome.TIMED_OUT, Outcome.CONNECT_FAILED, Outcome.RESET,
+        Outcome.CANCELLED, Outcome.UNSENT
     };
 
     private final DeploymentReader deployments = new DeploymentReader();
@@ -45,7 +45,8 @@
             int size = batch.getInt();
             if (size < 0 || size > end - batch.position()) {
                 throw new MalformedFrameException("event " + i + " at byte " + at + " claims "
-                        + Integer.toUnsignedString(size) + " bytes, " + (end - batch.position()) + " are left");
+                        + Integer.toUnsignedString(size) + " bytes, "
+                        + (end - batch.position()) + " are left");
             }
             int next = batch.position() + size;
             batch.limit(next);
@@ -106,8 +107,7 @@
                 return switch (mode) {
                     case 1 -> () -> router.listFailed(nowMs);
                     case 3 -> () -> router.listChanged(nowMs, members);
-                    case 2 -> () -> router.listRemembered(nowMs, members);
-                    default -> () -> router.listGiven(nowMs, members);
+                    default -> () -> router.listGiven(nowMs, members, mode == 2);
                 };
             }
             case 3: {
@@ -135,7 +135,8 @@
                 boolean finished = in.get() != 0;
                 int note = in.get();
                 float[] report = report(in);
-                return () -> router.executionEnded(nowMs, query, execution, outcome, tookMs, finished, note, report);
+                return () -> router.executionEnded(
+                        nowMs, query, execution, outcome, tookMs, finished, note, report);
             }
             case 6: {
                 QueryId query = query(in);
--- a/src/main/java/dappleseam/drill/Reply.java
+++ b/src/main/java/dappleseam/drill/Reply.java
@@ -107,7 +107,8 @@
 
         @Override
         public void tellPeers(byte[] message) {
-            start(7, instance, 6 + message.length).putInt(EVERY_PEER).putShort((short) message.length).put(message);
+            start(7, instance, 6 + message.length)
+                    .putInt(EVERY_PEER).putShort((short) message.length).put(message);
         }
 
         @Override
--- a/src/main/java/dappleseam/router/Deployment.java
+++ b/src/main/java/dappleseam/router/Deployment.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * What one deployment allows and asks for, as far as the router reads it. {@code originModel} is -1 where the nodes
- * fetch by themselves; {@code askEveryMs} is 0 where the list is pushed; the report places are -1 where not reported.
+ * What one deployment allows and asks for, as far as the router reads it. {@code originModel} is -1 where the
+ * nodes fetch by themselves; {@code askEveryMs} is 0 where the list is pushed.
  */
 public record Deployment(
         List<ServiceGrade> grades,
@@ -20,7 +20,4 @@
         double askEveryMs,
         double coldFrom,
         double warmAfterMs,
-        double fallMultiple,
-        double fallMs,
-        int reportOutstanding,
-        int reportRecentMs) {}
+        double fallMs) {}
--- a/src/main/java/dappleseam/router/Host.java
+++ b/src/main/java/dappleseam/router/Host.java
@@ -2,7 +2,7 @@
 
 /** What the router can do. Every call takes effect at the time of the event being handled. */
 public interface Host {
-    /** Starts the query's next execution; they are numbered 0, 1, 2 ... A time-out of 0 lasts until the client quits. */
+    /** Starts the query's next execution, numbered 0, 1, 2 ... A time-out of 0: until the client quits. */
     void execute(QueryId query, NodeId node, double timeoutMs);
 
     void cancel(QueryId query, int execution);
--- a/src/main/java/dappleseam/router/Node.java
+++ b/src/main/java/dappleseam/router/Node.java
@@ -1,11 +1,13 @@
 package dappleseam.router;
 
+import java.util.Arrays;
+
 /** What one router holds of a listed node. */
 final class Node {
     final NodeId id;
     final long seed;
     final Tally tally;
-    final Router.Limit limit = new Router.Limit();
+    final Limit limit;
     Member.State state;
     boolean listed;
     boolean isOrigin;
@@ -25,10 +27,35 @@
     int trialsLeft;
     boolean probing;
 
-    Node(NodeId id, long seed, Tally tally) {
+    Node(NodeId id, Tally tally, Limit limit) {
         this.id = id;
-        this.seed = seed;
+        seed = Hash.mix(id.value());
         this.tally = tally;
+        this.limit = limit;
+    }
+
+    /** Takes over what the list says; a restarted process shares nothing with the one that failed. */
+    void learn(Member m, double newScale) {
+        if (m.startedAtMs() != startedAt) {
+            strikes = 0;
+            asideUntil = 0;
+            trialsLeft = 0;
+            tally.clear();
+        }
+        listed = true;
+        state = m.state();
+        startedAt = m.startedAtMs();
+        zone = m.zone();
+        cell = m.cell();
+        scale = newScale;
+    }
+
+    /** The same tokens at every proxy, and fewer of the same where the scale is smaller. */
+    void placeTokens(int count) {
+        if (tokens == null || tokens.length != count) {
+            tokens = new long[count];
+            Arrays.setAll(tokens, i -> Hash.mix(seed + i));
+        }
     }
 
     void heard(double atMs) {
--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -20,7 +20,6 @@
     boolean streaming;
     /** The last walk of the ring met a cache whose limit was reached. */
     boolean crowded;
-    Execution firstThatMayHaveRun;
     Fetch fetch;
     Fetch waitingFor;
 
@@ -44,6 +43,25 @@
         return false;
     }
 
+    /** The first execution not known to have had no effect; null where there is none. */
+    Execution firstThatMayHaveRun() {
+        for (Execution e : execs) {
+            if (!e.neverRan) {
+                return e;
+            }
+        }
+        return null;
+    }
+
+    Node firstMissedAt() {
+        for (Execution e : execs) {
+            if (e.missed) {
+                return e.node;
+            }
+        }
+        return null;
+    }
+
     boolean atOrigin() {
         for (Execution e : execs) {
             if (e.node.isOrigin && !e.ended) {
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -1,5 +1,7 @@
 package dappleseam.router;
 
+import dappleseam.router.Query.Execution;
+import dappleseam.router.Query.Fetch;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -9,13 +11,14 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Every decision of one proxy. Call one method for each thing that happens, with the clock in milliseconds; it acts
- * through the {@link Host} handed over at the start before it returns. One thread; nothing is shared between routers.
- * What a deployment allows is in {@link Deployment}, what the router can do in {@link Host}; docs/design.md says why.
+ * Every decision of one proxy. Call one method for each thing that happens, with the clock in ms; it acts
+ * through the {@link Host} before it returns. One thread; nothing is shared between routers. What a
+ * deployment allows is in {@link Deployment}, what the router can do in {@link Host}; docs/design.md why.
  */
 public final class Router {
-    /** Tokens of the largest cache; the spread of ring shares falls with their root, the array grows with them. */
+    /** Most and fewest tokens of a cache: the spread of ring shares falls with their root. */
     private static final int TOKENS = 256;
+    private static final int TOKENS_LEAST = 8;
     /** Bits of a ring position that name the cache; allows 4096 caches and leaves 52 bits of hash. */
     private static final int INDEX_BITS = 12;
     /** Owner and fallbacks looked at, in caches: the two successors of the design. */
@@ -26,7 +29,7 @@
     private static final int SKIP_FLOOR = 3;
     /** Share of the SLO time that one execution may take while a successor could still answer. */
     private static final double PATIENCE = 0.5;
-    /** Share of the SLO time after which a second copy goes out: past the usual answer, with time for another. */
+    /** Share of the SLO time after which a second copy goes out: past the usual answer, time for another. */
     private static final double SECOND_COPY = 0.4;
     /** Further executions earned by each query; bounds what failures and second copies add to an overload. */
     private static final double EXTRA_SHARE = 0.2;
@@ -39,7 +42,7 @@
     /** Share of answers that are errors, and the fewest of them, before a cache is set aside. */
     private static final double ERROR_SHARE = 0.3;
     private static final int ERRORS_LEAST = 3;
-    /** Fixed and random part of the time set aside, in ms: a few round trips of trouble, spread over proxies. */
+    /** Fixed and random part of the time set aside, in ms: some time-outs of trouble, spread over proxies. */
     private static final double ASIDE_MS = 1500;
     private static final double ASIDE_RANDOM_MS = 1000;
     /** Largest share of the ring's scale set aside; more is a shared trouble, which no set-aside helps. */
@@ -54,7 +57,7 @@
     private static final double CUT_EVERY_MS = 250;
     /** Share of the SLO time after which an answer tells of a queue. */
     private static final double SLOW_ANSWER = 0.6;
-    /** Share of slow or missing answers, and the fewest counted, that tell of an overload of the whole fleet. */
+    /** Share of slow or missing answers, and the fewest counted, over a time in ms, that tell of overload. */
     private static final double OVERLOAD_SHARE = 0.2;
     private static final int OVERLOAD_LEAST = 10;
     private static final double OVERLOAD_MS = 750;
@@ -65,19 +68,19 @@
     private static final double FLEET_LEAST = 0.25;
     /** Share of a limit open to the least important query; the rest opens evenly with importance. */
     private static final double LIMIT_FOR_ALL = 0.6;
-    /** Share of a limit open to a query past its SLO time that earns nothing there; served where there is room. */
+    /** Share of a limit open to a query that earns nothing past its SLO time: what is sure to be spare. */
     private static final double LIMIT_FOR_TARDY = 0.3;
-    /** Share of the statement timeout by which a try's time left must stray from the usual to tell of earlier tries. */
+    /** Share of the statement timeout by which the usual time left is corrected; over the clients' jitter. */
     private static final double STRAY = 0.02;
-    /** Time to come back after a rejection, as a share of the SLO time, and its random part: a retry in time. */
+    /** Least time to come back after a rejection, as a share of the SLO time; doubled at random. */
     private static final double COME_BACK = 0.2;
-    /** Cold budget: multiple of the due load let through, under any fall multiple seen, and what is always let in. */
+    /** Cold budget: multiple of the due load, for chance among few queries; and what is always let in. */
     private static final double COLD_MULTIPLE = 1.5;
     private static final int COLD_LEAST = 2;
-    /** Measuring buckets: length in ms and number; four seconds in all, a few queries even where traffic is low. */
+    /** Measuring buckets: length in ms and number; four seconds hold a few queries even of a quiet proxy. */
     private static final double BUCKET_MS = 250;
     private static final int BUCKETS = 16;
-    /** Wait before the list is asked for again, in ms, at random up to this; spreads proxies over the list service. */
+    /** Longest wait before the list is asked for, in ms: spreads proxies over the list service. */
     private static final double ASK_AGAIN_MS = 1500;
     /** Time kept for the answer's way to the client, in ms, on top of two ticks. */
     private static final double LAST_HOP_MS = 2;
@@ -88,23 +91,15 @@
     private final double highestImportance;
     private final Map<NodeId, Node> nodes = new LinkedHashMap<>();
     private final Map<QueryId, Query> queries = new HashMap<>();
-    private final Map<Key, Query.Fetch> fetches = new HashMap<>();
-    private final Map<Integer, Runnable> timers = new HashMap<>();
-    private final Tally fleet = new Tally(BUCKETS, BUCKET_MS);
-    private final Limit fleetLimit = new Limit();
-    private final Tally fetching = new Tally(BUCKETS, BUCKET_MS);
-    private final Limit fetchLimit = new Limit();
+    private final Map<Key, Fetch> fetches = new HashMap<>();
+    private final Timers timers;
+    private final Tally fleet = newTally();
+    private final Limit fleetLimit = newLimit();
+    private final Tally fetching = newTally();
+    private final Limit fetchLimit = newLimit();
     private int fetchesOut;
-    private final Map<Key, Node> held = new LinkedHashMap<>(64, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Key, Node> eldest) {
-            return size() > HELD_MOST;
-        }
-    };
+    private final RecentKeys held = new RecentKeys(HELD_MOST);
     private double now;
-    private int lastTimer;
     private List<Node> caches = List.of();
     private long[] ring = {};
     private double ringScale;
@@ -120,6 +115,7 @@
         this.site = site;
         this.random = random;
         this.host = host;
+        timers = new Timers(host);
         now = nowMs;
         usualLeft = new double[site.grades().size()];
         highestImportance = site.grades().stream().mapToDouble(ServiceGrade::importance).max().orElse(1);
@@ -128,18 +124,13 @@
         }
     }
 
-    // ---- the list
-
-    /** The list as it was last held; may be out of date, so it does not count as an answer to a question. */
-    public void listRemembered(double nowMs, List<Member> members) {
+    public void listGiven(double nowMs, List<Member> members, boolean remembered) {
         now = nowMs;
-        replaceList(members);
-    }
-
-    public void listGiven(double nowMs, List<Member> members) {
-        now = nowMs;
-        followed = true;
-        replaceList(members);
+        followed |= !remembered;
+        nodes.values().forEach(n -> n.listed = false);
+        members.forEach(this::learn);
+        nodes.values().stream().filter(n -> !n.listed).forEach(n -> n.state = Member.State.GONE);
+        rebuildRing();
     }
 
     public void listChanged(double nowMs, List<Member> members) {
@@ -157,43 +148,19 @@
 
     private void askAfter(double delayMs) {
         int turn = ++askTurn;
-        later(delayMs, () -> {
+        timers.after(delayMs, () -> {
             if (turn == askTurn && !followed) {
                 host.followList();
-                // Guards against a call that is never answered: a list not asked for in time binds all the same.
+                // Guards against a call that is never answered.
                 askAfter(site.askEveryMs() * (0.5 + 0.3 * random.nextDouble()));
             }
         });
     }
 
-    private void replaceList(List<Member> members) {
-        nodes.values().forEach(n -> n.listed = false);
-        members.forEach(this::learn);
-        nodes.values().stream().filter(n -> !n.listed).forEach(n -> n.state = Member.State.GONE);
-        rebuildRing();
-    }
-
     private void learn(Member m) {
-        Node n = nodes.computeIfAbsent(m.node(),
-                id -> new Node(id, mix(id.value()), new Tally(BUCKETS, BUCKET_MS)));
-        if (m.startedAtMs() != n.startedAt) {
-            // A restarted process shares nothing with the one that failed.
-            n.strikes = 0;
-            n.asideUntil = 0;
-            n.trialsLeft = 0;
-            n.tally.clear();
-        }
-        n.listed = true;
-        n.state = m.state();
-        n.startedAt = m.startedAtMs();
-        n.zone = m.zone();
-        n.cell = m.cell();
+        Node n = nodes.computeIfAbsent(m.node(), id -> new Node(id, newTally(), newLimit()));
         n.isOrigin = m.model() == site.originModel();
-        double scale = site.scaleIsStable() && m.scale() > 0 ? m.scale() : 1;
-        if (scale != n.scale) {
-            n.scale = scale;
-            n.tokens = null;
-        }
+        n.learn(m, site.scaleIsStable() && m.scale() > 0 ? m.scale() : 1);
     }
 
     /** Builds the ring from the list alone, so that proxies with one list agree and no other key moves. */
@@ -214,52 +181,47 @@
         int total = 0;
         ringScale = 0;
         for (Node n : ready) {
-            int count = (int) Math.max(8, Math.round(TOKENS * n.scale / unit));
-            if (n.tokens == null || n.tokens.length != count) {
-                n.tokens = new long[count];
-                Arrays.setAll(n.tokens, i -> mix(n.seed + i));
-            }
+            n.placeTokens((int) Math.max(TOKENS_LEAST, Math.round(TOKENS * n.scale / unit)));
             total += n.tokens.length;
             ringScale += n.scale;
         }
-        long[] positions = new long[total];
+        ring = new long[total];
         int at = 0;
         for (int i = 0; i < ready.size(); i++) {
             for (long token : ready.get(i).tokens) {
-                positions[at++] = token >> INDEX_BITS << INDEX_BITS | i;
+                ring[at++] = token >> INDEX_BITS << INDEX_BITS | i;
             }
         }
-        Arrays.sort(positions);
-        ring = positions;
-        if (caches.isEmpty()) {
-            fleetLimit.size = FLEET_FIRST * ready.size();
-        }
+        Arrays.sort(ring);
+        fleetLimit.size = caches.isEmpty() ? FLEET_FIRST * ready.size() : fleetLimit.size;
+        fleetLimit.least = FLEET_LEAST * ready.size();
         caches = ready;
     }
 
-    // ---- queries
-
     public void query(double nowMs, QueryId id, int grade, Key key, double leftMs, boolean write) {
         now = nowMs;
         Query q = new Query(id, site.grades().get(grade), key, write);
-        q.hash = mix(key.equals(Key.NONE) ? id.value() : key.value());
+        q.hash = Hash.mix(key.equals(Key.NONE) ? id.value() : key.value());
         q.quitAt = now + leftMs;
         double sloLeft = q.grade.sloMs() - spentBefore(grade, leftMs) - 2 * site.tickMs() - LAST_HOP_MS;
         q.tardy = sloLeft < TOO_LATE * q.grade.sloMs();
         // Past its SLO time an answer that earns nothing is given up, and its node freed.
-        q.usefulUntil = q.grade.tardyShare() > 0 || q.grade.repeat() == ServiceGrade.Repeat.NON_IDEMPOTENT || q.tardy
-                ? q.quitAt : Math.min(q.quitAt, now + sloLeft);
+        boolean toTheEnd = q.tardy || q.grade.tardyShare() > 0
+                || q.grade.repeat() == ServiceGrade.Repeat.NON_IDEMPOTENT;
+        q.usefulUntil = toTheEnd ? q.quitAt : Math.min(q.quitAt, now + sloLeft);
         queries.put(id, q);
         extras = Math.min(EXTRA_MOST, extras + EXTRA_SHARE);
         route(q);
     }
 
-    /** Guards an overload against late retries: a try with other than the usual time left has spent the rest before. */
+    /** Guards against late retries in an overload: where the time left is unusual, the rest was spent. */
     private double spentBefore(int grade, double leftMs) {
-        double step = STRAY * site.grades().get(grade).statementTimeoutMs();
-        double stray = usualLeft[grade] == 0 ? 0 : leftMs - usualLeft[grade];
-        usualLeft[grade] = usualLeft[grade] == 0 ? leftMs : usualLeft[grade] + Math.max(-step, Math.min(step, stray));
-        return Math.abs(stray) < 2 * step ? 0 : Math.max(0, site.grades().get(grade).statementTimeoutMs() - leftMs);
+        double whole = site.grades().get(grade).statementTimeoutMs();
+        double step = STRAY * whole;
+        usualLeft[grade] = usualLeft[grade] == 0 ? leftMs : usualLeft[grade];
+        double stray = leftMs - usualLeft[grade];
+        usualLeft[grade] += Math.max(-step, Math.min(step, stray));
+        return Math.abs(stray) < 2 * step ? 0 : Math.max(0, whole - leftMs);
     }
 
     public void clientLeft(double nowMs, QueryId id) {
@@ -281,10 +243,7 @@
 
     public void woken(double nowMs, TimerId timer) {
         now = nowMs;
-        Runnable due = timers.remove(timer.value());
-        if (due != null) {
-            due.run();
-        }
+        timers.fire(timer);
     }
 
     public void peerTold(double nowMs, int peer, byte[] message) {
@@ -297,7 +256,7 @@
             toOrigin(q);
             return;
         }
-        Query.Fetch fetch = aside ? fetches.get(q.key) : null;
+        Fetch fetch = aside ? fetches.get(q.key) : null;
         if (fetch != null) {
             join(q, fetch);
             return;
@@ -305,33 +264,28 @@
         // Guards against an overload of all caches: more in flight would only make every answer late.
         boolean room = outAtCaches < room(fleetLimit, q);
         Node n = room ? choose(q) : null;
-        if (!room || n != null && mayFetch(q, n) && fetchesOut >= room(fetchLimit, q)) {
-            giveUp(q);
-        } else if (n != null) {
+        if (n != null && !(mayFetch(q, n) && fetchesOut >= room(fetchLimit, q))) {
             send(q, n);
-        } else if (aside && !q.crowded) {
+        } else if (aside && room && !q.crowded) {
             toOrigin(q);
         } else {
             giveUp(q);
         }
     }
 
-    /** The first usable cache clockwise, or by the load skip one of its next two; null where none can take it. */
+    /** The first usable cache clockwise, or by the load skip one of its next two; null if none has room. */
     private Node choose(Query q) {
         Node least = null;
         int seen = 0;
-        int met = 0;
         q.crowded = false;
         walk++;
-        int at = firstAtOrAbove(q.hash);
-        for (int step = 0; step < ring.length && met < caches.size() && seen < CHOICES; step++, at++) {
-            Node n = caches.get((int) ring[at < ring.length ? at : at - ring.length] & (1 << INDEX_BITS) - 1);
-            if (n.walk == walk) {
-                continue;
-            }
+        int found = Arrays.binarySearch(ring, q.hash >> INDEX_BITS << INDEX_BITS);
+        int at = found < 0 ? -found - 1 : found;
+        for (int step = 0; step < ring.length && seen < CHOICES; step++, at++) {
+            Node n = caches.get((int) ring[at % ring.length] & (1 << INDEX_BITS) - 1);
+            boolean met = n.walk == walk;
             n.walk = walk;
-            met++;
-            if (!usable(n, q)) {
+            if (met || !usable(n, q)) {
                 continue;
             }
             seen++;
@@ -347,20 +301,15 @@
         return least;
     }
 
-    /** Guards the origin where caches fetch for themselves, and their slots: keys not known to be held are limited. */
+    /** Guards the origin and the caches' slots where caches fetch: keys not known to be held are limited. */
     private boolean mayFetch(Query q, Node n) {
         return site.originModel() < 0 && held.get(q.key) != n;
     }
 
-    private int firstAtOrAbove(long hash) {
-        int found = Arrays.binarySearch(ring, hash >> INDEX_BITS << INDEX_BITS);
-        int at = found < 0 ? -found - 1 : found;
-        return at == ring.length ? 0 : at;
-    }
-
     private double room(Limit limit, Query q) {
         double importance = q.grade.importance() / highestImportance * (q.tardy ? q.grade.tardyShare() : 1);
-        return limit.size * (importance > 0 ? LIMIT_FOR_ALL + (1 - LIMIT_FOR_ALL) * importance : LIMIT_FOR_TARDY);
+        return limit.size
+                * (importance > 0 ? LIMIT_FOR_ALL + (1 - LIMIT_FOR_ALL) * importance : LIMIT_FOR_TARDY);
     }
 
     private boolean overloaded(Node n) {
@@ -368,25 +317,20 @@
     }
 
     private boolean usable(Node n, Query q) {
-        if (n.state != Member.State.READY || q.triedAt(n) || !mayGoTo(q, n)) {
-            return false;
-        }
-        if (n.asideUntil > now || n.asideUntil > 0 && !onTrial(n)) {
+        if (n.state != Member.State.READY || q.triedAt(n) || !mayGoTo(q, n)
+                || n.asideUntil > now || n.asideUntil > 0 && !onTrial(n)) {
             return false;
         }
-        double warmth = warmth(n);
-        if (warmth >= 1) {
-            return true;
-        }
         // Guards a cold cache: every proxy sends it the same share of its keys.
-        return (mix(q.hash ^ n.seed) >>> 11) * 0x1p-53 < warmth && withinColdBudget(n);
+        return warmth(n) >= 1 || Hash.fraction(q.hash ^ n.seed) < warmth(n) && withinColdBudget(n);
     }
 
-    /** Guards a cold cache against hot keys and overload: bounded by what the others answer, not what they are sent. */
+    /** Guards a cold cache against hot keys and overload: bounded by what the others answer, not are sent. */
     private boolean withinColdBudget(Node n) {
-        double due = (fleet.count(now, site.fallMs(), Tally.GOOD)
-                + fetching.count(now, site.fallMs(), Tally.GOOD)) * n.scale / Math.max(n.scale, ringScale);
-        return n.tally.count(now, site.fallMs(), Tally.SENT) < COLD_LEAST + COLD_MULTIPLE * warmth(n) * due;
+        double window = site.fallMs();
+        double answered = fleet.count(now, window, Tally.GOOD) + fetching.count(now, window, Tally.GOOD);
+        double due = warmth(n) * answered * n.scale / Math.max(n.scale, ringScale);
+        return warmth(n) >= 1 || n.tally.count(now, window, Tally.SENT) < COLD_LEAST + COLD_MULTIPLE * due;
     }
 
     private double warmth(Node n) {
@@ -395,21 +339,23 @@
                 : site.coldFrom() + (1 - site.coldFrom()) * Math.max(0, age) / site.warmAfterMs();
     }
 
-    /** A cache whose time set aside is over takes one query at a time, after a probe where those are allowed. */
+    /** A cache whose time set aside is over takes one query at a time, after a probe where allowed. */
     private boolean onTrial(Node n) {
         if (site.mayProbe() && n.trialsLeft == 0) {
-            if (!n.probing) {
-                n.probing = true;
-                host.probe(n.id);
-            }
+            probe(n);
             return false;
         }
-        if (n.trialsLeft == 0) {
-            n.trialsLeft = TRIAL_GOOD;
-        }
+        n.trialsLeft = n.trialsLeft == 0 ? TRIAL_GOOD : n.trialsLeft;
         return n.out == 0;
     }
 
+    private void probe(Node n) {
+        if (!n.probing) {
+            n.probing = true;
+            host.probe(n.id);
+        }
+    }
+
     public void probeEnded(double nowMs, NodeId id, Outcome outcome, double tookMs, float[] report) {
         now = nowMs;
         Node n = nodes.get(id);
@@ -429,11 +375,9 @@
 
     /** Whether a further execution there keeps the grade's promise about repeats. */
     private boolean mayGoTo(Query q, Node n) {
-        if (q.grade.repeat() == ServiceGrade.Repeat.IDEMPOTENT || q.firstThatMayHaveRun == null) {
-            return true;
-        }
-        Query.Execution first = q.firstThatMayHaveRun;
-        return q.grade.repeat() == ServiceGrade.Repeat.DEDUPLICATED
+        Execution first = q.firstThatMayHaveRun();
+        return first == null || q.grade.repeat() == ServiceGrade.Repeat.IDEMPOTENT
+                || q.grade.repeat() == ServiceGrade.Repeat.DEDUPLICATED
                 && now < first.sentAt + q.grade.windowMs() - 2 * site.tickMs()
                 && switch (q.grade.group()) {
                     case ALL -> true;
@@ -451,37 +395,30 @@
             // Guards against a silent cache: leaves a successor time to answer within the SLO time.
             timeout = Math.min(left, Math.max(PATIENCE * left, TOO_LATE * q.grade.sloMs()));
         }
-        Query.Execution e = new Query.Execution(n, now);
+        Execution e = new Execution(n, now);
         e.mayFetch = mayFetch(q, n);
         fetchesOut += e.mayFetch ? 1 : 0;
         q.execs.add(e);
         q.out++;
-        if (q.firstThatMayHaveRun == null) {
-            q.firstThatMayHaveRun = e;
-        }
         n.out++;
         n.tally.add(now, Tally.SENT);
-        if (!n.isOrigin) {
-            outAtCaches++;
-        }
+        outAtCaches += n.isOrigin ? 0 : 1;
         host.execute(q.id, n.id, timeout);
         if (repeatable && site.parallelExecutions() && q.execs.size() == 1) {
-            later(SECOND_COPY * q.grade.sloMs(), () -> secondCopy(q, e));
+            timers.after(SECOND_COPY * q.grade.sloMs(), () -> secondCopy(q, e));
         }
     }
 
-    /** Guards against one slow or silent cache: the successor gets a copy while there is time for its answer. */
-    private void secondCopy(Query q, Query.Execution first) {
+    /** Guards against one slow or silent cache: the successor gets a copy while it could still answer. */
+    private void secondCopy(Query q, Execution first) {
         if (q.answered || first.ended || q.streaming) {
             return;
         }
         if (first.node.heardAt < first.sentAt) {
             suspect(first.node);
         }
-        if (q.out != 1 || extras < 1 || q.execsLeft(site) < (site.originModel() >= 0 ? 2 : 1)) {
-            return;
-        }
-        Node n = choose(q);
+        boolean spare = q.out == 1 && extras >= 1 && q.execsLeft(site) >= (site.originModel() >= 0 ? 2 : 1);
+        Node n = spare ? choose(q) : null;
         if (n != null) {
             extras--;
             send(q, n);
@@ -489,38 +426,34 @@
     }
 
     private void toOrigin(Query q) {
-        Query.Fetch fetch = q.write ? null : fetches.get(q.key);
+        Fetch fetch = q.write ? null : fetches.get(q.key);
         if (fetch != null) {
             join(q, fetch);
             return;
         }
         // Guards the origin: what is in flight there is limited, and the last of it is kept for importance.
-        if (origin == null || q.execsLeft(site) == 0 || !mayGoTo(q, origin) || origin.out >= room(origin.limit, q)) {
+        if (origin == null || q.execsLeft(site) == 0 || !mayGoTo(q, origin)
+                || origin.out >= room(origin.limit, q)) {
             giveUp(q);
             return;
         }
-        if (!q.write && !q.key.equals(Key.NONE)) {
-            Node storedAt = null;
-            for (Query.Execution e : q.execs) {
-                storedAt = storedAt == null && e.missed ? e.node : storedAt;
-            }
-            if (storedAt != null) {
-                q.fetch = new Query.Fetch(storedAt);
-                fetches.put(q.key, q.fetch);
-            }
+        Node storedAt = q.firstMissedAt();
+        if (!q.write && !q.key.equals(Key.NONE) && storedAt != null) {
+            q.fetch = new Fetch(storedAt);
+            fetches.put(q.key, q.fetch);
         }
         send(q, origin);
     }
 
     /** Guards the origin when many ask for one missing key: one fetch, and the others read what it stored. */
-    private void join(Query q, Query.Fetch fetch) {
+    private void join(Query q, Fetch fetch) {
         if (q.execsLeft(site) == 0 || fetch.storedAt.state != Member.State.READY) {
             giveUp(q);
             return;
         }
         fetch.waiting.add(q);
         q.waitingFor = fetch;
-        later(Math.max(0, q.usefulUntil - now - LAST_HOP_MS), () -> {
+        timers.after(Math.max(0, q.usefulUntil - now - LAST_HOP_MS), () -> {
             if (!q.answered && q.waitingFor == fetch) {
                 giveUp(q);
             }
@@ -528,7 +461,7 @@
     }
 
     private void fetched(Query q, boolean stored) {
-        Query.Fetch fetch = q.fetch;
+        Fetch fetch = q.fetch;
         q.fetch = null;
         fetches.remove(q.key, fetch);
         for (Query w : fetch.waiting) {
@@ -536,9 +469,10 @@
                 continue;
             }
             w.waitingFor = null;
-            if (stored && fetch.storedAt.state == Member.State.READY && fetch.storedAt.asideUntil <= 0
-                    && (warmth(fetch.storedAt) >= 1 || withinColdBudget(fetch.storedAt))) {
-                send(w, fetch.storedAt);
+            Node at = fetch.storedAt;
+            if (stored && at.state == Member.State.READY && at.asideUntil <= 0 && mayGoTo(w, at)
+                    && withinColdBudget(at)) {
+                send(w, at);
             } else if (w.execs.isEmpty()) {
                 route(w);
             } else {
@@ -547,8 +481,6 @@
         }
     }
 
-    // ---- outcomes
-
     public void executionEnded(double nowMs, QueryId id, int execution, Outcome outcome, double tookMs,
                                boolean finished, int note, float[] report) {
         now = nowMs;
@@ -556,14 +488,14 @@
         if (q == null || execution >= q.execs.size() || q.execs.get(execution).ended) {
             return;
         }
-        Query.Execution e = q.execs.get(execution);
+        Execution e = q.execs.get(execution);
         e.ended = true;
         e.missed = outcome == Outcome.MISS;
         e.neverRan = outcome.neverRan;
         q.out--;
         if (outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED) {
             // Guards a node that goes on with work given up on: its place counts as taken for as long again.
-            later(tookMs, () -> release(e));
+            timers.after(tookMs, () -> release(e));
         } else {
             release(e);
         }
@@ -574,43 +506,32 @@
         if (finished && !q.answered) {
             settle(q);
         }
-        if (e.node == origin && q.fetch != null) {
+        if (e.node.isOrigin && q.fetch != null) {
             fetched(q, outcome == Outcome.COMPLETED);
         }
-        if (q.answered) {
-            if (q.out == 0) {
-                queries.remove(id);
-            }
-            return;
-        }
-        q.firstThatMayHaveRun = null;
-        for (Query.Execution other : q.execs) {
-            if (q.firstThatMayHaveRun == null && !other.neverRan) {
-                q.firstThatMayHaveRun = other;
-            }
+        if (!q.answered) {
+            next(q, outcome);
+        } else if (q.out == 0) {
+            queries.remove(id);
         }
-        next(q, outcome);
     }
 
-    private void release(Query.Execution e) {
+    private void release(Execution e) {
         e.node.out--;
         outAtCaches -= e.node.isOrigin ? 0 : 1;
         fetchesOut -= e.mayFetch ? 1 : 0;
     }
 
     private void next(Query q, Outcome outcome) {
-        if (outcome == Outcome.MISS) {
-            if (!q.atOrigin()) {
-                toOrigin(q);
-            }
-            return;
-        }
-        if (q.out > 0) {
+        if (outcome == Outcome.MISS && !q.atOrigin()) {
+            toOrigin(q);
             return;
         }
-        boolean repeatable = q.firstThatMayHaveRun == null || q.grade.repeat() != ServiceGrade.Repeat.NON_IDEMPOTENT;
+        boolean repeatable = q.firstThatMayHaveRun() == null
+                || q.grade.repeat() != ServiceGrade.Repeat.NON_IDEMPOTENT;
         boolean timeLeft = q.usefulUntil - now > TOO_LATE * q.grade.sloMs();
-        if (!repeatable || !timeLeft || q.execsLeft(site) == 0 || extras < 1 || outcome == Outcome.UNSENT) {
+        if (q.out > 0 || !repeatable || !timeLeft || q.execsLeft(site) == 0 || extras < 1
+                || outcome == Outcome.UNSENT) {
             giveUp(q);
             return;
         }
@@ -619,7 +540,7 @@
     }
 
     /** What an outcome tells of the node. */
-    private void judge(Query.Execution e, Outcome outcome, double tookMs, ServiceGrade grade) {
+    private void judge(Execution e, Outcome outcome, double tookMs, ServiceGrade grade) {
         Node n = e.node;
         boolean slow = tookMs > SLOW_ANSWER * grade.sloMs();
         switch (outcome) {
@@ -634,7 +555,7 @@
                     n.tally.clear();
                 }
                 if (slow) {
-                    n.limit.cut(now);
+                    n.limit.cut(now, CUT_EVERY_MS);
                 } else {
                     n.limit.grow(n.out);
                 }
@@ -642,18 +563,17 @@
             case ERRED -> {
                 n.heard(now);
                 n.tally.add(now, Tally.BAD);
-                double bad = n.tally.count(now, BUCKET_MS * BUCKETS, Tally.BAD);
-                double good = n.tally.count(now, BUCKET_MS * BUCKETS, Tally.GOOD);
-                if (n.trialsLeft > 0 || bad >= ERRORS_LEAST && bad > ERROR_SHARE * (bad + good)) {
+                double share = n.tally.badShare(now, BUCKET_MS * BUCKETS, ERRORS_LEAST);
+                if (n.trialsLeft > 0 || share > ERROR_SHARE) {
                     setAside(n, "errors");
                 }
             }
             case FULL -> {
                 n.heard(now);
-                n.limit.cut(now);
+                n.limit.cut(now, CUT_EVERY_MS);
             }
             case TIMED_OUT -> {
-                n.limit.cut(now);
+                n.limit.cut(now, CUT_EVERY_MS);
                 if (!n.isOrigin) {
                     pace(e, true);
                 }
@@ -662,38 +582,32 @@
                 }
             }
             case CONNECT_FAILED, RESET -> {
-                n.limit.cut(now);
+                n.limit.cut(now, CUT_EVERY_MS);
                 strike(n, outcome.toString());
             }
             default -> { }
         }
     }
 
-    private void pace(Query.Execution e, boolean slow) {
+    private void pace(Execution e, boolean slow) {
         Tally tally = e.mayFetch ? fetching : fleet;
         Limit limit = e.mayFetch ? fetchLimit : fleetLimit;
         tally.add(now, slow ? Tally.BAD : Tally.GOOD);
         if (!slow) {
             limit.grow(e.mayFetch ? fetchesOut : outAtCaches);
-        } else if (overload(tally) && now - limit.lastCut >= OVERLOAD_MS) {
-            limit.cut(now);
-            fleetLimit.size = Math.max(fleetLimit.size, FLEET_LEAST * caches.size());
+        } else if (overload(tally)) {
+            limit.cut(now, OVERLOAD_MS);
         }
     }
 
     private boolean overload(Tally tally) {
-        double bad = tally.count(now, OVERLOAD_MS, Tally.BAD);
-        double all = bad + tally.count(now, OVERLOAD_MS, Tally.GOOD);
-        return all >= OVERLOAD_LEAST && bad > OVERLOAD_SHARE * all;
+        return tally.badShare(now, OVERLOAD_MS, OVERLOAD_LEAST) > OVERLOAD_SHARE;
     }
 
-    /** Guards against a silent machine, told from an overload by the others, and by a probe where those are allowed. */
+    /** Guards against a silent machine, told from an overload by the others, or by a probe where allowed. */
     private void suspect(Node n) {
         if (site.mayProbe() && n.asideUntil == 0) {
-            if (!n.probing) {
-                n.probing = true;
-                host.probe(n.id);
-            }
+            probe(n);
         } else if (!overload(fleet)) {
             strike(n, "silence");
         }
@@ -724,20 +638,18 @@
         n.asideUntil = now + ASIDE_MS + ASIDE_RANDOM_MS * random.nextDouble();
     }
 
-    // ---- final answers
-
+    /** Answers at once, unless an execution is still out that may yet answer. */
     private void giveUp(Query q) {
-        boolean harmless = q.grade.repeat() == ServiceGrade.Repeat.IDEMPOTENT || q.firstThatMayHaveRun == null;
-        if (harmless) {
+        if (q.out > 0) {
+            return;
+        }
+        if (q.grade.repeat() == ServiceGrade.Repeat.IDEMPOTENT || q.firstThatMayHaveRun() == null) {
             double comeBack = COME_BACK * (1 + random.nextDouble()) * q.grade.sloMs();
             host.reject(q.id, Math.min(site.maxRetryAfterMs(), comeBack));
         } else {
             host.abort(q.id);
         }
         settle(q);
-        if (q.out == 0) {
-            queries.remove(q.id);
-        }
     }
 
     /** The query has its answer: nothing more goes out for it, and what is out is called off. */
@@ -754,33 +666,10 @@
         }
     }
 
-    private void later(double delayMs, Runnable action) {
-        timers.put(++lastTimer, action);
-        host.wake(new TimerId(lastTimer), delayMs);
+    private static Tally newTally() {
+        return new Tally(BUCKETS, BUCKET_MS);
     }
 
-    /** Finalizer of splitmix64: each bit of the input moves half of the output's. */
-    static long mix(long x) {
-        long z = x + 0x9E3779B97F4A7C15L;
-        z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
-        z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
-        return z ^ z >>> 31;
-    }
-
-    /** What may be in flight: grows by one for each full round of good answers, and is cut by a share. */
-    static final class Limit {
-        private double size = LIMIT_FIRST;
-        private double lastCut;
-
-        void grow(int out) {
-            size += out >= size / 2 ? 1 / size : 0;
-        }
-
-        void cut(double at) {
-            if (at - lastCut >= CUT_EVERY_MS) {
-                lastCut = at;
-                size = Math.max(LIMIT_LEAST, size * LIMIT_KEPT);
-            }
-        }
-    }
-}
+    private static Limit newLimit() {
+        return new Limit(LIMIT_FIRST, LIMIT_LEAST, LIMIT_KEPT);
+    }}
--- a/src/main/java/dappleseam/router/Tally.java
+++ b/src/main/java/dappleseam/router/Tally.java
@@ -36,6 +36,13 @@
         return sum;
     }
 
+    /** Share of bad among good and bad, 0 where fewer than {@code least} tell. */
+    double badShare(double atMs, double spanMs, int least) {
+        double bad = count(atMs, spanMs, BAD);
+        double all = bad + count(atMs, spanMs, GOOD);
+        return all < least ? 0 : bad / all;
+    }
+
     void clear() {
         Arrays.fill(counts, 0);
     }
