--- /dev/null
+++ b/src/test/java/dappleseam/router/OneProxy.java
@@ -0,0 +1,130 @@
+package dappleseam.router;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGeneratorFactory;
+
+/** A router with a host that writes down what it is told to do, and a small deployment around it. */
+final class OneProxy implements Host {
+    static final ServiceGrade READ = grade(ServiceGrade.Repeat.IDEMPOTENT, ServiceGrade.Group.ALL);
+    static final int ORIGIN_MODEL = 9;
+    static final NodeId ORIGIN = new NodeId(99);
+    static final float[] NO_REPORT = {};
+
+    final List<String> done = new ArrayList<>();
+    final List<NodeId> sentTo = new ArrayList<>();
+    final List<TimerId> timers = new ArrayList<>();
+    final Router router;
+
+    OneProxy(Deployment site) {
+        router = new Router(site, RandomGeneratorFactory.of("L64X128MixRandom").create(7), this, 1000);
+    }
+
+    static ServiceGrade grade(ServiceGrade.Repeat repeat, ServiceGrade.Group group) {
+        return new ServiceGrade(repeat, group, 2000, 600, 2000, 1, 0, false);
+    }
+
+    /** Three executions, one at a time, caches that fetch for themselves, no probes, a pushed list. */
+    static Deployment through(ServiceGrade grade) {
+        return new Deployment(List.of(grade), 0, -1, true, 1, 3, false, true, false, 1000, 0, 0.2, 10000, 1500);
+    }
+
+    static Deployment aside(ServiceGrade grade) {
+        return new Deployment(List.of(grade), 0, ORIGIN_MODEL, true, 1, 3, false, true, false, 1000, 0, 0.2, 10000,
+                1500);
+    }
+
+    static Deployment parallel(boolean probes) {
+        return new Deployment(List.of(READ), 0, -1, true, 1, 3, true, true, probes, 1000, 0, 0.2, 10000, 1500);
+    }
+
+    static Deployment onRequest() {
+        return new Deployment(List.of(READ), 0, -1, true, 1, 3, false, true, false, 1000, 8000, 0.2, 10000, 1500);
+    }
+
+    static Member ready(long node) {
+        return member(node, Member.State.READY, 0);
+    }
+
+    /** Odd nodes are in zone and cell 1, even ones in 0. */
+    static Member member(long node, Member.State state, double startedAt) {
+        int model = node == ORIGIN.value() ? ORIGIN_MODEL : 0;
+        return new Member(new NodeId(node), state, model, (int) node % 2, (int) node % 2, 1, startedAt);
+    }
+
+    /** Lists caches 1 to {@code count}, and the origin. */
+    OneProxy listed(int count) {
+        List<Member> members = new ArrayList<>(List.of(ready(ORIGIN.value())));
+        for (int i = 1; i <= count; i++) {
+            members.add(ready(i));
+        }
+        router.listGiven(1000, members, false);
+        return this;
+    }
+
+    void ask(double at, int id, long key) {
+        router.query(at, new QueryId(id), 0, new Key(key), 2000, false);
+    }
+
+    void write(double at, int id, long key) {
+        router.query(at, new QueryId(id), 0, new Key(key), 2000, true);
+    }
+
+    void ended(double at, int id, int execution, Outcome outcome, double took) {
+        router.executionEnded(at, new QueryId(id), execution, outcome, took, outcome == Outcome.COMPLETED, 0,
+                NO_REPORT);
+    }
+
+    NodeId last() {
+        return sentTo.get(sentTo.size() - 1);
+    }
+
+    @Override
+    public void execute(QueryId query, NodeId node, double timeoutMs) {
+        done.add("execute " + query.value());
+        sentTo.add(node);
+    }
+
+    @Override
+    public void cancel(QueryId query, int execution) {
+        done.add("cancel " + query.value() + "/" + execution);
+    }
+
+    @Override
+    public void reject(QueryId query, double retryAfterMs) {
+        done.add("reject " + query.value());
+    }
+
+    @Override
+    public void abort(QueryId query) {
+        done.add("abort " + query.value());
+    }
+
+    @Override
+    public void probe(NodeId node) {
+        done.add("probe " + node.value());
+    }
+
+    @Override
+    public void followList() {
+        done.add("follow");
+    }
+
+    @Override
+    public void fetchList() {
+        done.add("fetch");
+    }
+
+    @Override
+    public void tellPeers(byte[] message) {
+        done.add("tell");
+    }
+
+    @Override
+    public void wake(TimerId timer, double delayMs) {
+        timers.add(timer);
+    }
+
+    @Override
+    public void log(String text) {}
+}
--- /dev/null
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -0,0 +1,292 @@
+package dappleseam.router;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dappleseam.router.ServiceGrade.Group;
+import dappleseam.router.ServiceGrade.Repeat;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class RouterTest {
+    /** The cache each of 200 keys goes to, each on a fresh router so that load plays no part. */
+    private static NodeId[] owners(Member... members) {
+        NodeId[] owners = new NodeId[200];
+        for (int key = 1; key <= owners.length; key++) {
+            OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ));
+            p.router.listGiven(1000, List.of(members), false);
+            p.ask(1000, 1, key);
+            owners[key - 1] = p.last();
+        }
+        return owners;
+    }
+
+    @Test
+    void aCacheThatLeavesMovesOnlyItsOwnKeys() {
+        NodeId[] before = owners(OneProxy.ready(1), OneProxy.ready(2), OneProxy.ready(3), OneProxy.ready(4));
+        NodeId[] after = owners(OneProxy.ready(4), OneProxy.ready(2), OneProxy.ready(1));
+        Set<NodeId> heirs = new HashSet<>();
+        for (int i = 0; i < before.length; i++) {
+            if (before[i].equals(new NodeId(3))) {
+                heirs.add(after[i]);
+            } else {
+                assertThat(after[i]).isEqualTo(before[i]);
+            }
+        }
+        assertThat(heirs).hasSize(3);
+    }
+
+    @Test
+    void aLargerScaleOwnsMoreKeys() {
+        Member twice = new Member(new NodeId(2), Member.State.READY, 0, 0, 0, 2, 0);
+        NodeId[] owners = owners(OneProxy.ready(1), twice);
+        assertThat(owners).filteredOn(new NodeId(2)::equals).hasSizeBetween(110, 160);
+    }
+
+    @Test
+    void theLoadSkipMovesAHotKeyToItsSuccessors() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(5);
+        for (int i = 0; i < 9; i++) {
+            p.ask(1000, i, 42);
+        }
+        assertThat(new HashSet<>(p.sentTo)).hasSizeBetween(2, 3);
+    }
+
+    @Test
+    void aFailedConnectGoesToADistinctSuccessor() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(3);
+        p.ask(1000, 1, 42);
+        NodeId owner = p.last();
+        p.ended(1250, 1, 0, Outcome.CONNECT_FAILED, 250);
+        assertThat(p.last()).isNotEqualTo(owner);
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Outcome.class, names = {"ERRED", "RESET", "TIMED_OUT", "CANCELLED"})
+    void aNonIdempotentQueryThatMayHaveRunIsAborted(Outcome outcome) {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.grade(Repeat.NON_IDEMPOTENT, Group.ALL))).listed(3);
+        p.ask(1000, 1, 42);
+        p.ended(1010, 1, 0, outcome, 10);
+        assertThat(p.done).containsExactly("execute 1", "abort 1");
+    }
+
+    @Test
+    void aNonIdempotentQueryThatNeverRanGoesOn() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.grade(Repeat.NON_IDEMPOTENT, Group.ALL))).listed(3);
+        p.ask(1000, 1, 42);
+        p.ended(1010, 1, 0, Outcome.FULL, 10);
+        assertThat(p.done).containsExactly("execute 1", "execute 1");
+    }
+
+    @Test
+    void aDeduplicatedQueryThatMayHaveRunStaysInItsZone() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.grade(Repeat.DEDUPLICATED, Group.ZONE))).listed(6);
+        p.ask(1000, 1, 42);
+        p.ended(1010, 1, 0, Outcome.RESET, 10);
+        assertThat(p.sentTo).hasSize(2);
+        assertThat(p.sentTo.get(1).value() % 2).isEqualTo(p.sentTo.get(0).value() % 2);
+    }
+
+    @Test
+    void aDeduplicatedQueryIsNotRepeatedPastItsWindow() {
+        ServiceGrade grade = new ServiceGrade(Repeat.DEDUPLICATED, Group.ALL, 300, 600, 2000, 1, 0.5, false);
+        OneProxy p = new OneProxy(OneProxy.through(grade)).listed(3);
+        p.ask(1000, 1, 42);
+        p.ended(1310, 1, 0, Outcome.RESET, 310);
+        assertThat(p.done).containsExactly("execute 1", "abort 1");
+    }
+
+    @Test
+    void aDrainingCacheGetsNothingNew() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(2);
+        p.router.listChanged(1100, List.of(OneProxy.member(1, Member.State.DRAINING, 0)));
+        for (int key = 1; key < 50; key++) {
+            p.ask(1100, key, key);
+        }
+        assertThat(p.sentTo).doesNotContain(new NodeId(1));
+    }
+
+    @Test
+    void aColdCacheGetsAShareOfItsKeys() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ));
+        p.router.listGiven(50000, List.of(OneProxy.ready(1),
+                OneProxy.member(2, Member.State.READY, 50000)), false);
+        for (int i = 1; i <= 200; i++) {
+            p.ask(50000 + i, i, i);
+            p.ended(50000 + i, i, 0, Outcome.COMPLETED, 1);
+        }
+        assertThat(p.sentTo).filteredOn(new NodeId(2)::equals).hasSizeBetween(1, 45);
+    }
+
+    /** tarlat rules-3: a hot key's worth of waiting queries was sent to a cold cache at once. */
+    @Test
+    void aHotKeyDoesNotPushAColdCacheOver() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ));
+        p.router.listGiven(50000, List.of(OneProxy.ready(1), OneProxy.ready(3),
+                OneProxy.member(2, Member.State.READY, 50000)), false);
+        for (int key = 1; key <= 100; key++) {
+            for (int i = 0; i < 30; i++) {
+                int id = key * 100 + i;
+                p.ask(50000, id, key);
+                p.ended(50000, id, 0, Outcome.ERRED, 1);
+            }
+        }
+        assertThat(p.sentTo).filteredOn(new NodeId(2)::equals).hasSizeLessThanOrEqualTo(2);
+    }
+
+    @Test
+    void aMissGoesToTheOrigin() {
+        OneProxy p = new OneProxy(OneProxy.aside(OneProxy.READ)).listed(3);
+        p.ask(1000, 1, 42);
+        p.ended(1001, 1, 0, Outcome.MISS, 1);
+        assertThat(p.last()).isEqualTo(OneProxy.ORIGIN);
+    }
+
+    @Test
+    void aWriteGoesToTheOrigin() {
+        OneProxy p = new OneProxy(OneProxy.aside(OneProxy.READ)).listed(3);
+        p.write(1000, 1, 42);
+        assertThat(p.sentTo).containsExactly(OneProxy.ORIGIN);
+    }
+
+    @Test
+    void missesForOneKeyShareAFetch() {
+        OneProxy p = new OneProxy(OneProxy.aside(OneProxy.READ)).listed(3);
+        p.ask(1000, 1, 42);
+        NodeId owner = p.last();
+        p.ended(1001, 1, 0, Outcome.MISS, 1);
+        p.ask(1002, 2, 42);
+        assertThat(p.done).containsExactly("execute 1", "execute 1");
+        p.ended(1050, 1, 1, Outcome.COMPLETED, 49);
+        assertThat(p.done).endsWith("execute 2");
+        assertThat(p.last()).isEqualTo(owner);
+    }
+
+    @Test
+    void aFullOriginLimitIsAnsweredAtOnce() {
+        OneProxy p = new OneProxy(OneProxy.aside(OneProxy.READ)).listed(3);
+        for (int i = 1; i <= 40; i++) {
+            p.ask(1000, i, i);
+            p.ended(1001, i, 0, Outcome.MISS, 1);
+        }
+        assertThat(p.done).endsWith("reject 40");
+    }
+
+    @Test
+    void anUnreachableOriginIsAnsweredAtOnce() {
+        OneProxy p = new OneProxy(OneProxy.aside(OneProxy.READ));
+        p.router.listGiven(1000, List.of(OneProxy.ready(1)), false);
+        p.ask(1000, 1, 42);
+        p.ended(1001, 1, 0, Outcome.MISS, 1);
+        assertThat(p.done).containsExactly("execute 1", "reject 1");
+    }
+
+    @Test
+    void anEmptyListIsAnsweredAtOnce() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ));
+        p.ask(1000, 1, 42);
+        assertThat(p.done).containsExactly("reject 1");
+    }
+
+    /** pallet i0c9b7b: misses behind a slow origin took the places of hits. */
+    @Test
+    void keysNotKnownToBeHeldAreLimitedBeforeHits() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(20);
+        p.ask(1000, 1, 7);
+        p.ended(1010, 1, 0, Outcome.COMPLETED, 10);
+        for (int i = 2; i <= 40; i++) {
+            p.ask(1010, i, 1000 + i);
+        }
+        assertThat(p.done).endsWith("reject 40");
+        p.ask(1011, 41, 7);
+        assertThat(p.done).endsWith("execute 41");
+    }
+
+    /** pallet rough-1: clients told to come back past their SLO time took the room of first tries. */
+    @Test
+    void aTardyRetryGetsTheLastOfALimit() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(20);
+        for (int i = 1; i <= 8; i++) {
+            p.ask(1000, i, i);
+        }
+        p.router.query(1000, new QueryId(9), 0, new Key(9), 700, false);
+        assertThat(p.done).endsWith("reject 9");
+        p.ask(1000, 10, 10);
+        assertThat(p.done).endsWith("execute 10");
+    }
+
+    @Test
+    void twoResetsSetACacheAside() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(4);
+        p.ask(1000, 1, 42);
+        NodeId owner = p.last();
+        p.ask(1000, 2, 42);
+        p.ended(1001, 1, 0, Outcome.RESET, 1);
+        p.ended(1001, 2, 0, Outcome.RESET, 1);
+        p.ask(1002, 3, 42);
+        assertThat(p.last()).isNotEqualTo(owner);
+    }
+
+    @Test
+    void aTroubleThatAllShareLeavesTheRingStanding() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(4);
+        for (int i = 1; i <= 100; i++) {
+            p.ask(1000 + i, i, i);
+            for (int execution = 0; execution < 3; execution++) {
+                p.ended(1000 + i, i, execution, Outcome.RESET, 1);
+            }
+        }
+        p.done.clear();
+        p.ask(1200, 1000, 1);
+        assertThat(p.done).containsExactly("execute 1000");
+    }
+
+    /** litoral i14f780: caches that merely had a queue stood set aside for silence. */
+    @Test
+    void aSilentCacheIsProbedBeforeItIsSetAside() {
+        OneProxy p = new OneProxy(OneProxy.parallel(true)).listed(4);
+        p.ask(1000, 1, 42);
+        p.router.woken(1240, p.timers.get(0));
+        assertThat(p.done).containsExactly("execute 1", "probe " + p.sentTo.get(0).value(), "execute 1");
+    }
+
+    @Test
+    void theCopyThatLosesIsCalledOff() {
+        OneProxy p = new OneProxy(OneProxy.parallel(false)).listed(4);
+        p.ask(1000, 1, 42);
+        p.router.woken(1240, p.timers.get(0));
+        p.ended(1300, 1, 1, Outcome.COMPLETED, 60);
+        assertThat(p.done).endsWith("cancel 1/0");
+    }
+
+    @Test
+    void aFailedCallToTheListIsRepeated() {
+        OneProxy p = new OneProxy(OneProxy.onRequest());
+        p.router.woken(1500, p.timers.get(0));
+        p.router.listFailed(1600);
+        p.router.woken(3200, p.timers.get(2));
+        assertThat(p.done).containsExactly("follow", "follow");
+    }
+
+    @Test
+    void lateAndUnknownNewsIsPassedOver() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(3);
+        p.ended(1000, 77, 0, Outcome.COMPLETED, 1);
+        p.router.clientLeft(1000, new QueryId(78));
+        p.router.woken(1000, new TimerId(79));
+        p.router.probeEnded(1000, new NodeId(80), Outcome.COMPLETED, 1, OneProxy.NO_REPORT);
+        assertThat(p.done).isEmpty();
+    }
+
+    @Test
+    void aQueryWhoseClientLeftIsNotSentAgain() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(3);
+        p.ask(1000, 1, 42);
+        p.router.clientLeft(1100, new QueryId(1));
+        p.ended(1101, 1, 0, Outcome.CANCELLED, 101);
+        assertThat(p.done).containsExactly("execute 1", "cancel 1/0");
+    }
+}
