--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -363,9 +363,10 @@
             return;
         }
         n.probing = false;
-        if (outcome == Outcome.COMPLETED) {
-            n.heard(now);
+        if (outcome == Outcome.COMPLETED || outcome == Outcome.FULL || n.heardAt > now - tookMs) {
+            // Guards a cache that lives: turning a probe back, or answering others meanwhile, is a sign of life.
             n.trialsLeft = n.asideUntil > 0 ? TRIAL_GOOD : 0;
+            n.heard(now);
         } else if (outcome == Outcome.CONNECT_FAILED || n.asideUntil > 0) {
             setAside(n, "probe " + outcome);
         } else if (!overload(fleet)) {
