--- a/src/main/java/dappleseam/router/Node.java
+++ b/src/main/java/dappleseam/router/Node.java
@@ -25,6 +25,8 @@
     /** 0 in service; a time to come while set aside; past while on trial. */
     double asideUntil;
     int trialsLeft;
+    /** The last answer was slow, or missing. */
+    boolean lastSlow;
     boolean probing;
 
     Node(NodeId id, Tally tally, Limit limit) {
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -59,6 +59,7 @@
     private static final double SLOW_ANSWER = 0.6;
     /** Share of slow or missing answers, and the fewest counted, over a time in ms, that tell of overload. */
     private static final double OVERLOAD_SHARE = 0.2;
+    private static final double OVERLOAD_CACHES = 0.3;
     private static final int OVERLOAD_LEAST = 10;
     private static final double OVERLOAD_MS = 750;
     /** Keys remembered as held, in keys: well over what one proxy asks for while a cache keeps them. */
@@ -369,7 +370,7 @@
             n.heard(now);
         } else if (outcome == Outcome.CONNECT_FAILED || n.asideUntil > 0) {
             setAside(n, "probe " + outcome);
-        } else if (!overload(fleet)) {
+        } else if (!overloaded()) {
             strike(n, "probe " + outcome);
         }
     }
@@ -496,7 +497,7 @@
         q.out--;
         if (outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED) {
             // Guards a node that goes on with work given up on: its place counts as taken for as long again.
-            timers.after(tookMs, () -> release(e));
+            timers.after(Math.min(tookMs, q.grade.sloMs()), () -> release(e));
         } else {
             release(e);
         }
@@ -594,22 +595,28 @@
         Tally tally = e.mayFetch ? fetching : fleet;
         Limit limit = e.mayFetch ? fetchLimit : fleetLimit;
         tally.add(now, slow ? Tally.BAD : Tally.GOOD);
+        e.node.lastSlow = slow && !e.mayFetch;
         if (!slow) {
             limit.grow(e.mayFetch ? fetchesOut : outAtCaches);
-        } else if (overload(tally)) {
+        } else if (e.mayFetch ? tally.badShare(now, OVERLOAD_MS, OVERLOAD_LEAST) > OVERLOAD_SHARE : overloaded()) {
             limit.cut(now, OVERLOAD_MS);
         }
     }
 
-    private boolean overload(Tally tally) {
-        return tally.badShare(now, OVERLOAD_MS, OVERLOAD_LEAST) > OVERLOAD_SHARE;
+    /** Counts caches, not answers: a few slow ones are no overload, however much they hold. */
+    private boolean overloaded() {
+        double slow = 0;
+        for (Node n : caches) {
+            slow += n.lastSlow ? n.scale : 0;
+        }
+        return slow > OVERLOAD_CACHES * ringScale;
     }
 
     /** Guards against a silent machine, told from an overload by the others, or by a probe where allowed. */
     private void suspect(Node n) {
         if (site.mayProbe() && n.asideUntil == 0) {
             probe(n);
-        } else if (!overload(fleet)) {
+        } else if (!overloaded()) {
             strike(n, "silence");
         }
     }
