--- a/src/main/java/dappleseam/router/Deployment.java
+++ b/src/main/java/dappleseam/router/Deployment.java
@@ -9,6 +9,7 @@
 public record Deployment(
         List<ServiceGrade> grades,
         int zone,
+        int proxies,
         int originModel,
         boolean scaleIsStable,
         double tickMs,
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -49,8 +49,8 @@
     private static final double ASIDE_MOST = 0.4;
     /** Answers in a row, in executions, that end a trial. */
     private static final int TRIAL_GOOD = 3;
-    /** In-flight limits, in executions: first size, least size, and the share kept by a cut. */
-    private static final double LIMIT_FIRST = 16;
+    /** In-flight limits, in executions: first size over all proxies, least size, and the share kept by a cut. */
+    private static final double LIMIT_FIRST = 32;
     private static final double LIMIT_LEAST = 1;
     private static final double LIMIT_KEPT = 0.7;
     /** Time between two cuts of a limit, in ms: one bad moment counts once. */
@@ -64,8 +64,8 @@
     private static final double OVERLOAD_MS = 750;
     /** Keys remembered as held, in keys: well over what one proxy asks for while a cache keeps them. */
     private static final int HELD_MOST = 1 << 14;
-    /** First size of the fleet's limit, in executions a cache: a few queued on each. */
-    private static final double FLEET_FIRST = 4;
+    /** First size of the fleet's limit, in executions a cache over all proxies, and least a cache and proxy. */
+    private static final double FLEET_FIRST = 12;
     private static final double FLEET_LEAST = 0.25;
     /** Share of a limit open to the least important query; the rest opens evenly with importance. */
     private static final double LIMIT_FOR_ALL = 0.6;
@@ -95,9 +95,9 @@
     private final Map<Key, Fetch> fetches = new HashMap<>();
     private final Timers timers;
     private final Tally fleet = newTally();
-    private final Limit fleetLimit = newLimit();
+    private final Limit fleetLimit;
     private final Tally fetching = newTally();
-    private final Limit fetchLimit = newLimit();
+    private final Limit fetchLimit;
     private int fetchesOut;
     private final RecentKeys held = new RecentKeys(HELD_MOST);
     private double now;
@@ -117,6 +117,8 @@
         this.random = random;
         this.host = host;
         timers = new Timers(host);
+        fleetLimit = newLimit();
+        fetchLimit = newLimit();
         now = nowMs;
         usualLeft = new double[site.grades().size()];
         highestImportance = site.grades().stream().mapToDouble(ServiceGrade::importance).max().orElse(1);
@@ -194,7 +196,7 @@
             }
         }
         Arrays.sort(ring);
-        fleetLimit.size = caches.isEmpty() ? FLEET_FIRST * ready.size() : fleetLimit.size;
+        fleetLimit.size = caches.isEmpty() ? FLEET_FIRST / site.proxies() * ready.size() : fleetLimit.size;
         fleetLimit.least = FLEET_LEAST * ready.size();
         caches = ready;
     }
@@ -678,6 +680,6 @@
         return new Tally(BUCKETS, BUCKET_MS);
     }
 
-    private static Limit newLimit() {
-        return new Limit(LIMIT_FIRST, LIMIT_LEAST, LIMIT_KEPT);
+    private Limit newLimit() {
+        return new Limit(Math.max(LIMIT_LEAST, LIMIT_FIRST / site.proxies()), LIMIT_LEAST, LIMIT_KEPT);
     }}
--- a/src/test/java/dappleseam/router/OneProxy.java
+++ b/src/test/java/dappleseam/router/OneProxy.java
@@ -26,20 +26,20 @@
 
     /** Three executions, one at a time, caches that fetch for themselves, no probes, a pushed list. */
     static Deployment through(ServiceGrade grade) {
-        return new Deployment(List.of(grade), 0, -1, true, 1, 3, false, true, false, 1000, 0, 0.2, 10000, 1500);
+        return new Deployment(List.of(grade), 0, 2, -1, true, 1, 3, false, true, false, 1000, 0, 0.2, 10000, 1500);
     }
 
     static Deployment aside(ServiceGrade grade) {
-        return new Deployment(List.of(grade), 0, ORIGIN_MODEL, true, 1, 3, false, true, false, 1000, 0, 0.2, 10000,
+        return new Deployment(List.of(grade), 0, 2, ORIGIN_MODEL, true, 1, 3, false, true, false, 1000, 0, 0.2, 10000,
                 1500);
     }
 
     static Deployment parallel(boolean probes) {
-        return new Deployment(List.of(READ), 0, -1, true, 1, 3, true, true, probes, 1000, 0, 0.2, 10000, 1500);
+        return new Deployment(List.of(READ), 0, 2, -1, true, 1, 3, true, true, probes, 1000, 0, 0.2, 10000, 1500);
     }
 
     static Deployment onRequest() {
-        return new Deployment(List.of(READ), 0, -1, true, 1, 3, false, true, false, 1000, 8000, 0.2, 10000, 1500);
+        return new Deployment(List.of(READ), 0, 2, -1, true, 1, 3, false, true, false, 1000, 8000, 0.2, 10000, 1500);
     }
 
     static Member ready(long node) {
