--- a/src/main/java/dappleseam/router/Limit.java
+++ b/src/main/java/dappleseam/router/Limit.java
@@ -4,11 +4,11 @@
 final class Limit {
     double size;
     double least;
-    double lastCut;
+    private double lastCut;
     private final double kept;
 
     Limit(double first, double least, double kept) {
-        size = first;
+        size = Math.max(first, least);
         this.least = least;
         this.kept = kept;
     }
@@ -17,9 +17,17 @@
         size += out >= size / 2 ? 1 / size : 0;
     }
 
-    /** Cuts unless it was cut less than {@code everyMs} ago: one bad moment counts once. */
-    void cut(double atMs, double everyMs) {
-        if (atMs - lastCut >= everyMs) {
+    void answered(boolean slow, int out, double atMs, double sentAtMs) {
+        if (slow) {
+            cut(atMs, sentAtMs);
+        } else {
+            grow(out);
+        }
+    }
+
+    /** Cuts for an execution sent since the last cut: what was out already tells nothing of the new size. */
+    void cut(double atMs, double sentAtMs) {
+        if (sentAtMs >= lastCut) {
             lastCut = atMs;
             size = Math.max(least, size * kept);
         }
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -16,9 +16,8 @@
  * deployment allows is in {@link Deployment}, what the router can do in {@link Host}; docs/design.md why.
  */
 public final class Router {
-    /** Most and fewest tokens of a cache: the spread of ring shares falls with their root. */
+    /** Tokens of the largest cache: the spread of ring shares falls with their root. */
     private static final int TOKENS = 256;
-    private static final int TOKENS_LEAST = 8;
     /** Bits of a ring position that name the cache; allows 4096 caches and leaves 52 bits of hash. */
     private static final int INDEX_BITS = 12;
     /** Owner and fallbacks looked at, in caches: the two successors of the design. */
@@ -49,12 +48,10 @@
     private static final double ASIDE_MOST = 0.4;
     /** Answers in a row, in executions, that end a trial. */
     private static final int TRIAL_GOOD = 3;
-    /** In-flight limits, in executions: first size over all proxies, least size, and the share kept by a cut. */
+    /** In-flight limits, in executions: first size over all proxies, least, and the share a cut keeps. */
     private static final double LIMIT_FIRST = 32;
     private static final double LIMIT_LEAST = 1;
     private static final double LIMIT_KEPT = 0.7;
-    /** Time between two cuts of a limit, in ms: one bad moment counts once. */
-    private static final double CUT_EVERY_MS = 250;
     /** Share of the SLO time after which an answer tells of a queue. */
     private static final double SLOW_ANSWER = 0.6;
     /** Share of slow or missing answers, and the fewest counted, over a time in ms, that tell of overload. */
@@ -64,9 +61,11 @@
     private static final double OVERLOAD_MS = 750;
     /** Keys remembered as held, in keys: well over what one proxy asks for while a cache keeps them. */
     private static final int HELD_MOST = 1 << 14;
-    /** First size of the fleet's limit, in executions a cache over all proxies, and least a cache and proxy. */
+    /** Fleet's limit, in executions a cache: first size over all proxies, and least size at each. */
     private static final double FLEET_FIRST = 12;
     private static final double FLEET_LEAST = 0.25;
+    /** First limit on keys not known to be held, as a share of the fleet's: at the start none is known. */
+    private static final double FETCH_FIRST = 0.5;
     /** Share of a limit open to the least important query; the rest opens evenly with importance. */
     private static final double LIMIT_FOR_ALL = 0.6;
     /** Share of a limit open to a query that earns nothing past its SLO time: what is sure to be spare. */
@@ -94,10 +93,10 @@
     private final Map<QueryId, Query> queries = new HashMap<>();
     private final Map<Key, Fetch> fetches = new HashMap<>();
     private final Timers timers;
-    private final Tally fleet = newTally();
-    private final Limit fleetLimit;
-    private final Tally fetching = newTally();
-    private final Limit fetchLimit;
+    private final Tally fleet = new Tally(BUCKETS, BUCKET_MS);
+    private final Limit fleetLimit = new Limit(LIMIT_FIRST, LIMIT_LEAST, LIMIT_KEPT);
+    private final Tally fetching = new Tally(BUCKETS, BUCKET_MS);
+    private final Limit fetchLimit = new Limit(LIMIT_FIRST, LIMIT_LEAST, LIMIT_KEPT);
     private int fetchesOut;
     private final RecentKeys held = new RecentKeys(HELD_MOST);
     private double now;
@@ -117,8 +116,6 @@
         this.random = random;
         this.host = host;
         timers = new Timers(host);
-        fleetLimit = newLimit();
-        fetchLimit = newLimit();
         now = nowMs;
         usualLeft = new double[site.grades().size()];
         highestImportance = site.grades().stream().mapToDouble(ServiceGrade::importance).max().orElse(1);
@@ -161,7 +158,8 @@
     }
 
     private void learn(Member m) {
-        Node n = nodes.computeIfAbsent(m.node(), id -> new Node(id, newTally(), newLimit()));
+        Node n = nodes.computeIfAbsent(m.node(), id -> new Node(id, new Tally(BUCKETS, BUCKET_MS),
+                new Limit(LIMIT_FIRST / site.proxies(), LIMIT_LEAST, LIMIT_KEPT)));
         n.isOrigin = m.model() == site.originModel();
         n.learn(m, site.scaleIsStable() && m.scale() > 0 ? m.scale() : 1);
     }
@@ -184,7 +182,7 @@
         int total = 0;
         ringScale = 0;
         for (Node n : ready) {
-            n.placeTokens((int) Math.max(TOKENS_LEAST, Math.round(TOKENS * n.scale / unit)));
+            n.placeTokens((int) Math.max(1, Math.round(TOKENS * n.scale / unit)));
             total += n.tokens.length;
             ringScale += n.scale;
         }
@@ -196,7 +194,10 @@
             }
         }
         Arrays.sort(ring);
-        fleetLimit.size = caches.isEmpty() ? FLEET_FIRST / site.proxies() * ready.size() : fleetLimit.size;
+        if (caches.isEmpty()) {
+            fleetLimit.size = FLEET_FIRST / site.proxies() * ready.size();
+            fetchLimit.size = FETCH_FIRST * fleetLimit.size;
+        }
         fleetLimit.least = FLEET_LEAST * ready.size();
         caches = ready;
     }
@@ -255,7 +256,7 @@
 
     private void route(Query q) {
         boolean aside = site.originModel() >= 0;
-        if (aside && (q.write || q.execsLeft(site) == 1)) {
+        if (aside && (q.write || q.execsLeft(site) == 1 || q.firstMissedAt() != null)) {
             toOrigin(q);
             return;
         }
@@ -367,7 +368,7 @@
         }
         n.probing = false;
         if (outcome == Outcome.COMPLETED || outcome == Outcome.FULL || n.heardAt > now - tookMs) {
-            // Guards a cache that lives: turning a probe back, or answering others meanwhile, is a sign of life.
+            // Guards a cache that lives: it turned the probe back, or answered others meanwhile.
             n.trialsLeft = n.asideUntil > 0 ? TRIAL_GOOD : 0;
             n.heard(now);
         } else if (outcome == Outcome.CONNECT_FAILED || n.asideUntil > 0) {
@@ -477,10 +478,8 @@
             if (stored && at.state == Member.State.READY && at.asideUntil <= 0 && mayGoTo(w, at)
                     && withinColdBudget(at)) {
                 send(w, at);
-            } else if (w.execs.isEmpty()) {
-                route(w);
             } else {
-                toOrigin(w);
+                route(w);
             }
         }
     }
@@ -558,11 +557,7 @@
                     n.asideUntil = 0;
                     n.tally.clear();
                 }
-                if (slow) {
-                    n.limit.cut(now, CUT_EVERY_MS);
-                } else {
-                    n.limit.grow(n.out);
-                }
+                n.limit.answered(slow, n.out, now, e.sentAt);
             }
             case ERRED -> {
                 n.heard(now);
@@ -574,10 +569,10 @@
             }
             case FULL -> {
                 n.heard(now);
-                n.limit.cut(now, CUT_EVERY_MS);
+                n.limit.cut(now, e.sentAt);
             }
             case TIMED_OUT -> {
-                n.limit.cut(now, CUT_EVERY_MS);
+                n.limit.cut(now, e.sentAt);
                 if (!n.isOrigin) {
                     pace(e, true);
                 }
@@ -586,10 +581,9 @@
                 }
             }
             case CONNECT_FAILED, RESET -> {
-                n.limit.cut(now, CUT_EVERY_MS);
+                n.limit.cut(now, e.sentAt);
                 strike(n, outcome.toString());
             }
-            default -> { }
         }
     }
 
@@ -599,9 +593,11 @@
         tally.add(now, slow ? Tally.BAD : Tally.GOOD);
         e.node.lastSlow = slow && !e.mayFetch;
         if (!slow) {
-            limit.grow(e.mayFetch ? fetchesOut : outAtCaches);
-        } else if (e.mayFetch ? tally.badShare(now, OVERLOAD_MS, OVERLOAD_LEAST) > OVERLOAD_SHARE : overloaded()) {
-            limit.cut(now, OVERLOAD_MS);
+            fleetLimit.grow(outAtCaches);
+            fetchLimit.grow(fetchesOut);
+        } else if (e.mayFetch ? tally.badShare(now, OVERLOAD_MS, OVERLOAD_LEAST) > OVERLOAD_SHARE
+                : overloaded()) {
+            limit.cut(now, e.sentAt);
         }
     }
 
@@ -675,11 +671,4 @@
             queries.remove(q.id);
         }
     }
-
-    private static Tally newTally() {
-        return new Tally(BUCKETS, BUCKET_MS);
-    }
-
-    private Limit newLimit() {
-        return new Limit(Math.max(LIMIT_LEAST, LIMIT_FIRST / site.proxies()), LIMIT_LEAST, LIMIT_KEPT);
-    }}
+}
