--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -77,6 +77,8 @@
         boolean ended;
         boolean missed;
         boolean neverRan;
+        /** Out for so long that it no longer counts among the fleet's. */
+        boolean pinned;
         /** The key was not known to be held there. */
         boolean mayFetch;
 
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -30,9 +30,8 @@
     private static final double PATIENCE = 0.5;
     /** Share of the SLO time after which a second copy goes out: past the usual answer, time for another. */
     private static final double SECOND_COPY = 0.4;
-    /** Further executions earned by each query; bounds what failures and second copies add to an overload. */
+    /** Further executions earned by each query, and most saved up: bounds what failures add to an overload. */
     private static final double EXTRA_SHARE = 0.2;
-    /** Most further executions saved up, in executions; rides out one dead cache's worth of queries. */
     private static final double EXTRA_MOST = 20;
     /** Share of the SLO time below which another execution cannot end well. */
     private static final double TOO_LATE = 0.05;
@@ -61,10 +60,9 @@
     private static final double OVERLOAD_MS = 750;
     /** Keys remembered as held, in keys: well over what one proxy asks for while a cache keeps them. */
     private static final int HELD_MOST = 1 << 14;
-    /** Fleet's limit, in executions a cache: first size over all proxies, and least size at each. */
+    /** Fleet's limit, in executions a cache: first size over all proxies, least at each, share for fetches. */
     private static final double FLEET_FIRST = 12;
     private static final double FLEET_LEAST = 0.25;
-    /** First limit on keys not known to be held, as a share of the fleet's: at the start none is known. */
     private static final double FETCH_FIRST = 0.5;
     /** Share of a limit open to the least important query; the rest opens evenly with importance. */
     private static final double LIMIT_FOR_ALL = 0.6;
@@ -419,6 +417,8 @@
         if (q.answered || first.ended || q.streaming) {
             return;
         }
+        first.pinned = true; // a place pinned by one slow cache tells nothing of the fleet
+        outAtCaches--;
         if (first.node.heardAt < first.sentAt) {
             suspect(first.node);
         }
@@ -521,7 +521,7 @@
 
     private void release(Execution e) {
         e.node.out--;
-        outAtCaches -= e.node.isOrigin ? 0 : 1;
+        outAtCaches -= e.node.isOrigin || e.pinned ? 0 : 1;
         fetchesOut -= e.mayFetch ? 1 : 0;
     }
 
