--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -80,11 +80,12 @@
         /** Out for so long that it no longer counts among the fleet's. */
         boolean pinned;
         /** The key was not known to be held there. */
-        boolean mayFetch;
+        final boolean mayFetch;
 
-        Execution(Node node, double sentAt) {
+        Execution(Node node, double sentAt, boolean mayFetch) {
             this.node = node;
             this.sentAt = sentAt;
+            this.mayFetch = mayFetch;
         }
     }
 
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -51,8 +51,9 @@
     private static final double LIMIT_FIRST = 32;
     private static final double LIMIT_LEAST = 1;
     private static final double LIMIT_KEPT = 0.7;
-    /** Share of the SLO time after which an answer tells of a queue. */
-    private static final double SLOW_ANSWER = 0.6;
+    /** Share of the SLO time after which a cache's, and the scarcer origin's, answer tells of a queue. */
+    private static final double SLOW_ANSWER = 0.4;
+    private static final double SLOW_ORIGIN = 0.8;
     /** Share of slow or missing answers, and the fewest counted, over a time in ms, that tell of overload. */
     private static final double OVERLOAD_SHARE = 0.2;
     private static final double OVERLOAD_CACHES = 0.3;
@@ -398,8 +399,7 @@
             // Guards against a silent cache: leaves a successor time to answer within the SLO time.
             timeout = Math.min(left, Math.max(PATIENCE * left, TOO_LATE * q.grade.sloMs()));
         }
-        Execution e = new Execution(n, now);
-        e.mayFetch = mayFetch(q, n);
+        Execution e = new Execution(n, now, mayFetch(q, n));
         fetchesOut += e.mayFetch ? 1 : 0;
         q.execs.add(e);
         q.out++;
@@ -545,7 +545,7 @@
     /** What an outcome tells of the node. */
     private void judge(Execution e, Outcome outcome, double tookMs, ServiceGrade grade) {
         Node n = e.node;
-        boolean slow = tookMs > SLOW_ANSWER * grade.sloMs();
+        boolean slow = tookMs > (n.isOrigin ? SLOW_ORIGIN : SLOW_ANSWER) * grade.sloMs();
         switch (outcome) {
             case COMPLETED, MISS -> {
                 n.heard(now);
