--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -53,7 +53,7 @@
     private static final double LIMIT_KEPT = 0.7;
     /** Share of the SLO time after which a cache's, and the scarcer origin's, answer tells of a queue. */
     private static final double SLOW_ANSWER = 0.4;
-    private static final double SLOW_ORIGIN = 0.8;
+    private static final double SLOW_ORIGIN = 1;
     /** Share of slow or missing answers, and the fewest counted, over a time in ms, that tell of overload. */
     private static final double OVERLOAD_SHARE = 0.2;
     private static final double OVERLOAD_CACHES = 0.3;
