--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -2,6 +2,7 @@
 
 import dappleseam.router.Query.Execution;
 import dappleseam.router.Query.Fetch;
+import dappleseam.router.ServiceGrade.Repeat;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -30,7 +31,7 @@
     private static final double PATIENCE = 0.5;
     /** Share of the SLO time after which a second copy goes out: past the usual answer, time for another. */
     private static final double SECOND_COPY = 0.4;
-    /** Further executions earned by each query, and most saved up: bounds what failures add to an overload. */
+    /** Further executions earned by each query, most saved: what failures may add to an overload. */
     private static final double EXTRA_SHARE = 0.2;
     private static final double EXTRA_MOST = 20;
     /** Share of the SLO time below which another execution cannot end well. */
@@ -209,8 +210,7 @@
         double sloLeft = q.grade.sloMs() - spentBefore(grade, leftMs) - 2 * site.tickMs() - LAST_HOP_MS;
         q.tardy = sloLeft < TOO_LATE * q.grade.sloMs();
         // Past its SLO time an answer that earns nothing is given up, and its node freed.
-        boolean toTheEnd = q.tardy || q.grade.tardyShare() > 0
-                || q.grade.repeat() == ServiceGrade.Repeat.NON_IDEMPOTENT;
+        boolean toTheEnd = q.tardy || q.grade.tardyShare() > 0 || q.grade.repeat() == Repeat.NON_IDEMPOTENT;
         q.usefulUntil = toTheEnd ? q.quitAt : Math.min(q.quitAt, now + sloLeft);
         queries.put(id, q);
         extras = Math.min(EXTRA_MOST, extras + EXTRA_SHARE);
@@ -380,8 +380,8 @@
     /** Whether a further execution there keeps the grade's promise about repeats. */
     private boolean mayGoTo(Query q, Node n) {
         Execution first = q.firstThatMayHaveRun();
-        return first == null || q.grade.repeat() == ServiceGrade.Repeat.IDEMPOTENT
-                || q.grade.repeat() == ServiceGrade.Repeat.DEDUPLICATED
+        return first == null || q.grade.repeat() == Repeat.IDEMPOTENT
+                || q.grade.repeat() == Repeat.DEDUPLICATED
                 && now < first.sentAt + q.grade.windowMs() - 2 * site.tickMs()
                 && switch (q.grade.group()) {
                     case ALL -> true;
@@ -393,7 +393,7 @@
     private void send(Query q, Node n) {
         double left = q.usefulUntil - now;
         double timeout = q.usefulUntil < q.quitAt ? left : 0;
-        boolean repeatable = q.grade.repeat() == ServiceGrade.Repeat.IDEMPOTENT && q.execsLeft(site) > 1
+        boolean repeatable = q.grade.repeat() == Repeat.IDEMPOTENT && q.execsLeft(site) > 1
                 && caches.size() > 1 && !n.isOrigin && !q.grade.stream();
         if (repeatable && !site.parallelExecutions()) {
             // Guards against a silent cache: leaves a successor time to answer within the SLO time.
@@ -530,8 +530,7 @@
             toOrigin(q);
             return;
         }
-        boolean repeatable = q.firstThatMayHaveRun() == null
-                || q.grade.repeat() != ServiceGrade.Repeat.NON_IDEMPOTENT;
+        boolean repeatable = q.firstThatMayHaveRun() == null || q.grade.repeat() != Repeat.NON_IDEMPOTENT;
         boolean timeLeft = q.usefulUntil - now > TOO_LATE * q.grade.sloMs();
         if (q.out > 0 || !repeatable || !timeLeft || q.execsLeft(site) == 0 || extras < 1
                 || outcome == Outcome.UNSENT) {
@@ -546,18 +545,27 @@
     private void judge(Execution e, Outcome outcome, double tookMs, ServiceGrade grade) {
         Node n = e.node;
         boolean slow = tookMs > (n.isOrigin ? SLOW_ORIGIN : SLOW_ANSWER) * grade.sloMs();
+        boolean late = slow || outcome == Outcome.TIMED_OUT;
+        if (n.isOrigin) {
+            n.tally.add(now, late ? Tally.BAD : Tally.GOOD);
+        } else if (outcome == Outcome.TIMED_OUT) {
+            pace(e, true);
+        }
+        // Guards the origin's limit against its own spread: one late answer among many good ones is no queue.
+        boolean queue = late && !(n.isOrigin && n.tally.count(now, OVERLOAD_MS, Tally.GOOD) >= OVERLOAD_LEAST
+                && n.tally.badShare(now, OVERLOAD_MS, OVERLOAD_LEAST) < OVERLOAD_SHARE);
         switch (outcome) {
             case COMPLETED, MISS -> {
                 n.heard(now);
-                n.tally.add(now, Tally.GOOD);
                 if (!n.isOrigin) {
+                    n.tally.add(now, Tally.GOOD);
                     pace(e, slow);
                 }
                 if (n.trialsLeft > 0 && --n.trialsLeft == 0) {
                     n.asideUntil = 0;
                     n.tally.clear();
                 }
-                n.limit.answered(slow, n.out, now, e.sentAt);
+                n.limit.answered(queue, n.out, now, e.sentAt);
             }
             case ERRED -> {
                 n.heard(now);
@@ -572,10 +580,7 @@
                 n.limit.cut(now, e.sentAt);
             }
             case TIMED_OUT -> {
-                n.limit.cut(now, e.sentAt);
-                if (!n.isOrigin) {
-                    pace(e, true);
-                }
+                n.limit.answered(queue, n.out, now, e.sentAt);
                 if (n.heardAt < e.sentAt) {
                     suspect(n);
                 }
@@ -626,20 +631,15 @@
     }
 
     private void setAside(Node n, String why) {
-        if (n.isOrigin) {
-            return;
-        }
         double aside = n.scale;
         for (Node other : caches) {
             aside += other != n && other.asideUntil > 0 ? other.scale : 0;
         }
         // Guards against a trouble that all share, such as a slow origin: the ring is never emptied.
-        if (n.asideUntil == 0 && aside > ASIDE_MOST * ringScale) {
+        if (n.isOrigin || n.asideUntil == 0 && aside > ASIDE_MOST * ringScale) {
             return;
         }
-        if (n.asideUntil <= 0) {
-            host.log("aside " + Long.toHexString(n.id.value()) + ": " + why);
-        }
+        host.log("aside " + Long.toHexString(n.id.value()) + ": " + why);
         n.trialsLeft = 0;
         n.asideUntil = now + ASIDE_MS + ASIDE_RANDOM_MS * random.nextDouble();
     }
@@ -649,7 +649,7 @@
         if (q.out > 0) {
             return;
         }
-        if (q.grade.repeat() == ServiceGrade.Repeat.IDEMPOTENT || q.firstThatMayHaveRun() == null) {
+        if (q.grade.repeat() == Repeat.IDEMPOTENT || q.firstThatMayHaveRun() == null) {
             double comeBack = COME_BACK * (1 + random.nextDouble()) * q.grade.sloMs();
             host.reject(q.id, Math.min(site.maxRetryAfterMs(), comeBack));
         } else {
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -290,4 +290,21 @@
         p.ended(1101, 1, 0, Outcome.CANCELLED, 101);
         assertThat(p.done).containsExactly("execute 1", "cancel 1/0");
     }
+
+    /** litoral ib257ba: the origin's own spread held its limit at a tenth of its room. */
+    @Test
+    void oneLateOriginAnswerAmongManyGoodOnesLeavesItsLimit() {
+        OneProxy p = new OneProxy(OneProxy.aside(OneProxy.READ)).listed(3);
+        for (int i = 1; i <= 12; i++) {
+            p.ask(1000, i, i);
+            p.ended(1001, i, 0, Outcome.MISS, 1);
+            p.ended(1100, i, 1, i == 12 ? Outcome.TIMED_OUT : Outcome.COMPLETED, i == 12 ? 600 : 99);
+        }
+        p.done.clear();
+        for (int i = 21; i <= 36; i++) {
+            p.ask(1200, i, i);
+            p.ended(1201, i, 0, Outcome.MISS, 1);
+        }
+        assertThat(p.done).filteredOn(act -> act.startsWith("reject")).hasSizeLessThanOrEqualTo(3);
+    }
 }
