--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -62,7 +62,7 @@
     private static final double OVERLOAD_MS = 750;
     /** Keys remembered as held, in keys: well over what one proxy asks for while a cache keeps them. */
     private static final int HELD_MOST = 1 << 14;
-    /** Fleet's limit, in executions a cache: first size over all proxies, least at each, share for fetches. */
+    /** Fleet's limit, in executions a cache: first over all proxies, least at each, share for fetches. */
     private static final double FLEET_FIRST = 12;
     private static final double FLEET_LEAST = 0.25;
     private static final double FETCH_FIRST = 0.5;
