--- a/src/main/java/dappleseam/drill/DeploymentReader.java
+++ b/src/main/java/dappleseam/drill/DeploymentReader.java
@@ -39,7 +39,6 @@
         String scale = root.path("weightSource").asText();
         return new Deployment(
                 List.copyOf(grades),
-                root.path("zone").asInt(-1),
                 Math.max(1, root.path("balancers").asInt(1)),
                 extra.path("mode").asText().equals("aside") ? extra.path("originKind").asInt(-1) : -1,
                 scale.equals("nominal") || scale.equals("rough"),
--- a/src/main/java/dappleseam/router/Deployment.java
+++ b/src/main/java/dappleseam/router/Deployment.java
@@ -8,7 +8,6 @@
  */
 public record Deployment(
         List<ServiceGrade> grades,
-        int zone,
         int proxies,
         int originModel,
         boolean scaleIsStable,
--- a/src/test/java/dappleseam/router/OneProxy.java
+++ b/src/test/java/dappleseam/router/OneProxy.java
@@ -43,7 +43,7 @@
 
     private static Deployment site(ServiceGrade grade, int originModel, boolean parallel, boolean probes,
                                    double askEvery) {
-        return new Deployment(List.of(grade), 0, 2, originModel, true, 1, 3, parallel, true, probes, 1000,
+        return new Deployment(List.of(grade), 2, originModel, true, 1, 3, parallel, true, probes, 1000,
                 askEvery, 0.2, 10000, 1500);
     }
 
