Join a fetch in one place; tell the two overload checks apart by name

route looked up and joined a fetch as toOrigin does; it now calls toOrigin. overloaded(Node) is overItsShare. The header's last sentence is whole again.

--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -14,7 +14,8 @@
 /**
  * Every decision of one proxy. Call one method for each thing that happens, with the clock in ms; it acts
  * through the {@link Host} before it returns. One thread; nothing is shared between routers. What a
- * deployment allows is in {@link Deployment}, what the router can do in {@link Host}; docs/design.md why.
+ * deployment allows is in {@link Deployment}, what the router can do in {@link Host}; docs/design.md
+ * says why it decides as it does.
  */
 public final class Router {
     /** Tokens of the largest cache: the spread of ring shares falls with their root. */
@@ -255,15 +256,11 @@
 
     private void route(Query q) {
         boolean aside = site.originModel() >= 0;
-        if (aside && (q.write || q.execsLeft(site) == 1 || q.firstMissedAt() != null)) {
+        if (aside && (q.write || q.execsLeft(site) == 1 || q.firstMissedAt() != null
+                || fetches.containsKey(q.key))) {
             toOrigin(q);
             return;
         }
-        Fetch fetch = aside ? fetches.get(q.key) : null;
-        if (fetch != null) {
-            join(q, fetch);
-            return;
-        }
         // Guards against an overload of all caches: more in flight would only make every answer late.
         boolean room = outAtCaches < room(fleetLimit, q);
         Node n = room ? choose(q) : null;
@@ -294,7 +291,7 @@
             seen++;
             boolean full = n.out >= room(n.limit, q);
             q.crowded |= full;
-            if (!full && !overloaded(n)) {
+            if (!full && !overItsShare(n)) {
                 return n;
             }
             if (!full && (least == null || n.out / n.scale < least.out / least.scale)) {
@@ -315,7 +312,7 @@
                 * (importance > 0 ? LIMIT_FOR_ALL + (1 - LIMIT_FOR_ALL) * importance : LIMIT_FOR_TARDY);
     }
 
-    private boolean overloaded(Node n) {
+    private boolean overItsShare(Node n) {
         return n.out >= SKIP_FLOOR && n.out > SKIP_MULTIPLE * outAtCaches / ringScale * n.scale;
     }
 
