--- a/src/main/java/dappleseam/drill/DeploymentReader.java
+++ b/src/main/java/dappleseam/drill/DeploymentReader.java
@@ -51,7 +51,9 @@
                 onRequest ? number(rules, "askEveryS") * MS_PER_S : 0,
                 number(rules, "coldFrom"),
                 number(rules, "warmAfterS") * MS_PER_S,
-                number(rules, "fallS") * MS_PER_S);
+                number(rules, "fallS") * MS_PER_S,
+                root.path("penalties").path("connection").asDouble(),
+                root.path("penalties").path("handshake").asDouble());
     }
 
     private static ServiceGrade grade(JsonNode grade) {
--- a/src/main/java/dappleseam/drill/Reply.java
+++ b/src/main/java/dappleseam/drill/Reply.java
@@ -95,6 +95,11 @@
             node(3, instance, node);
         }
 
+        @Override
+        public void closeIdle(NodeId node) {
+            node(6, instance, node);
+        }
+
         @Override
         public void followList() {
             start(12, instance, 1).put((byte) 1);
--- a/src/main/java/dappleseam/router/Host.java
+++ b/src/main/java/dappleseam/router/Host.java
@@ -15,6 +15,9 @@
 
     void probe(NodeId node);
 
+    /** Closes this proxy's connections to the node that carry nothing. */
+    void closeIdle(NodeId node);
+
     /** Asks for changes of the list from now on; what was missed comes first. */
     void followList();
 
--- a/src/main/java/dappleseam/router/Node.java
+++ b/src/main/java/dappleseam/router/Node.java
@@ -19,6 +19,10 @@
     /** The last walk of the ring that met this node. */
     int walk;
     int out;
+    /** Of this proxy's executions. */
+    final Share share;
+    /** A connection may be open. */
+    boolean open;
     /** Failures in a row without a sign of life. */
     int strikes;
     double heardAt;
@@ -29,11 +33,12 @@
     boolean lastSlow;
     boolean probing;
 
-    Node(NodeId id, Tally tally, Limit limit) {
+    Node(NodeId id, Tally tally, Limit limit, Share share) {
         this.id = id;
         seed = Hash.mix(id.value());
         this.tally = tally;
         this.limit = limit;
+        this.share = share;
     }
 
     /** Takes over what the list says; a restarted process shares nothing with the one that failed. */
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -83,6 +83,8 @@
     private static final int BUCKETS = 16;
     /** Longest wait before the list is asked for, in ms: spreads proxies over the list service. */
     private static final double ASK_AGAIN_MS = 1500;
+    /** Latest queries over which a key's or a cache's own share is taken: a thin proxy's ten to twenty s. */
+    private static final double MEMORY = 64;
     /** Time kept for the answer's way to the client, in ms, on top of two ticks. */
     private static final double LAST_HOP_MS = 2;
 
@@ -111,6 +113,8 @@
     private double extras = EXTRA_MOST;
     private boolean followed;
     private int askTurn;
+    /** Queries taken so far. */
+    private long turn;
 
     public Router(Deployment site, RandomGenerator random, Host host, double nowMs) {
         this.site = site;
@@ -160,7 +164,7 @@
 
     private void learn(Member m) {
         Node n = nodes.computeIfAbsent(m.node(), id -> new Node(id, new Tally(BUCKETS, BUCKET_MS),
-                new Limit(LIMIT_FIRST / site.proxies(), LIMIT_LEAST, LIMIT_KEPT)));
+                new Limit(LIMIT_FIRST / site.proxies(), LIMIT_LEAST, LIMIT_KEPT), new Share(MEMORY)));
         n.isOrigin = m.model() == site.originModel();
         n.learn(m, site.scaleIsStable() && m.scale() > 0 ? m.scale() : 1);
     }
@@ -215,6 +219,10 @@
         q.usefulUntil = toTheEnd ? q.quitAt : Math.min(q.quitAt, now + sloLeft);
         queries.put(id, q);
         extras = Math.min(EXTRA_MOST, extras + EXTRA_SHARE);
+        turn++;
+        if (!caches.isEmpty()) {
+            closeUnlessUsed(caches.get((int) (turn % caches.size())));
+        }
         route(q);
     }
 
@@ -402,6 +410,8 @@
         q.out++;
         n.out++;
         n.tally.add(now, Tally.SENT);
+        n.share.add(turn);
+        n.open = true;
         outAtCaches += n.isOrigin ? 0 : 1;
         host.execute(q.id, n.id, timeout);
         if (repeatable && site.parallelExecutions() && q.execs.size() == 1) {
@@ -516,8 +526,18 @@
         }
     }
 
+    /** Guards the caches' tables against many proxies that each hold what they rarely use: price decides. */
+    private void closeUnlessUsed(Node n) {
+        double held = site.openPrice() * site.proxies() / 100 / Math.max(1, caches.size());
+        if (n.open && n.out == 0 && n.share.at(turn) * site.handshakePrice() < held) {
+            n.open = false;
+            host.closeIdle(n.id);
+        }
+    }
+
     private void release(Execution e) {
         e.node.out--;
+        closeUnlessUsed(e.node);
         outAtCaches -= e.node.isOrigin || e.pinned ? 0 : 1;
         fetchesOut -= e.mayFetch ? 1 : 0;
     }
--- a/src/test/java/dappleseam/router/OneProxy.java
+++ b/src/test/java/dappleseam/router/OneProxy.java
@@ -44,7 +44,7 @@
     private static Deployment site(ServiceGrade grade, int originModel, boolean parallel, boolean probes,
                                    double askEvery) {
         return new Deployment(List.of(grade), 2, originModel, true, 1, 3, parallel, true, probes, 1000,
-                askEvery, 0.2, 10000, 1500);
+                askEvery, 0.2, 10000, 1500, 0.05, 0.05);
     }
 
     static Member ready(long node) {
@@ -110,6 +110,11 @@
         done.add("probe " + node.value());
     }
 
+    @Override
+    public void closeIdle(NodeId node) {
+        done.add("close " + node.value());
+    }
+
     @Override
     public void followList() {
         done.add("follow");
