--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -11,6 +11,9 @@
     final boolean write;
     final List<Execution> execs = new ArrayList<>(3);
     long hash;
+    RecentKeys.Asked asked;
+    /** Successors passed over for a hot key. */
+    int place;
     double quitAt;
     double usefulUntil;
     int out;
--- a/src/main/java/dappleseam/router/RecentKeys.java
+++ b/src/main/java/dappleseam/router/RecentKeys.java
@@ -3,8 +3,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** The cache that last answered for each of the keys asked for most recently. */
-final class RecentKeys extends LinkedHashMap<Key, Node> {
+/** What is remembered of the keys asked for most recently. */
+final class RecentKeys extends LinkedHashMap<Key, RecentKeys.Asked> {
     private static final long serialVersionUID = 1L;
 
     private final int most;
@@ -15,7 +15,17 @@
     }
 
     @Override
-    protected boolean removeEldestEntry(Map.Entry<Key, Node> eldest) {
+    protected boolean removeEldestEntry(Map.Entry<Key, Asked> eldest) {
         return size() > most;
     }
+
+    /** One key: the share of this proxy's queries that ask for it, and the cache that last answered. */
+    static final class Asked {
+        final Share share;
+        Node heldBy;
+
+        Asked(Share share) {
+            this.share = share;
+        }
+    }
 }
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -2,6 +2,7 @@
 
 import dappleseam.router.Query.Execution;
 import dappleseam.router.Query.Fetch;
+import dappleseam.router.RecentKeys.Asked;
 import dappleseam.router.ServiceGrade.Repeat;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -61,8 +62,10 @@
     private static final double OVERLOAD_CACHES = 0.3;
     private static final int OVERLOAD_LEAST = 10;
     private static final double OVERLOAD_MS = 750;
-    /** Keys remembered as held, in keys: well over what one proxy asks for while a cache keeps them. */
-    private static final int HELD_MOST = 1 << 14;
+    /** Keys remembered, in keys: well over what one proxy asks for while a cache keeps them. */
+    private static final int KEYS_MOST = 1 << 14;
+    /** Caches that one hot key is spread over at most; each more is a copy to fetch and to keep. */
+    private static final int SPREAD_MOST = 8;
     /** Fleet's limit, in executions a cache: first over all proxies, least at each, share for fetches. */
     private static final double FLEET_FIRST = 12;
     private static final double FLEET_LEAST = 0.25;
@@ -101,7 +104,7 @@
     private final Tally fetching = new Tally(BUCKETS, BUCKET_MS);
     private final Limit fetchLimit = new Limit(LIMIT_FIRST, LIMIT_LEAST, LIMIT_KEPT);
     private int fetchesOut;
-    private final RecentKeys held = new RecentKeys(HELD_MOST);
+    private final RecentKeys asked = new RecentKeys(KEYS_MOST);
     private double now;
     private List<Node> caches = List.of();
     private long[] ring = {};
@@ -115,6 +118,8 @@
     private int askTurn;
     /** Queries taken so far. */
     private long turn;
+    /** Where this proxy stands among all, from 0 to 1; spreads hot keys. */
+    private final double place;
 
     public Router(Deployment site, RandomGenerator random, Host host, double nowMs) {
         this.site = site;
@@ -122,6 +127,7 @@
         this.host = host;
         timers = new Timers(host);
         now = nowMs;
+        place = random.nextDouble();
         usualLeft = new double[site.grades().size()];
         highestImportance = site.grades().stream().mapToDouble(ServiceGrade::importance).max().orElse(1);
         if (site.askEveryMs() > 0) {
@@ -220,6 +226,9 @@
         queries.put(id, q);
         extras = Math.min(EXTRA_MOST, extras + EXTRA_SHARE);
         turn++;
+        q.asked = asked.computeIfAbsent(key, k -> new Asked(new Share(MEMORY)));
+        q.place = (int) (spread(q) * place);
+        q.asked.share.add(turn);
         if (!caches.isEmpty()) {
             closeUnlessUsed(caches.get((int) (turn % caches.size())));
         }
@@ -281,6 +290,12 @@
         }
     }
 
+    /** Guards a hot key's owner: as many successors as its load would fill; each proxy keeps to one. */
+    private int spread(Query q) {
+        double caches = q.key.equals(Key.NONE) ? 0 : q.asked.share.at(turn) * this.caches.size();
+        return (int) Math.max(1, Math.min(Math.min(SPREAD_MOST, this.caches.size() - CHOICES), caches));
+    }
+
     /** The first usable cache clockwise, or by the load skip one of its next two; null if none has room. */
     private Node choose(Query q) {
         Node least = null;
@@ -289,14 +304,16 @@
         walk++;
         int found = Arrays.binarySearch(ring, q.hash >> INDEX_BITS << INDEX_BITS);
         int at = found < 0 ? -found - 1 : found;
-        for (int step = 0; step < ring.length && seen < CHOICES; step++, at++) {
+        for (int step = 0; step < ring.length && seen < q.place + CHOICES; step++, at++) {
             Node n = caches.get((int) ring[at % ring.length] & (1 << INDEX_BITS) - 1);
             boolean met = n.walk == walk;
             n.walk = walk;
             if (met || !usable(n, q)) {
                 continue;
             }
-            seen++;
+            if (++seen <= q.place) {
+                continue;
+            }
             boolean full = n.out >= room(n.limit, q);
             q.crowded |= full;
             if (!full && !overItsShare(n)) {
@@ -311,7 +328,7 @@
 
     /** Guards the origin and the caches' slots where caches fetch: keys not known to be held are limited. */
     private boolean mayFetch(Query q, Node n) {
-        return site.originModel() < 0 && held.get(q.key) != n;
+        return site.originModel() < 0 && q.asked.heldBy != n;
     }
 
     private double room(Limit limit, Query q) {
@@ -510,7 +527,7 @@
             release(e);
         }
         if (outcome == Outcome.COMPLETED && site.originModel() < 0) {
-            held.put(q.key, e.node);
+            q.asked.heldBy = e.node;
         }
         judge(e, outcome, tookMs, q.grade);
         if (finished && !q.answered) {
