--- a/src/main/java/dappleseam/router/Limit.java
+++ b/src/main/java/dappleseam/router/Limit.java
@@ -14,7 +14,7 @@
     }
 
     void grow(int out) {
-        size += out >= size / 2 ? 1 / size : 0;
+        size += out + 1 >= size / 2 ? 1 / size : 0;
     }
 
     void answered(boolean slow, int out, double atMs, double sentAtMs) {
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -170,7 +170,7 @@
 
     private void learn(Member m) {
         Node n = nodes.computeIfAbsent(m.node(), id -> new Node(id, new Tally(BUCKETS, BUCKET_MS),
-                new Limit(LIMIT_FIRST / site.proxies(), LIMIT_LEAST, LIMIT_KEPT), new Share(MEMORY)));
+                new Limit(Math.max(2, LIMIT_FIRST / site.proxies()), LIMIT_LEAST, LIMIT_KEPT), new Share(MEMORY)));
         n.isOrigin = m.model() == site.originModel();
         n.learn(m, site.scaleIsStable() && m.scale() > 0 ? m.scale() : 1);
     }
--- a/src/main/java/dappleseam/router/Share.java
+++ b/src/main/java/dappleseam/router/Share.java
@@ -12,11 +12,11 @@
     }
 
     void add(long atTurn) {
-        value = at(atTurn) + 1 - kept;
+        value = value * Math.pow(kept, atTurn - turn) + 1 - kept;
         turn = atTurn;
     }
 
     double at(long atTurn) {
-        return value * Math.pow(kept, atTurn - turn);
+        return turn == 0 ? 0 : value * Math.pow(kept, atTurn - turn) / (1 - Math.pow(kept, atTurn));
     }
 }
