--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -32,7 +32,7 @@
     /** Share of the SLO time that one execution may take while a successor could still answer. */
     private static final double PATIENCE = 0.5;
     /** Share of the SLO time after which a second copy goes out: past the usual answer, time for another. */
-    private static final double SECOND_COPY = 0.4;
+    private static final double SECOND_COPY = 0.6;
     /** Further executions earned by each query, most saved: what failures may add to an overload. */
     private static final double EXTRA_SHARE = 0.2;
     private static final double EXTRA_MOST = 20;
@@ -52,6 +52,7 @@
     private static final int TRIAL_GOOD = 3;
     /** In-flight limits, in executions: first size over all proxies, least, and the share a cut keeps. */
     private static final double LIMIT_FIRST = 32;
+    private static final double LIMIT_FIRST_LEAST = 4;
     private static final double LIMIT_LEAST = 1;
     private static final double LIMIT_KEPT = 0.7;
     /** Share of the SLO time after which a cache's, and the scarcer origin's, answer tells of a queue. */
@@ -118,6 +119,9 @@
     private int askTurn;
     /** Queries taken so far. */
     private long turn;
+    private final double bornAt;
+    /** Time of a timely answer from a cache, in ms. */
+    private double usualTook = 100;
     /** Where this proxy stands among all, from 0 to 1; spreads hot keys. */
     private final double place;
 
@@ -127,6 +131,7 @@
         this.host = host;
         timers = new Timers(host);
         now = nowMs;
+        bornAt = nowMs;
         place = random.nextDouble();
         usualLeft = new double[site.grades().size()];
         highestImportance = site.grades().stream().mapToDouble(ServiceGrade::importance).max().orElse(1);
@@ -170,7 +175,7 @@
 
     private void learn(Member m) {
         Node n = nodes.computeIfAbsent(m.node(), id -> new Node(id, new Tally(BUCKETS, BUCKET_MS),
-                new Limit(Math.max(2, LIMIT_FIRST / site.proxies()), LIMIT_LEAST, LIMIT_KEPT), new Share(MEMORY)));
+                new Limit(Math.max(LIMIT_FIRST_LEAST, LIMIT_FIRST / site.proxies()), LIMIT_LEAST, LIMIT_KEPT), new Share(MEMORY)));
         n.isOrigin = m.model() == site.originModel();
         n.learn(m, site.scaleIsStable() && m.scale() > 0 ? m.scale() : 1);
     }
@@ -206,7 +211,7 @@
         }
         Arrays.sort(ring);
         if (caches.isEmpty()) {
-            fleetLimit.size = FLEET_FIRST / site.proxies() * ready.size();
+            fleetLimit.size = Math.max(LIMIT_FIRST_LEAST, FLEET_FIRST / site.proxies() * ready.size());
             fetchLimit.size = FETCH_FIRST * fleetLimit.size;
         }
         fleetLimit.least = FLEET_LEAST * ready.size();
@@ -293,7 +298,7 @@
     /** Guards a hot key's owner: as many successors as its load would fill; each proxy keeps to one. */
     private int spread(Query q) {
         double caches = q.key.equals(Key.NONE) ? 0 : q.asked.share.at(turn) * this.caches.size();
-        return (int) Math.max(1, Math.min(Math.min(SPREAD_MOST, this.caches.size() - CHOICES), caches));
+        return (int) Math.max(1, Math.min(Math.min(SPREAD_MOST, this.caches.size() - CHOICES), Math.ceil(caches)));
     }
 
     /** The first usable cache clockwise, or by the load skip one of its next two; null if none has room. */
@@ -545,8 +550,9 @@
 
     /** Guards the caches' tables against many proxies that each hold what they rarely use: price decides. */
     private void closeUnlessUsed(Node n) {
-        double held = site.openPrice() * site.proxies() / 100 / Math.max(1, caches.size());
-        if (n.open && n.out == 0 && n.share.at(turn) * site.handshakePrice() < held) {
+        // About one query is served by a cache in the time that one takes, which prices an open connection.
+        double worthMs = 100 * site.handshakePrice() * usualTook / Math.max(site.openPrice(), 1e-9);
+        if (n.open && n.out == 0 && n.share.at(turn) * turn * worthMs < now - bornAt) {
             n.open = false;
             host.closeIdle(n.id);
         }
@@ -593,6 +599,7 @@
                 n.heard(now);
                 if (!n.isOrigin) {
                     n.tally.add(now, Tally.GOOD);
+                    usualTook += slow ? 0 : (tookMs - usualTook) / MEMORY;
                     pace(e, slow);
                 }
                 if (n.trialsLeft > 0 && --n.trialsLeft == 0) {
