--- a/src/main/java/dappleseam/router/Node.java
+++ b/src/main/java/dappleseam/router/Node.java
@@ -32,6 +32,8 @@
     /** The last answer was slow, or missing. */
     boolean lastSlow;
     boolean probing;
+    /** Late or full lately. */
+    double busyUntil;
 
     Node(NodeId id, Tally tally, Limit limit, Share share) {
         this.id = id;
--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -12,8 +12,8 @@
     final List<Execution> execs = new ArrayList<>(3);
     long hash;
     RecentKeys.Asked asked;
-    /** Successors passed over for a hot key. */
-    int place;
+    /** Scale of the successors passed over for a hot key. */
+    double passOver;
     double quitAt;
     double usefulUntil;
     int out;
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -65,6 +65,10 @@
     private static final double OVERLOAD_MS = 750;
     /** Keys remembered, in keys: well over what one proxy asks for while a cache keeps them. */
     private static final int KEYS_MOST = 1 << 14;
+    /** Multiple of its share of the ring's scale that a key is spread over: room for the other keys there. */
+    private static final double SPREAD = 1.5;
+    /** Time for which a late or full cache is passed over, in ms, half of it random: some queries' worth. */
+    private static final double BUSY_MS = 3000;
     /** Caches that one hot key is spread over at most; each more is a copy to fetch and to keep. */
     private static final int SPREAD_MOST = 8;
     /** Fleet's limit, in executions a cache: first over all proxies, least at each, share for fetches. */
@@ -232,7 +236,8 @@
         extras = Math.min(EXTRA_MOST, extras + EXTRA_SHARE);
         turn++;
         q.asked = asked.computeIfAbsent(key, k -> new Asked(new Share(MEMORY)));
-        q.place = (int) (spread(q) * place);
+        // Guards a hot key's owner: it is spread over as much scale as it would fill, each proxy at its place.
+        q.passOver = key.equals(Key.NONE) ? 0 : SPREAD * q.asked.share.at(turn) * ringScale * place;
         q.asked.share.add(turn);
         if (!caches.isEmpty()) {
             closeUnlessUsed(caches.get((int) (turn % caches.size())));
@@ -295,33 +300,31 @@
         }
     }
 
-    /** Guards a hot key's owner: as many successors as its load would fill; each proxy keeps to one. */
-    private int spread(Query q) {
-        double caches = q.key.equals(Key.NONE) ? 0 : q.asked.share.at(turn) * this.caches.size();
-        return (int) Math.max(1, Math.min(Math.min(SPREAD_MOST, this.caches.size() - CHOICES), Math.ceil(caches)));
-    }
-
     /** The first usable cache clockwise, or by the load skip one of its next two; null if none has room. */
     private Node choose(Query q) {
         Node least = null;
         int seen = 0;
+        int passed = 0;
+        double toPass = q.passOver;
         q.crowded = false;
         walk++;
         int found = Arrays.binarySearch(ring, q.hash >> INDEX_BITS << INDEX_BITS);
         int at = found < 0 ? -found - 1 : found;
-        for (int step = 0; step < ring.length && seen < q.place + CHOICES; step++, at++) {
+        for (int step = 0; step < ring.length && seen < CHOICES; step++, at++) {
             Node n = caches.get((int) ring[at % ring.length] & (1 << INDEX_BITS) - 1);
             boolean met = n.walk == walk;
             n.walk = walk;
             if (met || !usable(n, q)) {
                 continue;
             }
-            if (++seen <= q.place) {
+            toPass -= n.scale;
+            if (toPass >= 0 && ++passed < Math.min(SPREAD_MOST, caches.size() - 1)) {
                 continue;
             }
+            seen++;
             boolean full = n.out >= room(n.limit, q);
             q.crowded |= full;
-            if (!full && !overItsShare(n)) {
+            if (!full && !overItsShare(n) && n.busyUntil <= now) {
                 return n;
             }
             if (!full && (least == null || n.out / n.scale < least.out / least.scale)) {
@@ -602,6 +605,9 @@
                     usualTook += slow ? 0 : (tookMs - usualTook) / MEMORY;
                     pace(e, slow);
                 }
+                if (slow) {
+                    passOver(n);
+                }
                 if (n.trialsLeft > 0 && --n.trialsLeft == 0) {
                     n.asideUntil = 0;
                     n.tally.clear();
@@ -618,6 +624,7 @@
             }
             case FULL -> {
                 n.heard(now);
+                passOver(n);
                 n.limit.cut(now, e.sentAt);
             }
             case TIMED_OUT -> {
@@ -633,6 +640,11 @@
         }
     }
 
+    /** Guards a cache with a queue: the successors take its keys for a while, unless they have one too. */
+    private void passOver(Node n) {
+        n.busyUntil = now + BUSY_MS * (0.5 + random.nextDouble());
+    }
+
     private void pace(Execution e, boolean slow) {
         Tally tally = e.mayFetch ? fetching : fleet;
         Limit limit = e.mayFetch ? fetchLimit : fleetLimit;
