--- a/src/main/java/dappleseam/router/Node.java
+++ b/src/main/java/dappleseam/router/Node.java
@@ -29,8 +29,6 @@
     /** 0 in service; a time to come while set aside; past while on trial. */
     double asideUntil;
     int trialsLeft;
-    /** The last answer was slow, or missing. */
-    boolean lastSlow;
     boolean probing;
     /** Late or full lately. */
     double busyUntil;
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -324,7 +324,7 @@
             seen++;
             boolean full = n.out >= room(n.limit, q);
             q.crowded |= full;
-            if (!full && !overItsShare(n) && n.busyUntil <= now) {
+            if (!full && !overItsShare(n) && (n.busyUntil <= now || overloaded())) {
                 return n;
             }
             if (!full && (least == null || n.out / n.scale < least.out / least.scale)) {
@@ -649,7 +649,6 @@
         Tally tally = e.mayFetch ? fetching : fleet;
         Limit limit = e.mayFetch ? fetchLimit : fleetLimit;
         tally.add(now, slow ? Tally.BAD : Tally.GOOD);
-        e.node.lastSlow = slow && !e.mayFetch;
         if (!slow) {
             fleetLimit.grow(outAtCaches);
             fetchLimit.grow(fetchesOut);
@@ -662,10 +661,12 @@
     /** Counts caches, not answers: a few slow ones are no overload, however much they hold. */
     private boolean overloaded() {
         double slow = 0;
+        double heard = 0;
         for (Node n : caches) {
-            slow += n.lastSlow ? n.scale : 0;
+            heard += n.heardAt > now - BUSY_MS ? n.scale : 0;
+            slow += n.busyUntil > now ? n.scale : 0;
         }
-        return slow > OVERLOAD_CACHES * ringScale;
+        return slow > OVERLOAD_CACHES * heard;
     }
 
     /** Guards against a silent machine, told from an overload by the others, or by a probe where allowed. */
