--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -605,9 +605,6 @@
                     usualTook += slow ? 0 : (tookMs - usualTook) / MEMORY;
                     pace(e, slow);
                 }
-                if (slow) {
-                    passOver(n);
-                }
                 if (n.trialsLeft > 0 && --n.trialsLeft == 0) {
                     n.asideUntil = 0;
                     n.tally.clear();
@@ -648,6 +645,11 @@
     private void pace(Execution e, boolean slow) {
         Tally tally = e.mayFetch ? fetching : fleet;
         Limit limit = e.mayFetch ? fetchLimit : fleetLimit;
+        if (slow && !e.mayFetch) {
+            passOver(e.node);
+        } else if (!e.mayFetch) {
+            e.node.busyUntil = 0;
+        }
         tally.add(now, slow ? Tally.BAD : Tally.GOOD);
         if (!slow) {
             fleetLimit.grow(outAtCaches);
