Chances below one in flight, a cold budget without minimum, fewer idle connections after failed ones

Change: a limit under one is a chance; sent over answered cuts what a cold cache is let in; failed connects cut the idle connections kept; a key just missed is not asked for again while the origin has no room.

--- a/src/main/java/dappleseam/router/RecentKeys.java
+++ b/src/main/java/dappleseam/router/RecentKeys.java
@@ -23,6 +23,7 @@
     static final class Asked {
         final Share share;
         Node heldBy;
+        double missedAt = Double.NEGATIVE_INFINITY;
 
         Asked(Share share) {
             this.share = share;
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -53,7 +53,12 @@
     /** In-flight limits, in executions: first size over all proxies, least, and the share a cut keeps. */
     private static final double LIMIT_FIRST = 32;
     private static final double LIMIT_FIRST_LEAST = 4;
-    private static final double LIMIT_LEAST = 1;
+    private static final double LIMIT_LEAST = 0.05;
+    /** Share by which a limit under one grows for each good answer: a fifth of late ones holds it. */
+    private static final double GROWTH = 0.2;
+    /** Share of idle connections kept after a failed connect, and growth of it for each timely answer. */
+    private static final double HOLD_KEPT = 0.5;
+    private static final double HOLD_GROWTH = 0.02;
     private static final double LIMIT_KEPT = 0.7;
     /** Share of the SLO time after which a cache's, and the scarcer origin's, answer tells of a queue. */
     private static final double SLOW_ANSWER = 0.4;
@@ -63,6 +68,8 @@
     private static final double OVERLOAD_CACHES = 0.3;
     private static final int OVERLOAD_LEAST = 10;
     private static final double OVERLOAD_MS = 750;
+    /** Time for which a miss tells that a key is missing, in ms: a few tries of one client. */
+    private static final double MISSING_MS = 1000;
     /** Keys remembered, in keys: well over what one proxy asks for while a cache keeps them. */
     private static final int KEYS_MOST = 1 << 14;
     /** Multiple of its share of the ring's scale that a key is spread over: room for the other keys there. */
@@ -83,9 +90,10 @@
     private static final double STRAY = 0.02;
     /** Least time to come back after a rejection, as a share of the SLO time; doubled at random. */
     private static final double COME_BACK = 0.2;
-    /** Cold budget: multiple of the due load, for chance among few queries; and what is always let in. */
-    private static final double COLD_MULTIPLE = 1.5;
-    private static final int COLD_LEAST = 2;
+    /** Cold budget: multiple of its due that one key may bring; sent over answered, and the least that tell. */
+    private static final double COLD_KEY = 2;
+    private static final double COLD_MULTIPLE = 1.2;
+    private static final int COLD_LEAST = 1;
     /** Measuring buckets: length in ms and number; four seconds hold a few queries even of a quiet proxy. */
     private static final double BUCKET_MS = 250;
     private static final int BUCKETS = 16;
@@ -105,9 +113,9 @@
     private final Map<Key, Fetch> fetches = new HashMap<>();
     private final Timers timers;
     private final Tally fleet = new Tally(BUCKETS, BUCKET_MS);
-    private final Limit fleetLimit = new Limit(LIMIT_FIRST, LIMIT_LEAST, LIMIT_KEPT);
+    private final Limit fleetLimit = new Limit(LIMIT_FIRST);
     private final Tally fetching = new Tally(BUCKETS, BUCKET_MS);
-    private final Limit fetchLimit = new Limit(LIMIT_FIRST, LIMIT_LEAST, LIMIT_KEPT);
+    private final Limit fetchLimit = new Limit(LIMIT_FIRST);
     private int fetchesOut;
     private final RecentKeys asked = new RecentKeys(KEYS_MOST);
     private double now;
@@ -126,6 +134,8 @@
     private final double bornAt;
     /** Time of a timely answer from a cache, in ms. */
     private double usualTook = 100;
+    /** Share of the idle connections worth their price that the caches have room for, as failed ones tell. */
+    private double hold = 1;
     /** Where this proxy stands among all, from 0 to 1; spreads hot keys. */
     private final double place;
 
@@ -179,7 +189,7 @@
 
     private void learn(Member m) {
         Node n = nodes.computeIfAbsent(m.node(), id -> new Node(id, new Tally(BUCKETS, BUCKET_MS),
-                new Limit(Math.max(LIMIT_FIRST_LEAST, LIMIT_FIRST / site.proxies()), LIMIT_LEAST, LIMIT_KEPT), new Share(MEMORY)));
+                new Limit(Math.max(LIMIT_FIRST_LEAST, LIMIT_FIRST / site.proxies())), new Share(MEMORY)));
         n.isOrigin = m.model() == site.originModel();
         n.learn(m, site.scaleIsStable() && m.scale() > 0 ? m.scale() : 1);
     }
@@ -218,7 +228,6 @@
             fleetLimit.size = Math.max(LIMIT_FIRST_LEAST, FLEET_FIRST / site.proxies() * ready.size());
             fetchLimit.size = FETCH_FIRST * fleetLimit.size;
         }
-        fleetLimit.least = FLEET_LEAST * ready.size();
         caches = ready;
     }
 
@@ -288,10 +297,15 @@
             toOrigin(q);
             return;
         }
+        // Guards caches against retries for what they lack while the origin has no room for it.
+        if (aside && q.asked.missedAt > now - MISSING_MS && (origin == null || !fits(origin.out, origin.limit, q))) {
+            giveUp(q);
+            return;
+        }
         // Guards against an overload of all caches: more in flight would only make every answer late.
-        boolean room = outAtCaches < room(fleetLimit, q);
+        boolean room = fits(outAtCaches, fleetLimit, q);
         Node n = room ? choose(q) : null;
-        if (n != null && !(mayFetch(q, n) && fetchesOut >= room(fetchLimit, q))) {
+        if (n != null && !(mayFetch(q, n) && !fits(fetchesOut, fetchLimit, q))) {
             send(q, n);
         } else if (aside && room && !q.crowded) {
             toOrigin(q);
@@ -322,7 +336,7 @@
                 continue;
             }
             seen++;
-            boolean full = n.out >= room(n.limit, q);
+            boolean full = !fits(n.out, n.limit, q);
             q.crowded |= full;
             if (!full && !overItsShare(n) && (n.busyUntil <= now || overloaded())) {
                 return n;
@@ -339,10 +353,25 @@
         return site.originModel() < 0 && q.asked.heldBy != n;
     }
 
-    private double room(Limit limit, Query q) {
+    /** Many thin proxies share what is scarce: under one in flight the limit is a chance. */
+    private boolean fits(int out, Limit limit, Query q) {
         double importance = q.grade.importance() / highestImportance * (q.tardy ? q.grade.tardyShare() : 1);
-        return limit.size
+        double room = limit.size
                 * (importance > 0 ? LIMIT_FOR_ALL + (1 - LIMIT_FOR_ALL) * importance : LIMIT_FOR_TARDY);
+        return out < room && (limit.size >= 1 || random.nextDouble() < room);
+    }
+
+    /** Grows by one for each full round of good answers, under one by a share. */
+    private void grow(Limit limit, int out) {
+        limit.size += out + 1 >= limit.size / 2 ? Math.min(1 / limit.size, limit.size * GROWTH) : 0;
+    }
+
+    /** Cuts for an execution sent since the last cut: what was out already tells nothing of the new size. */
+    private void cut(Limit limit, double sentAt, double least) {
+        if (sentAt >= limit.lastCut) {
+            limit.lastCut = now;
+            limit.size = Math.max(least, limit.size * LIMIT_KEPT);
+        }
     }
 
     private boolean overItsShare(Node n) {
@@ -355,15 +384,21 @@
             return false;
         }
         // Guards a cold cache: every proxy sends it the same share of its keys.
-        return warmth(n) >= 1 || Hash.fraction(q.hash ^ n.seed) < warmth(n) && withinColdBudget(n);
+        return warmth(n) >= 1 || Hash.fraction(q.hash ^ n.seed) < warmth(n) && withinColdBudget(n, q);
     }
 
-    /** Guards a cold cache against hot keys and overload: bounded by what the others answer, not are sent. */
-    private boolean withinColdBudget(Node n) {
-        double window = site.fallMs();
-        double answered = fleet.count(now, window, Tally.GOOD) + fetching.count(now, window, Tally.GOOD);
-        double due = warmth(n) * answered * n.scale / Math.max(n.scale, ringScale);
-        return warmth(n) >= 1 || n.tally.count(now, window, Tally.SENT) < COLD_LEAST + COLD_MULTIPLE * due;
+    /**
+     * Guards a cold cache without knowing of the other proxies: a key that alone is more than its due stays
+     * away, and where more is sent than answered, all is let in by a chance as much smaller.
+     */
+    private boolean withinColdBudget(Node n, Query q) {
+        if (warmth(n) >= 1) {
+            return true;
+        }
+        double answered = fleet.count(now, BUCKET_MS * BUCKETS, Tally.GOOD);
+        double sent = fleet.count(now, BUCKET_MS * BUCKETS, Tally.SENT);
+        return q.asked.share.at(turn) * ringScale < COLD_KEY * warmth(n) * n.scale
+                && random.nextDouble() * sent < COLD_MULTIPLE * answered + COLD_LEAST;
     }
 
     private double warmth(Node n) {
@@ -438,6 +473,7 @@
         n.share.add(turn);
         n.open = true;
         outAtCaches += n.isOrigin ? 0 : 1;
+        fleet.add(now, Tally.SENT);
         host.execute(q.id, n.id, timeout);
         if (repeatable && site.parallelExecutions() && q.execs.size() == 1) {
             timers.after(SECOND_COPY * q.grade.sloMs(), () -> secondCopy(q, e));
@@ -470,7 +506,7 @@
         }
         // Guards the origin: what is in flight there is limited, and the last of it is kept for importance.
         if (origin == null || q.execsLeft(site) == 0 || !mayGoTo(q, origin)
-                || origin.out >= room(origin.limit, q)) {
+                || !fits(origin.out, origin.limit, q)) {
             giveUp(q);
             return;
         }
@@ -508,7 +544,7 @@
             w.waitingFor = null;
             Node at = fetch.storedAt;
             if (stored && at.state == Member.State.READY && at.asideUntil <= 0 && mayGoTo(w, at)
-                    && withinColdBudget(at)) {
+                    && withinColdBudget(at, w)) {
                 send(w, at);
             } else {
                 route(w);
@@ -534,8 +570,11 @@
         } else {
             release(e);
         }
-        if (outcome == Outcome.COMPLETED && site.originModel() < 0) {
+        if (outcome == Outcome.COMPLETED) {
             q.asked.heldBy = e.node;
+            q.asked.missedAt = Double.NEGATIVE_INFINITY;
+        } else if (outcome == Outcome.MISS) {
+            q.asked.missedAt = now;
         }
         judge(e, outcome, tookMs, q.grade);
         if (finished && !q.answered) {
@@ -554,7 +593,7 @@
     /** Guards the caches' tables against many proxies that each hold what they rarely use: price decides. */
     private void closeUnlessUsed(Node n) {
         // About one query is served by a cache in the time that one takes, which prices an open connection.
-        double worthMs = 100 * site.handshakePrice() * usualTook / Math.max(site.openPrice(), 1e-9);
+        double worthMs = hold * 100 * site.handshakePrice() * usualTook / Math.max(site.openPrice(), 1e-9);
         if (n.open && n.out == 0 && n.share.at(turn) * turn * worthMs < now - bornAt) {
             n.open = false;
             host.closeIdle(n.id);
@@ -609,7 +648,11 @@
                     n.asideUntil = 0;
                     n.tally.clear();
                 }
-                n.limit.answered(queue, n.out, now, e.sentAt);
+                if (queue) {
+                    cut(n.limit, e.sentAt, LIMIT_LEAST);
+                } else {
+                    grow(n.limit, n.out);
+                }
             }
             case ERRED -> {
                 n.heard(now);
@@ -622,16 +665,19 @@
             case FULL -> {
                 n.heard(now);
                 passOver(n);
-                n.limit.cut(now, e.sentAt);
+                cut(n.limit, e.sentAt, LIMIT_LEAST);
             }
             case TIMED_OUT -> {
-                n.limit.answered(queue, n.out, now, e.sentAt);
+                if (queue) {
+                    cut(n.limit, e.sentAt, LIMIT_LEAST);
+                }
                 if (n.heardAt < e.sentAt) {
                     suspect(n);
                 }
             }
             case CONNECT_FAILED, RESET -> {
-                n.limit.cut(now, e.sentAt);
+                cut(n.limit, e.sentAt, LIMIT_LEAST);
+                hold *= outcome == Outcome.CONNECT_FAILED ? HOLD_KEPT : 1;
                 strike(n, outcome.toString());
             }
         }
@@ -652,11 +698,12 @@
         }
         tally.add(now, slow ? Tally.BAD : Tally.GOOD);
         if (!slow) {
-            fleetLimit.grow(outAtCaches);
-            fetchLimit.grow(fetchesOut);
+            grow(fleetLimit, outAtCaches);
+            grow(fetchLimit, fetchesOut);
+            hold = Math.min(1, hold + HOLD_GROWTH);
         } else if (e.mayFetch ? tally.badShare(now, OVERLOAD_MS, OVERLOAD_LEAST) > OVERLOAD_SHARE
                 : overloaded()) {
-            limit.cut(now, e.sentAt);
+            cut(limit, e.sentAt, e.mayFetch ? LIMIT_LEAST : FLEET_LEAST * caches.size());
         }
     }
 
