--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -12,6 +12,8 @@
     final List<Execution> execs = new ArrayList<>(3);
     long hash;
     RecentKeys.Asked asked;
+    /** Its key's share of this proxy's latest queries, without itself. */
+    double keyShare;
     /** Scale of the successors passed over for a hot key. */
     double passOver;
     double quitAt;
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -53,7 +53,8 @@
     /** In-flight limits, in executions: first size over all proxies, least, and the share a cut keeps. */
     private static final double LIMIT_FIRST = 32;
     private static final double LIMIT_FIRST_LEAST = 4;
-    private static final double LIMIT_LEAST = 0.05;
+    private static final double LIMIT_LEAST = 0.5;
+    private static final double SCARCE_LEAST = 0.05;
     /** Share by which a limit under one grows for each good answer: a fifth of late ones holds it. */
     private static final double GROWTH = 0.2;
     /** Share of idle connections kept after a failed connect, and growth of it for each timely answer. */
@@ -246,7 +247,8 @@
         turn++;
         q.asked = asked.computeIfAbsent(key, k -> new Asked(new Share(MEMORY)));
         // Guards a hot key's owner: it is spread over as much scale as it would fill, each proxy at its place.
-        q.passOver = key.equals(Key.NONE) ? 0 : SPREAD * q.asked.share.at(turn) * ringScale * place;
+        q.keyShare = key.equals(Key.NONE) ? 0 : q.asked.share.at(turn);
+        q.passOver = SPREAD * q.keyShare * ringScale * place;
         q.asked.share.add(turn);
         if (!caches.isEmpty()) {
             closeUnlessUsed(caches.get((int) (turn % caches.size())));
@@ -395,9 +397,10 @@
         if (warmth(n) >= 1) {
             return true;
         }
-        double answered = fleet.count(now, BUCKET_MS * BUCKETS, Tally.GOOD);
+        double answered = fleet.count(now, BUCKET_MS * BUCKETS, Tally.GOOD)
+                + fetching.count(now, BUCKET_MS * BUCKETS, Tally.GOOD);
         double sent = fleet.count(now, BUCKET_MS * BUCKETS, Tally.SENT);
-        return q.asked.share.at(turn) * ringScale < COLD_KEY * warmth(n) * n.scale
+        return q.keyShare * ringScale < COLD_KEY * warmth(n) * n.scale
                 && random.nextDouble() * sent < COLD_MULTIPLE * answered + COLD_LEAST;
     }
 
@@ -649,7 +652,7 @@
                     n.tally.clear();
                 }
                 if (queue) {
-                    cut(n.limit, e.sentAt, LIMIT_LEAST);
+                    cut(n.limit, e.sentAt, n.isOrigin ? SCARCE_LEAST : LIMIT_LEAST);
                 } else {
                     grow(n.limit, n.out);
                 }
@@ -665,18 +668,18 @@
             case FULL -> {
                 n.heard(now);
                 passOver(n);
-                cut(n.limit, e.sentAt, LIMIT_LEAST);
+                cut(n.limit, e.sentAt, n.isOrigin ? SCARCE_LEAST : LIMIT_LEAST);
             }
             case TIMED_OUT -> {
                 if (queue) {
-                    cut(n.limit, e.sentAt, LIMIT_LEAST);
+                    cut(n.limit, e.sentAt, n.isOrigin ? SCARCE_LEAST : LIMIT_LEAST);
                 }
                 if (n.heardAt < e.sentAt) {
                     suspect(n);
                 }
             }
             case CONNECT_FAILED, RESET -> {
-                cut(n.limit, e.sentAt, LIMIT_LEAST);
+                cut(n.limit, e.sentAt, n.isOrigin ? SCARCE_LEAST : LIMIT_LEAST);
                 hold *= outcome == Outcome.CONNECT_FAILED ? HOLD_KEPT : 1;
                 strike(n, outcome.toString());
             }
@@ -703,7 +706,7 @@
             hold = Math.min(1, hold + HOLD_GROWTH);
         } else if (e.mayFetch ? tally.badShare(now, OVERLOAD_MS, OVERLOAD_LEAST) > OVERLOAD_SHARE
                 : overloaded()) {
-            cut(limit, e.sentAt, e.mayFetch ? LIMIT_LEAST : FLEET_LEAST * caches.size());
+            cut(limit, e.sentAt, e.mayFetch ? SCARCE_LEAST : FLEET_LEAST * caches.size());
         }
     }
 
