Take the shared fetch of one key out

It needs two queries for one missing key at one proxy within a fetch, which thin proxies do not see.

--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -25,8 +25,6 @@
     boolean streaming;
     /** The last walk of the ring met a cache whose limit was reached. */
     boolean crowded;
-    Fetch fetch;
-    Fetch waitingFor;
 
     Query(QueryId id, ServiceGrade grade, Key key, boolean write) {
         this.id = id;
@@ -93,14 +91,4 @@
             this.mayFetch = mayFetch;
         }
     }
-
-    /** A read of the origin that is out, and the queries for the same key that wait for what it stores. */
-    static final class Fetch {
-        final Node storedAt;
-        final List<Query> waiting = new ArrayList<>();
-
-        Fetch(Node storedAt) {
-            this.storedAt = storedAt;
-        }
-    }
 }
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -1,7 +1,6 @@
 package dappleseam.router;
 
 import dappleseam.router.Query.Execution;
-import dappleseam.router.Query.Fetch;
 import dappleseam.router.RecentKeys.Asked;
 import dappleseam.router.ServiceGrade.Repeat;
 import java.util.ArrayList;
@@ -111,7 +110,6 @@
     private final double highestImportance;
     private final Map<NodeId, Node> nodes = new LinkedHashMap<>();
     private final Map<QueryId, Query> queries = new HashMap<>();
-    private final Map<Key, Fetch> fetches = new HashMap<>();
     private final Timers timers;
     private final Tally fleet = new Tally(BUCKETS, BUCKET_MS);
     private final Limit fleetLimit = new Limit(LIMIT_FIRST);
@@ -294,8 +292,7 @@
 
     private void route(Query q) {
         boolean aside = site.originModel() >= 0;
-        if (aside && (q.write || q.execsLeft(site) == 1 || q.firstMissedAt() != null
-                || fetches.containsKey(q.key))) {
+        if (aside && (q.write || q.execsLeft(site) == 1 || q.firstMissedAt() != null)) {
             toOrigin(q);
             return;
         }
@@ -502,59 +499,15 @@
     }
 
     private void toOrigin(Query q) {
-        Fetch fetch = q.write ? null : fetches.get(q.key);
-        if (fetch != null) {
-            join(q, fetch);
-            return;
-        }
         // Guards the origin: what is in flight there is limited, and the last of it is kept for importance.
         if (origin == null || q.execsLeft(site) == 0 || !mayGoTo(q, origin)
                 || !fits(origin.out, origin.limit, q)) {
             giveUp(q);
             return;
         }
-        Node storedAt = q.firstMissedAt();
-        if (!q.write && !q.key.equals(Key.NONE) && storedAt != null) {
-            q.fetch = new Fetch(storedAt);
-            fetches.put(q.key, q.fetch);
-        }
         send(q, origin);
     }
 
-    /** Guards the origin when many ask for one missing key: one fetch, and the others read what it stored. */
-    private void join(Query q, Fetch fetch) {
-        if (q.execsLeft(site) == 0 || fetch.storedAt.state != Member.State.READY) {
-            giveUp(q);
-            return;
-        }
-        fetch.waiting.add(q);
-        q.waitingFor = fetch;
-        timers.after(Math.max(0, q.usefulUntil - now - LAST_HOP_MS), () -> {
-            if (!q.answered && q.waitingFor == fetch) {
-                giveUp(q);
-            }
-        });
-    }
-
-    private void fetched(Query q, boolean stored) {
-        Fetch fetch = q.fetch;
-        q.fetch = null;
-        fetches.remove(q.key, fetch);
-        for (Query w : fetch.waiting) {
-            if (w.answered || w.waitingFor != fetch) {
-                continue;
-            }
-            w.waitingFor = null;
-            Node at = fetch.storedAt;
-            if (stored && at.state == Member.State.READY && at.asideUntil <= 0 && mayGoTo(w, at)
-                    && withinColdBudget(at, w)) {
-                send(w, at);
-            } else {
-                route(w);
-            }
-        }
-    }
-
     public void executionEnded(double nowMs, QueryId id, int execution, Outcome outcome, double tookMs,
                                boolean finished, int note, float[] report) {
         now = nowMs;
@@ -583,9 +536,6 @@
         if (finished && !q.answered) {
             settle(q);
         }
-        if (e.node.isOrigin && q.fetch != null) {
-            fetched(q, outcome == Outcome.COMPLETED);
-        }
         if (!q.answered) {
             next(q, outcome);
         } else if (q.out == 0) {
@@ -767,7 +717,6 @@
     /** The query has its answer: nothing more goes out for it, and what is out is called off. */
     private void settle(Query q) {
         q.answered = true;
-        q.waitingFor = null;
         for (int i = 0; i < q.execs.size() && site.mayCancel() && !q.streaming; i++) {
             if (!q.execs.get(i).ended) {
                 host.cancel(q.id, i);
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -153,19 +153,6 @@
         assertThat(p.sentTo).containsExactly(OneProxy.ORIGIN);
     }
 
-    @Test
-    void missesForOneKeyShareAFetch() {
-        OneProxy p = new OneProxy(OneProxy.aside(OneProxy.READ)).listed(3);
-        p.ask(1000, 1, 42);
-        NodeId owner = p.last();
-        p.ended(1001, 1, 0, Outcome.MISS, 1);
-        p.ask(1002, 2, 42);
-        assertThat(p.done).containsExactly("execute 1", "execute 1");
-        p.ended(1050, 1, 1, Outcome.COMPLETED, 49);
-        assertThat(p.done).endsWith("execute 2");
-        assertThat(p.last()).isEqualTo(owner);
-    }
-
     @Test
     void aFullOriginLimitIsAnsweredAtOnce() {
         OneProxy p = new OneProxy(OneProxy.aside(OneProxy.READ)).listed(3);
