--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -56,7 +56,9 @@
     private static final double SCARCE_LEAST = 0.05;
     /** Share by which a limit under one grows for each good answer: a fifth of late ones holds it. */
     private static final double GROWTH = 0.2;
-    /** Share of idle connections kept after a failed connect, and growth of it for each timely answer. */
+    /** Idle connections kept: share of those worth their price, as a use just seen overstates the rate; share
+        kept after a failed connect, and growth of it for each timely answer. */
+    private static final double HOLD_FIRST = 0.5;
     private static final double HOLD_KEPT = 0.5;
     private static final double HOLD_GROWTH = 0.02;
     private static final double LIMIT_KEPT = 0.7;
@@ -546,7 +548,7 @@
     /** Guards the caches' tables against many proxies that each hold what they rarely use: price decides. */
     private void closeUnlessUsed(Node n) {
         // About one query is served by a cache in the time that one takes, which prices an open connection.
-        double worthMs = hold * 100 * site.handshakePrice() * usualTook / Math.max(site.openPrice(), 1e-9);
+        double worthMs = hold * HOLD_FIRST * 100 * site.handshakePrice() * usualTook / Math.max(site.openPrice(), 1e-9);
         if (n.open && n.out == 0 && n.share.at(turn) * turn * worthMs < now - bornAt) {
             n.open = false;
             host.closeIdle(n.id);
