--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -76,8 +76,10 @@
     private static final int KEYS_MOST = 1 << 14;
     /** Multiple of its share of the ring's scale that a key is spread over: room for the other keys there. */
     private static final double SPREAD = 1.5;
-    /** Time for which a late or full cache is passed over, in ms, half of it random: some queries' worth. */
-    private static final double BUSY_MS = 3000;
+    /** A late or full cache is passed over for this many of the proxy's queries, at least and at most in ms. */
+    private static final double BUSY_QUERIES = 20;
+    private static final double BUSY_LEAST_MS = 2500;
+    private static final double BUSY_MOST_MS = 8000;
     /** Caches that one hot key is spread over at most; each more is a copy to fetch and to keep. */
     private static final int SPREAD_MOST = 8;
     /** Fleet's limit, in executions a cache: first over all proxies, least at each, share for fetches. */
@@ -640,7 +642,12 @@
 
     /** Guards a cache with a queue: the successors take its keys for a while, unless they have one too. */
     private void passOver(Node n) {
-        n.busyUntil = now + BUSY_MS * (0.5 + random.nextDouble());
+        n.busyUntil = now + busyMs() * (0.5 + random.nextDouble());
+    }
+
+    /** How long news of a cache lasts: a thin proxy meets each one rarely, a busy one hears again at once. */
+    private double busyMs() {
+        return Math.max(BUSY_LEAST_MS, Math.min(BUSY_MOST_MS, BUSY_QUERIES * (now - bornAt) / turn));
     }
 
     private void pace(Execution e, boolean slow) {
@@ -666,8 +673,9 @@
     private boolean overloaded() {
         double slow = 0;
         double heard = 0;
+        double since = now - busyMs();
         for (Node n : caches) {
-            heard += n.heardAt > now - BUSY_MS ? n.scale : 0;
+            heard += n.heardAt > since ? n.scale : 0;
             slow += n.busyUntil > now ? n.scale : 0;
         }
         return slow > OVERLOAD_CACHES * heard;
