--- a/src/main/java/dappleseam/drill/Exchange.java
+++ b/src/main/java/dappleseam/drill/Exchange.java
@@ -154,9 +154,9 @@
                 return () -> router.probeEnded(nowMs, node, outcome, tookMs, report);
             }
             default: {
-                int peer = in.getShort() & 0xFFFF;
-                byte[] message = bytes(in, in.getShort() & 0xFFFF);
-                return () -> router.peerTold(nowMs, peer, message);
+                in.getShort();
+                bytes(in, in.getShort() & 0xFFFF);
+                return () -> { }; // proxies tell each other nothing yet
             }
         }
     }
--- a/src/main/java/dappleseam/router/Deployment.java
+++ b/src/main/java/dappleseam/router/Deployment.java
@@ -4,8 +4,8 @@
 
 /**
  * What one deployment allows and asks for, as far as the router reads it. {@code originModel} is -1 where the
- * nodes fetch by themselves; {@code askEveryMs} is 0 where the list is pushed; the prices are points of service
- * for a hundred connections held open at each cache, and for a new one with each query.
+ * nodes fetch by themselves; {@code askEveryMs} is 0 where the list is pushed; the prices are points
+ * of service for a hundred connections held open at each cache, and for a new one with each query.
  */
 public record Deployment(
         List<ServiceGrade> grades,
--- a/src/main/java/dappleseam/router/Node.java
+++ b/src/main/java/dappleseam/router/Node.java
@@ -6,11 +6,11 @@
 final class Node {
     final NodeId id;
     final long seed;
+    final boolean isOrigin;
     final Tally tally;
     final Limit limit;
     Member.State state;
     boolean listed;
-    boolean isOrigin;
     double startedAt;
     int zone;
     int cell;
@@ -33,9 +33,10 @@
     /** Late or full lately. */
     double busyUntil;
 
-    Node(NodeId id, Tally tally, Limit limit, Share share) {
+    Node(NodeId id, boolean isOrigin, Tally tally, Limit limit, Share share) {
         this.id = id;
         seed = Hash.mix(id.value());
+        this.isOrigin = isOrigin;
         this.tally = tally;
         this.limit = limit;
         this.share = share;
--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -20,8 +20,6 @@
     double usefulUntil;
     int out;
     boolean answered;
-    /** Its SLO time has passed, as far as its time left tells. */
-    boolean tardy;
     boolean streaming;
     /** The last walk of the ring met a cache whose limit was reached. */
     boolean crowded;
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -3,12 +3,13 @@
 import dappleseam.router.Query.Execution;
 import dappleseam.router.RecentKeys.Asked;
 import dappleseam.router.ServiceGrade.Repeat;
-import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -27,7 +28,7 @@
     /** Load skip: multiple of the own mean in flight per scale; the design's figure. */
     private static final double SKIP_MULTIPLE = 2;
     /** Load skip: queries in flight that are never too many; below, chance decides rather than load. */
-    private static final int SKIP_FLOOR = 3;
+    private static final int SKIP_FLOOR = 2;
     /** Share of the SLO time that one execution may take while a successor could still answer. */
     private static final double PATIENCE = 0.5;
     /** Share of the SLO time after which a second copy goes out: past the usual answer, time for another. */
@@ -56,8 +57,8 @@
     private static final double SCARCE_LEAST = 0.05;
     /** Share by which a limit under one grows for each good answer: a fifth of late ones holds it. */
     private static final double GROWTH = 0.2;
-    /** Idle connections kept: share of those worth their price, as a use just seen overstates the rate; share
-        kept after a failed connect, and growth of it for each timely answer. */
+    /** Share of the idle connections worth their price that are kept, as a use just seen overstates the rate;
+     * what a failed connect leaves of it, and what each timely answer adds. */
     private static final double HOLD_FIRST = 0.5;
     private static final double HOLD_KEPT = 0.5;
     private static final double HOLD_GROWTH = 0.02;
@@ -76,7 +77,7 @@
     private static final int KEYS_MOST = 1 << 14;
     /** Multiple of its share of the ring's scale that a key is spread over: room for the other keys there. */
     private static final double SPREAD = 1.5;
-    /** A late or full cache is passed over for this many of the proxy's queries, at least and at most in ms. */
+    /** A late or full cache is passed over for so many of the proxy's queries, within bounds in ms. */
     private static final double BUSY_QUERIES = 20;
     private static final double BUSY_LEAST_MS = 2500;
     private static final double BUSY_MOST_MS = 8000;
@@ -88,16 +89,11 @@
     private static final double FETCH_FIRST = 0.5;
     /** Share of a limit open to the least important query; the rest opens evenly with importance. */
     private static final double LIMIT_FOR_ALL = 0.6;
-    /** Share of a limit open to a query that earns nothing past its SLO time: what is sure to be spare. */
-    private static final double LIMIT_FOR_TARDY = 0.3;
-    /** Share of the statement timeout by which the usual time left is corrected; over the clients' jitter. */
-    private static final double STRAY = 0.02;
     /** Least time to come back after a rejection, as a share of the SLO time; doubled at random. */
     private static final double COME_BACK = 0.2;
-    /** Cold budget: multiple of its due that one key may bring; sent over answered, and the least that tell. */
+    /** Cold budget: multiple of its due that one key may bring; multiple sent of what is answered. */
     private static final double COLD_KEY = 2;
     private static final double COLD_MULTIPLE = 1.2;
-    private static final int COLD_LEAST = 1;
     /** Measuring buckets: length in ms and number; four seconds hold a few queries even of a quiet proxy. */
     private static final double BUCKET_MS = 250;
     private static final int BUCKETS = 16;
@@ -116,9 +112,9 @@
     private final Map<QueryId, Query> queries = new HashMap<>();
     private final Timers timers;
     private final Tally fleet = new Tally(BUCKETS, BUCKET_MS);
-    private final Limit fleetLimit = new Limit(LIMIT_FIRST);
+    private final Limit fleetLimit = new Limit(LIMIT_FIRST, LIMIT_LEAST);
     private final Tally fetching = new Tally(BUCKETS, BUCKET_MS);
-    private final Limit fetchLimit = new Limit(LIMIT_FIRST);
+    private final Limit fetchLimit = new Limit(LIMIT_FIRST, SCARCE_LEAST);
     private int fetchesOut;
     private final RecentKeys asked = new RecentKeys(KEYS_MOST);
     private double now;
@@ -128,7 +124,6 @@
     private Node origin;
     private int outAtCaches;
     private int walk;
-    private final double[] usualLeft;
     private double extras = EXTRA_MOST;
     private boolean followed;
     private int askTurn;
@@ -150,7 +145,6 @@
         now = nowMs;
         bornAt = nowMs;
         place = random.nextDouble();
-        usualLeft = new double[site.grades().size()];
         highestImportance = site.grades().stream().mapToDouble(ServiceGrade::importance).max().orElse(1);
         if (site.askEveryMs() > 0) {
             askAfter(random.nextDouble() * ASK_AGAIN_MS);
@@ -191,24 +185,19 @@
     }
 
     private void learn(Member m) {
-        Node n = nodes.computeIfAbsent(m.node(), id -> new Node(id, new Tally(BUCKETS, BUCKET_MS),
-                new Limit(Math.max(LIMIT_FIRST_LEAST, LIMIT_FIRST / site.proxies())), new Share(MEMORY)));
-        n.isOrigin = m.model() == site.originModel();
+        boolean isOrigin = m.model() == site.originModel();
+        double first = Math.max(LIMIT_FIRST_LEAST, LIMIT_FIRST / site.proxies());
+        Node n = nodes.computeIfAbsent(m.node(), id -> new Node(id, isOrigin, new Tally(BUCKETS, BUCKET_MS),
+                new Limit(first, isOrigin ? SCARCE_LEAST : LIMIT_LEAST), new Share(MEMORY)));
         n.learn(m, site.scaleIsStable() && m.scale() > 0 ? m.scale() : 1);
     }
 
     /** Builds the ring from the list alone, so that proxies with one list agree and no other key moves. */
     private void rebuildRing() {
-        List<Node> ready = new ArrayList<>();
-        origin = null;
-        for (Node n : nodes.values()) {
-            if (n.state == Member.State.READY && n.isOrigin) {
-                origin = n;
-            } else if (n.state == Member.State.READY) {
-                ready.add(n);
-            }
-        }
-        ready.sort((a, b) -> Long.compare(a.id.value(), b.id.value()));
+        Predicate<Node> isReady = n -> n.state == Member.State.READY;
+        origin = nodes.values().stream().filter(isReady.and(n -> n.isOrigin)).findFirst().orElse(null);
+        List<Node> ready = nodes.values().stream().filter(isReady.and(n -> !n.isOrigin))
+                .sorted(Comparator.comparingLong(n -> n.id.value())).toList();
         double largest = ready.stream().mapToDouble(n -> n.scale).max().orElse(1);
         // A power of two as the unit: tokens change only when the largest machine's class does.
         double unit = Math.pow(2, Math.ceil(Math.log(largest) / Math.log(2) - 1e-9));
@@ -231,6 +220,7 @@
             fleetLimit.size = Math.max(LIMIT_FIRST_LEAST, FLEET_FIRST / site.proxies() * ready.size());
             fetchLimit.size = FETCH_FIRST * fleetLimit.size;
         }
+        fleetLimit.least = FLEET_LEAST * ready.size();
         caches = ready;
     }
 
@@ -239,16 +229,15 @@
         Query q = new Query(id, site.grades().get(grade), key, write);
         q.hash = Hash.mix(key.equals(Key.NONE) ? id.value() : key.value());
         q.quitAt = now + leftMs;
-        double sloLeft = q.grade.sloMs() - spentBefore(grade, leftMs) - 2 * site.tickMs() - LAST_HOP_MS;
-        q.tardy = sloLeft < TOO_LATE * q.grade.sloMs();
         // Past its SLO time an answer that earns nothing is given up, and its node freed.
-        boolean toTheEnd = q.tardy || q.grade.tardyShare() > 0 || q.grade.repeat() == Repeat.NON_IDEMPOTENT;
+        boolean toTheEnd = q.grade.tardyShare() > 0 || q.grade.repeat() == Repeat.NON_IDEMPOTENT;
+        double sloLeft = q.grade.sloMs() - 2 * site.tickMs() - LAST_HOP_MS;
         q.usefulUntil = toTheEnd ? q.quitAt : Math.min(q.quitAt, now + sloLeft);
         queries.put(id, q);
         extras = Math.min(EXTRA_MOST, extras + EXTRA_SHARE);
         turn++;
         q.asked = asked.computeIfAbsent(key, k -> new Asked(new Share(MEMORY)));
-        // Guards a hot key's owner: it is spread over as much scale as it would fill, each proxy at its place.
+        // Guards a hot key's owner: the key is spread over the scale it would fill, each proxy at its place.
         q.keyShare = key.equals(Key.NONE) ? 0 : q.asked.share.at(turn);
         q.passOver = SPREAD * q.keyShare * ringScale * place;
         q.asked.share.add(turn);
@@ -258,16 +247,6 @@
         route(q);
     }
 
-    /** Guards against late retries in an overload: where the time left is unusual, the rest was spent. */
-    private double spentBefore(int grade, double leftMs) {
-        double whole = site.grades().get(grade).statementTimeoutMs();
-        double step = STRAY * whole;
-        usualLeft[grade] = usualLeft[grade] == 0 ? leftMs : usualLeft[grade];
-        double stray = leftMs - usualLeft[grade];
-        usualLeft[grade] += Math.max(-step, Math.min(step, stray));
-        return Math.abs(stray) < 2 * step ? 0 : Math.max(0, whole - leftMs);
-    }
-
     public void clientLeft(double nowMs, QueryId id) {
         now = nowMs;
         Query q = queries.get(id);
@@ -290,10 +269,6 @@
         timers.fire(timer);
     }
 
-    public void peerTold(double nowMs, int peer, byte[] message) {
-        now = nowMs;
-    }
-
     private void route(Query q) {
         boolean aside = site.originModel() >= 0;
         if (aside && (q.write || q.execsLeft(site) == 1 || q.firstMissedAt() != null)) {
@@ -301,7 +276,8 @@
             return;
         }
         // Guards caches against retries for what they lack while the origin has no room for it.
-        if (aside && q.asked.missedAt > now - MISSING_MS && (origin == null || !fits(origin.out, origin.limit, q))) {
+        if (aside && q.asked.missedAt > now - MISSING_MS
+                && (origin == null || !fits(origin.out, origin.limit, q))) {
             giveUp(q);
             return;
         }
@@ -341,7 +317,9 @@
             seen++;
             boolean full = !fits(n.out, n.limit, q);
             q.crowded |= full;
-            if (!full && !overItsShare(n) && (n.busyUntil <= now || overloaded())) {
+            double mean = outAtCaches / ringScale;
+            if (!full && n.out <= Math.max(SKIP_FLOOR, SKIP_MULTIPLE * mean * n.scale)
+                    && (n.busyUntil <= now || overloaded())) {
                 return n;
             }
             if (!full && (least == null || n.out / n.scale < least.out / least.scale)) {
@@ -358,9 +336,8 @@
 
     /** Many thin proxies share what is scarce: under one in flight the limit is a chance. */
     private boolean fits(int out, Limit limit, Query q) {
-        double importance = q.grade.importance() / highestImportance * (q.tardy ? q.grade.tardyShare() : 1);
-        double room = limit.size
-                * (importance > 0 ? LIMIT_FOR_ALL + (1 - LIMIT_FOR_ALL) * importance : LIMIT_FOR_TARDY);
+        double importance = q.grade.importance() / highestImportance;
+        double room = limit.size * (LIMIT_FOR_ALL + (1 - LIMIT_FOR_ALL) * importance);
         return out < room && (limit.size >= 1 || random.nextDouble() < room);
     }
 
@@ -370,17 +347,13 @@
     }
 
     /** Cuts for an execution sent since the last cut: what was out already tells nothing of the new size. */
-    private void cut(Limit limit, double sentAt, double least) {
+    private void cut(Limit limit, double sentAt) {
         if (sentAt >= limit.lastCut) {
             limit.lastCut = now;
-            limit.size = Math.max(least, limit.size * LIMIT_KEPT);
+            limit.size = Math.max(limit.least, limit.size * LIMIT_KEPT);
         }
     }
 
-    private boolean overItsShare(Node n) {
-        return n.out >= SKIP_FLOOR && n.out > SKIP_MULTIPLE * outAtCaches / ringScale * n.scale;
-    }
-
     private boolean usable(Node n, Query q) {
         if (n.state != Member.State.READY || q.triedAt(n) || !mayGoTo(q, n)
                 || n.asideUntil > now || n.asideUntil > 0 && !onTrial(n)) {
@@ -395,14 +368,11 @@
      * away, and where more is sent than answered, all is let in by a chance as much smaller.
      */
     private boolean withinColdBudget(Node n, Query q) {
-        if (warmth(n) >= 1) {
-            return true;
-        }
         double answered = fleet.count(now, BUCKET_MS * BUCKETS, Tally.GOOD)
                 + fetching.count(now, BUCKET_MS * BUCKETS, Tally.GOOD);
         double sent = fleet.count(now, BUCKET_MS * BUCKETS, Tally.SENT);
         return q.keyShare * ringScale < COLD_KEY * warmth(n) * n.scale
-                && random.nextDouble() * sent < COLD_MULTIPLE * answered + COLD_LEAST;
+                && random.nextDouble() * sent <= COLD_MULTIPLE * answered + 1;
     }
 
     private double warmth(Node n) {
@@ -423,9 +393,9 @@
 
     private void probe(Node n) {
         if (!n.probing) {
-            n.probing = true;
             host.probe(n.id);
         }
+        n.probing = true;
     }
 
     public void probeEnded(double nowMs, NodeId id, Outcome outcome, double tookMs, float[] report) {
@@ -477,7 +447,9 @@
         n.share.add(turn);
         n.open = true;
         outAtCaches += n.isOrigin ? 0 : 1;
-        fleet.add(now, Tally.SENT);
+        if (!n.isOrigin) {
+            fleet.add(now, Tally.SENT);
+        }
         host.execute(q.id, n.id, timeout);
         if (repeatable && site.parallelExecutions() && q.execs.size() == 1) {
             timers.after(SECOND_COPY * q.grade.sloMs(), () -> secondCopy(q, e));
@@ -504,12 +476,12 @@
 
     private void toOrigin(Query q) {
         // Guards the origin: what is in flight there is limited, and the last of it is kept for importance.
-        if (origin == null || q.execsLeft(site) == 0 || !mayGoTo(q, origin)
-                || !fits(origin.out, origin.limit, q)) {
+        if (origin != null && q.execsLeft(site) > 0 && mayGoTo(q, origin)
+                && fits(origin.out, origin.limit, q)) {
+            send(q, origin);
+        } else {
             giveUp(q);
-            return;
         }
-        send(q, origin);
     }
 
     public void executionEnded(double nowMs, QueryId id, int execution, Outcome outcome, double tookMs,
@@ -550,8 +522,8 @@
     /** Guards the caches' tables against many proxies that each hold what they rarely use: price decides. */
     private void closeUnlessUsed(Node n) {
         // About one query is served by a cache in the time that one takes, which prices an open connection.
-        double worthMs = hold * HOLD_FIRST * 100 * site.handshakePrice() * usualTook / Math.max(site.openPrice(), 1e-9);
-        if (n.open && n.out == 0 && n.share.at(turn) * turn * worthMs < now - bornAt) {
+        double worthMs = hold * HOLD_FIRST * 100 * usualTook * site.handshakePrice();
+        if (n.open && n.out == 0 && n.share.at(turn) * turn * worthMs < (now - bornAt) * site.openPrice()) {
             n.open = false;
             host.closeIdle(n.id);
         }
@@ -593,9 +565,18 @@
         // Guards the origin's limit against its own spread: one late answer among many good ones is no queue.
         boolean queue = late && !(n.isOrigin && n.tally.count(now, OVERLOAD_MS, Tally.GOOD) >= OVERLOAD_LEAST
                 && n.tally.badShare(now, OVERLOAD_MS, OVERLOAD_LEAST) < OVERLOAD_SHARE);
+        boolean answered = outcome == Outcome.COMPLETED || outcome == Outcome.MISS;
+        if (answered || outcome == Outcome.FULL || outcome == Outcome.ERRED) {
+            n.heard(now);
+        }
+        if (queue || outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED
+                || outcome == Outcome.RESET) {
+            cut(n.limit, e.sentAt);
+        } else if (answered) {
+            grow(n.limit, n.out);
+        }
         switch (outcome) {
             case COMPLETED, MISS -> {
-                n.heard(now);
                 if (!n.isOrigin) {
                     n.tally.add(now, Tally.GOOD);
                     usualTook += slow ? 0 : (tookMs - usualTook) / MEMORY;
@@ -605,35 +586,21 @@
                     n.asideUntil = 0;
                     n.tally.clear();
                 }
-                if (queue) {
-                    cut(n.limit, e.sentAt, n.isOrigin ? SCARCE_LEAST : LIMIT_LEAST);
-                } else {
-                    grow(n.limit, n.out);
-                }
             }
             case ERRED -> {
-                n.heard(now);
                 n.tally.add(now, Tally.BAD);
                 double share = n.tally.badShare(now, BUCKET_MS * BUCKETS, ERRORS_LEAST);
                 if (n.trialsLeft > 0 || share > ERROR_SHARE) {
                     setAside(n, "errors");
                 }
             }
-            case FULL -> {
-                n.heard(now);
-                passOver(n);
-                cut(n.limit, e.sentAt, n.isOrigin ? SCARCE_LEAST : LIMIT_LEAST);
-            }
+            case FULL -> passOver(n);
             case TIMED_OUT -> {
-                if (queue) {
-                    cut(n.limit, e.sentAt, n.isOrigin ? SCARCE_LEAST : LIMIT_LEAST);
-                }
                 if (n.heardAt < e.sentAt) {
                     suspect(n);
                 }
             }
             case CONNECT_FAILED, RESET -> {
-                cut(n.limit, e.sentAt, n.isOrigin ? SCARCE_LEAST : LIMIT_LEAST);
                 hold *= outcome == Outcome.CONNECT_FAILED ? HOLD_KEPT : 1;
                 strike(n, outcome.toString());
             }
@@ -665,7 +632,7 @@
             hold = Math.min(1, hold + HOLD_GROWTH);
         } else if (e.mayFetch ? tally.badShare(now, OVERLOAD_MS, OVERLOAD_LEAST) > OVERLOAD_SHARE
                 : overloaded()) {
-            cut(limit, e.sentAt, e.mayFetch ? SCARCE_LEAST : FLEET_LEAST * caches.size());
+            cut(limit, e.sentAt);
         }
     }
 
