--- a/src/main/java/dappleseam/router/Node.java
+++ b/src/main/java/dappleseam/router/Node.java
@@ -10,7 +10,6 @@
     final Tally tally;
     final Limit limit;
     Member.State state;
-    boolean listed;
     double startedAt;
     int zone;
     int cell;
@@ -50,7 +49,6 @@
             trialsLeft = 0;
             tally.clear();
         }
-        listed = true;
         state = m.state();
         startedAt = m.startedAtMs();
         zone = m.zone();
--- a/src/main/java/dappleseam/router/RecentKeys.java
+++ b/src/main/java/dappleseam/router/RecentKeys.java
@@ -28,5 +28,11 @@
         Asked(Share share) {
             this.share = share;
         }
+
+        void told(Outcome outcome, Node node, double atMs) {
+            heldBy = outcome == Outcome.COMPLETED ? node : heldBy;
+            missedAt = outcome == Outcome.MISS ? atMs
+                    : outcome == Outcome.COMPLETED ? Double.NEGATIVE_INFINITY : missedAt;
+        }
     }
 }
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -97,8 +97,9 @@
     /** Measuring buckets: length in ms and number; four seconds hold a few queries even of a quiet proxy. */
     private static final double BUCKET_MS = 250;
     private static final int BUCKETS = 16;
-    /** Longest wait before the list is asked for, in ms: spreads proxies over the list service. */
+    /** Longest wait for the list at first, in ms, and in the end as a share of the time allowed. */
     private static final double ASK_AGAIN_MS = 1500;
+    private static final double ASK_MOST = 0.8;
     /** Latest queries over which a key's or a cache's own share is taken: a thin proxy's ten to twenty s. */
     private static final double MEMORY = 64;
     /** Time kept for the answer's way to the client, in ms, on top of two ticks. */
@@ -127,6 +128,7 @@
     private double extras = EXTRA_MOST;
     private boolean followed;
     private int askTurn;
+    private double askWait = ASK_AGAIN_MS;
     /** Queries taken so far. */
     private long turn;
     private final double bornAt;
@@ -152,17 +154,16 @@
     }
 
     public void listGiven(double nowMs, List<Member> members, boolean remembered) {
-        now = nowMs;
-        followed |= !remembered;
-        nodes.values().forEach(n -> n.listed = false);
-        members.forEach(this::learn);
-        nodes.values().stream().filter(n -> !n.listed).forEach(n -> n.state = Member.State.GONE);
-        rebuildRing();
+        boolean before = followed;
+        nodes.values().forEach(n -> n.state = Member.State.GONE);
+        listChanged(nowMs, members);
+        followed = before || !remembered;
     }
 
     public void listChanged(double nowMs, List<Member> members) {
         now = nowMs;
         followed = true;
+        askWait = ASK_AGAIN_MS;
         members.forEach(this::learn);
         rebuildRing();
     }
@@ -170,7 +171,9 @@
     public void listFailed(double nowMs) {
         now = nowMs;
         followed = false;
-        askAfter((0.2 + 0.8 * random.nextDouble()) * ASK_AGAIN_MS);
+        // Guards the list service, which does not grow with the fleet: each failure doubles the wait.
+        askAfter((0.2 + 0.8 * random.nextDouble()) * askWait);
+        askWait = Math.min(2 * askWait, ASK_MOST * site.askEveryMs());
     }
 
     private void askAfter(double delayMs) {
@@ -179,7 +182,7 @@
             if (turn == askTurn && !followed) {
                 host.followList();
                 // Guards against a call that is never answered.
-                askAfter(site.askEveryMs() * (0.5 + 0.3 * random.nextDouble()));
+                askAfter(site.askEveryMs() * ASK_MOST * (0.7 + 0.3 * random.nextDouble()));
             }
         });
     }
@@ -502,12 +505,7 @@
         } else {
             release(e);
         }
-        if (outcome == Outcome.COMPLETED) {
-            q.asked.heldBy = e.node;
-            q.asked.missedAt = Double.NEGATIVE_INFINITY;
-        } else if (outcome == Outcome.MISS) {
-            q.asked.missedAt = now;
-        }
+        q.asked.told(outcome, e.node, now);
         judge(e, outcome, tookMs, q.grade);
         if (finished && !q.answered) {
             settle(q);
@@ -664,10 +662,8 @@
     }
 
     private void setAside(Node n, String why) {
-        double aside = n.scale;
-        for (Node other : caches) {
-            aside += other != n && other.asideUntil > 0 ? other.scale : 0;
-        }
+        double aside = caches.stream().filter(c -> c == n || c.asideUntil > 0)
+                .mapToDouble(c -> c.scale).sum();
         // Guards against a trouble that all share, such as a slow origin: the ring is never emptied.
         if (n.isOrigin || n.asideUntil == 0 && aside > ASIDE_MOST * ringScale) {
             return;
