Share the least of the fleet's limit over the proxies

Cause: a quarter an own cache is 28 in flight for one of 800 proxies, which never binds, and seven for three proxies together, which is under what ten caches can do.

--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -83,9 +83,9 @@
     private static final double BUSY_MOST_MS = 8000;
     /** Caches that one hot key is spread over at most; each more is a copy to fetch and to keep. */
     private static final int SPREAD_MOST = 8;
-    /** Fleet's limit, in executions a cache: first over all proxies, least at each, share for fetches. */
+    /** Fleet's limit, in executions a cache: first and least over all proxies, share for fetches. */
     private static final double FLEET_FIRST = 12;
-    private static final double FLEET_LEAST = 0.25;
+    private static final double FLEET_LEAST = 3;
     private static final double FETCH_FIRST = 0.5;
     /** Share of a limit open to the least important query; the rest opens evenly with importance. */
     private static final double LIMIT_FOR_ALL = 0.6;
@@ -223,7 +223,7 @@
             fleetLimit.size = Math.max(LIMIT_FIRST_LEAST, FLEET_FIRST / site.proxies() * ready.size());
             fetchLimit.size = FETCH_FIRST * fleetLimit.size;
         }
-        fleetLimit.least = FLEET_LEAST * ready.size();
+        fleetLimit.least = Math.max(1, FLEET_LEAST / site.proxies() * ready.size());
         caches = ready;
     }
 
