--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -68,7 +68,7 @@
     private static final double SLOW_ORIGIN = 1;
     /** Share of slow or missing answers, and the fewest counted, over a time in ms, that tell of overload. */
     private static final double OVERLOAD_SHARE = 0.2;
-    private static final double OVERLOAD_CACHES = 0.3;
+    private static final double OVERLOAD_CACHES = 0.4;
     private static final int OVERLOAD_LEAST = 10;
     private static final double OVERLOAD_MS = 750;
     /** Time for which a miss tells that a key is missing, in ms: a few tries of one client. */
