--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -70,6 +70,7 @@
     private static final double OVERLOAD_SHARE = 0.2;
     private static final double OVERLOAD_CACHES = 0.4;
     private static final int OVERLOAD_LEAST = 10;
+    private static final int OVERLOAD_THIN = 4;
     private static final double OVERLOAD_MS = 750;
     /** Time for which a miss tells that a key is missing, in ms: a few tries of one client. */
     private static final double MISSING_MS = 1000;
@@ -628,12 +629,18 @@
             grow(fleetLimit, outAtCaches);
             grow(fetchLimit, fetchesOut);
             hold = Math.min(1, hold + HOLD_GROWTH);
-        } else if (e.mayFetch ? tally.badShare(now, OVERLOAD_MS, OVERLOAD_LEAST) > OVERLOAD_SHARE
-                : overloaded()) {
+        } else if (e.mayFetch ? oftenLate(tally) : overloaded()) {
             cut(limit, e.sentAt);
         }
     }
 
+    /** Over the last answers of a busy proxy; a thin one has to look back further, and at fewer. */
+    private boolean oftenLate(Tally tally) {
+        boolean busy = tally.count(now, OVERLOAD_MS, Tally.GOOD) + tally.count(now, OVERLOAD_MS, Tally.BAD)
+                >= OVERLOAD_LEAST;
+        return tally.badShare(now, busy ? OVERLOAD_MS : BUCKETS * BUCKET_MS, OVERLOAD_THIN) > OVERLOAD_SHARE;
+    }
+
     /** Counts caches, not answers: a few slow ones are no overload, however much they hold. */
     private boolean overloaded() {
         double slow = 0;
