--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -360,7 +360,7 @@
 
     private boolean usable(Node n, Query q) {
         if (n.state != Member.State.READY || q.triedAt(n) || !mayGoTo(q, n)
-                || n.asideUntil > now || n.asideUntil > 0 && !onTrial(n)) {
+                || n.asideUntil > now || onTrial(n) && n.out > 0) {
             return false;
         }
         // Guards a cold cache: every proxy sends it the same share of its keys.
@@ -385,14 +385,9 @@
                 : site.coldFrom() + (1 - site.coldFrom()) * Math.max(0, age) / site.warmAfterMs();
     }
 
-    /** A cache whose time set aside is over takes one query at a time, after a probe where allowed. */
+    /** Its time set aside is over: it takes one query at a time until some in a row are answered. */
     private boolean onTrial(Node n) {
-        if (site.mayProbe() && n.trialsLeft == 0) {
-            probe(n);
-            return false;
-        }
-        n.trialsLeft = n.trialsLeft == 0 ? TRIAL_GOOD : n.trialsLeft;
-        return n.out == 0;
+        return n.asideUntil > 0;
     }
 
     private void probe(Node n) {
@@ -411,9 +406,8 @@
         n.probing = false;
         if (outcome == Outcome.COMPLETED || outcome == Outcome.FULL || n.heardAt > now - tookMs) {
             // Guards a cache that lives: it turned the probe back, or answered others meanwhile.
-            n.trialsLeft = n.asideUntil > 0 ? TRIAL_GOOD : 0;
             n.heard(now);
-        } else if (outcome == Outcome.CONNECT_FAILED || n.asideUntil > 0) {
+        } else if (outcome == Outcome.CONNECT_FAILED) {
             setAside(n, "probe " + outcome);
         } else if (!overloaded()) {
             strike(n, "probe " + outcome);
@@ -581,7 +575,7 @@
                     usualTook += slow ? 0 : (tookMs - usualTook) / MEMORY;
                     pace(e, slow);
                 }
-                if (n.trialsLeft > 0 && --n.trialsLeft == 0) {
+                if (onTrial(n) && --n.trialsLeft <= 0) {
                     n.asideUntil = 0;
                     n.tally.clear();
                 }
@@ -589,7 +583,7 @@
             case ERRED -> {
                 n.tally.add(now, Tally.BAD);
                 double share = n.tally.badShare(now, BUCKET_MS * BUCKETS, ERRORS_LEAST);
-                if (n.trialsLeft > 0 || share > ERROR_SHARE) {
+                if (onTrial(n) || share > ERROR_SHARE) {
                     setAside(n, "errors");
                 }
             }
@@ -663,7 +657,7 @@
     }
 
     private void strike(Node n, String why) {
-        if (++n.strikes >= STRIKES || n.trialsLeft > 0) {
+        if (++n.strikes >= STRIKES || onTrial(n)) {
             setAside(n, why);
         }
     }
@@ -676,7 +670,7 @@
             return;
         }
         host.log("aside " + Long.toHexString(n.id.value()) + ": " + why);
-        n.trialsLeft = 0;
+        n.trialsLeft = TRIAL_GOOD;
         n.asideUntil = now + ASIDE_MS + ASIDE_RANDOM_MS * random.nextDouble();
     }
 
