--- a/src/main/java/dappleseam/drill/Exchange.java
+++ b/src/main/java/dappleseam/drill/Exchange.java
@@ -147,11 +147,11 @@
                 return () -> router.woken(nowMs, timer);
             }
             case 8: {
-                NodeId node = node(in);
-                Outcome outcome = outcome(in.getShort() & 0xFFFF);
-                double tookMs = in.getDouble() * MS_PER_S;
-                float[] report = report(in);
-                return () -> router.probeEnded(nowMs, node, outcome, tookMs, report);
+                node(in);
+                in.getShort();
+                in.getDouble();
+                report(in);
+                return () -> { }; // no probe is ever sent
             }
             default: {
                 in.getShort();
--- a/src/main/java/dappleseam/router/Deployment.java
+++ b/src/main/java/dappleseam/router/Deployment.java
@@ -16,7 +16,6 @@
         int mostExecutions,
         boolean parallelExecutions,
         boolean mayCancel,
-        boolean mayProbe,
         double maxRetryAfterMs,
         double askEveryMs,
         double coldFrom,
--- a/src/main/java/dappleseam/router/Host.java
+++ b/src/main/java/dappleseam/router/Host.java
@@ -13,8 +13,6 @@
     /** Final answer that promises nothing about what was done. */
     void abort(QueryId query);
 
-    void probe(NodeId node);
-
     /** Closes this proxy's connections to the node that carry nothing. */
     void closeIdle(NodeId node);
 
--- a/src/main/java/dappleseam/router/Node.java
+++ b/src/main/java/dappleseam/router/Node.java
@@ -28,7 +28,6 @@
     /** 0 in service; a time to come while set aside; past while on trial. */
     double asideUntil;
     int trialsLeft;
-    boolean probing;
     /** Late or full lately. */
     double busyUntil;
 
--- a/src/main/java/dappleseam/router/Outcome.java
+++ b/src/main/java/dappleseam/router/Outcome.java
@@ -1,6 +1,6 @@
 package dappleseam.router;
 
-/** How one execution, or one probe, ended. */
+/** How one execution ended. */
 public enum Outcome {
     COMPLETED(false),
     /** The node answered with an error. */
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -360,7 +360,7 @@
 
     private boolean usable(Node n, Query q) {
         if (n.state != Member.State.READY || q.triedAt(n) || !mayGoTo(q, n)
-                || n.asideUntil > now || onTrial(n) && n.out > 0) {
+                || n.asideUntil > now || n.asideUntil > 0 && n.out > 0) {
             return false;
         }
         // Guards a cold cache: every proxy sends it the same share of its keys.
@@ -385,35 +385,6 @@
                 : site.coldFrom() + (1 - site.coldFrom()) * Math.max(0, age) / site.warmAfterMs();
     }
 
-    /** Its time set aside is over: it takes one query at a time until some in a row are answered. */
-    private boolean onTrial(Node n) {
-        return n.asideUntil > 0;
-    }
-
-    private void probe(Node n) {
-        if (!n.probing) {
-            host.probe(n.id);
-        }
-        n.probing = true;
-    }
-
-    public void probeEnded(double nowMs, NodeId id, Outcome outcome, double tookMs, float[] report) {
-        now = nowMs;
-        Node n = nodes.get(id);
-        if (n == null || !n.probing) {
-            return;
-        }
-        n.probing = false;
-        if (outcome == Outcome.COMPLETED || outcome == Outcome.FULL || n.heardAt > now - tookMs) {
-            // Guards a cache that lives: it turned the probe back, or answered others meanwhile.
-            n.heard(now);
-        } else if (outcome == Outcome.CONNECT_FAILED) {
-            setAside(n, "probe " + outcome);
-        } else if (!overloaded()) {
-            strike(n, "probe " + outcome);
-        }
-    }
-
     /** Whether a further execution there keeps the grade's promise about repeats. */
     private boolean mayGoTo(Query q, Node n) {
         Execution first = q.firstThatMayHaveRun();
@@ -461,9 +432,7 @@
         }
         first.pinned = true; // a place pinned by one slow cache tells nothing of the fleet
         outAtCaches--;
-        if (first.node.heardAt < first.sentAt) {
-            suspect(first.node);
-        }
+        suspect(first);
         boolean spare = q.out == 1 && extras >= 1 && q.execsLeft(site) >= (site.originModel() >= 0 ? 2 : 1);
         Node n = spare ? choose(q) : null;
         if (n != null) {
@@ -575,7 +544,7 @@
                     usualTook += slow ? 0 : (tookMs - usualTook) / MEMORY;
                     pace(e, slow);
                 }
-                if (onTrial(n) && --n.trialsLeft <= 0) {
+                if (n.asideUntil > 0 && --n.trialsLeft <= 0) {
                     n.asideUntil = 0;
                     n.tally.clear();
                 }
@@ -583,16 +552,12 @@
             case ERRED -> {
                 n.tally.add(now, Tally.BAD);
                 double share = n.tally.badShare(now, BUCKET_MS * BUCKETS, ERRORS_LEAST);
-                if (onTrial(n) || share > ERROR_SHARE) {
+                if (n.asideUntil > 0 || share > ERROR_SHARE) {
                     setAside(n, "errors");
                 }
             }
             case FULL -> passOver(n);
-            case TIMED_OUT -> {
-                if (n.heardAt < e.sentAt) {
-                    suspect(n);
-                }
-            }
+            case TIMED_OUT -> suspect(e);
             case CONNECT_FAILED, RESET -> {
                 hold *= outcome == Outcome.CONNECT_FAILED ? HOLD_KEPT : 1;
                 strike(n, outcome.toString());
@@ -647,17 +612,15 @@
         return slow > OVERLOAD_CACHES * heard;
     }
 
-    /** Guards against a silent machine, told from an overload by the others, or by a probe where allowed. */
-    private void suspect(Node n) {
-        if (site.mayProbe() && n.asideUntil == 0) {
-            probe(n);
-        } else if (!overloaded()) {
-            strike(n, "silence");
+    /** Guards against a silent machine, told from an overload by the others. */
+    private void suspect(Execution e) {
+        if (e.node.heardAt < e.sentAt && !overloaded()) {
+            strike(e.node, "silence");
         }
     }
 
     private void strike(Node n, String why) {
-        if (++n.strikes >= STRIKES || onTrial(n)) {
+        if (++n.strikes >= STRIKES || n.asideUntil > 0) {
             setAside(n, why);
         }
     }
