--- a/src/test/java/dappleseam/router/OneProxy.java
+++ b/src/test/java/dappleseam/router/OneProxy.java
@@ -14,6 +14,7 @@
     final List<String> done = new ArrayList<>();
     final List<NodeId> sentTo = new ArrayList<>();
     final List<TimerId> timers = new ArrayList<>();
+    final List<Double> delays = new ArrayList<>();
     final Router router;
 
     OneProxy(Deployment site) {
@@ -128,6 +129,7 @@
     @Override
     public void wake(TimerId timer, double delayMs) {
         timers.add(timer);
+        delays.add(delayMs);
     }
 
     @Override
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -282,4 +283,97 @@
         }
         assertThat(p.done).filteredOn(act -> act.startsWith("reject")).hasSizeLessThanOrEqualTo(3);
     }
+
+    /** tarlat i88d483: each of hundreds of proxies let two queries into a cold cache for every window. */
+    @Test
+    void manyProxiesTogetherStayUnderTheColdBudget() {
+        int sent = 0;
+        for (int proxy = 0; proxy < 200; proxy++) {
+            OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ));
+            p.router.listGiven(50000, List.of(OneProxy.ready(1), OneProxy.ready(3),
+                    OneProxy.member(2, Member.State.READY, 50000)), false);
+            for (int i = 1; i <= 20; i++) {
+                p.ask(50000 + i, i, 1000L * proxy + i);
+                p.ended(50000 + i, i, 0, Outcome.ERRED, 1);
+            }
+            sent += (int) p.sentTo.stream().filter(new NodeId(2)::equals).count();
+        }
+        assertThat(sent).isLessThan(200 * 20 / 20);
+    }
+
+    /** tarlat-budapest-later big-1: the caches' tables were full of connections rarely used. */
+    @Test
+    void aRarelyUsedConnectionIsClosed() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(4);
+        p.ask(1000, 1, 42);
+        NodeId owner = p.last();
+        p.ended(9000, 1, 0, Outcome.COMPLETED, 10);
+        assertThat(p.done).endsWith("close " + owner.value());
+    }
+
+    @Test
+    void anOftenUsedConnectionIsKept() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(4);
+        for (int i = 1; i <= 50; i++) {
+            p.ask(1000 + 10 * i, i, 42);
+            p.ended(1005 + 10 * i, i, 0, Outcome.COMPLETED, 5);
+        }
+        assertThat(p.done).noneMatch(act -> act.startsWith("close"));
+    }
+
+    /** litoral-homebanking-later big-1: thin proxies came back to a full cache once each. */
+    @Test
+    void aFullCacheIsPassedOverForAWhile() {
+        NodeId[] owners = owners(OneProxy.ready(1), OneProxy.ready(2), OneProxy.ready(3));
+        int[] keys = IntStream.rangeClosed(1, 200).filter(k -> owners[k - 1].equals(owners[0])).toArray();
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ));
+        p.router.listGiven(1000, List.of(OneProxy.ready(1), OneProxy.ready(2), OneProxy.ready(3)), false);
+        for (int i = 0; i < 200; i++) {
+            if (!owners[i].equals(owners[0])) {
+                p.ask(1000, 1000 + i, i + 1);
+                p.ended(1001, 1000 + i, 0, Outcome.COMPLETED, 1);
+            }
+        }
+        p.ask(1100, 1, keys[0]);
+        p.ended(1101, 1, 0, Outcome.FULL, 1);
+        p.ask(1200, 2, keys[1]);
+        assertThat(p.last()).isNotEqualTo(owners[0]);
+        p.ask(20000, 3, keys[2]);
+        assertThat(p.last()).isEqualTo(owners[0]);
+    }
+
+    /** tarlat i88d483: retries for a missing key took the caches' time while the origin had no room. */
+    @Test
+    void aKeyJustMissedIsNotAskedForAgainWhileTheOriginHasNoRoom() {
+        OneProxy p = new OneProxy(OneProxy.aside(OneProxy.READ));
+        p.router.listGiven(1000, List.of(OneProxy.ready(1)), false);
+        p.ask(1000, 1, 42);
+        p.ended(1001, 1, 0, Outcome.MISS, 1);
+        p.ask(1002, 2, 42);
+        assertThat(p.done).endsWith("reject 2").filteredOn("execute 2"::equals).isEmpty();
+    }
+
+    /** tarlat i88d483: hundreds of proxies with at least one execution each at a full origin. */
+    @Test
+    void aLimitUnderOneIsAChance() {
+        OneProxy p = new OneProxy(OneProxy.aside(OneProxy.READ)).listed(3);
+        int toOrigin = 0;
+        for (int i = 1; i <= 400; i++) {
+            p.ask(1000 + 2000 * i, i, i);
+            p.ended(1001 + 2000 * i, i, 0, Outcome.MISS, 1);
+            toOrigin += p.last().equals(OneProxy.ORIGIN) ? 1 : 0;
+            p.ended(1002 + 2000 * i, i, 1, Outcome.FULL, 1);
+            p.ended(1003 + 2000 * i, i, 2, Outcome.FULL, 1);
+        }
+        assertThat(toOrigin).isBetween(10, 120);
+    }
+
+    @Test
+    void eachFailedCallToTheListDoublesTheWait() {
+        OneProxy p = new OneProxy(OneProxy.onRequest());
+        for (int i = 0; i < 4; i++) {
+            p.router.listFailed(2000);
+        }
+        assertThat(p.delays.get(p.delays.size() - 1)).isBetween(0.2 * 6400, 6400.0);
+    }
 }
