Second copy to the origin where it has room

Cause: a copy at a successor is a new connection, mostly a miss there, and then goes to the origin anyway; the successors of a popular key's owner are as busy as it is.

--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -434,7 +434,8 @@
         outAtCaches--;
         suspect(first);
         boolean spare = q.out == 1 && extras >= 1 && q.execsLeft(site) >= (site.originModel() >= 0 ? 2 : 1);
-        Node n = spare ? choose(q) : null;
+        boolean originFits = spare && origin != null && fits(origin.out, origin.limit, q);
+        Node n = originFits ? origin : spare ? choose(q) : null;
         if (n != null) {
             extras--;
             send(q, n);
