--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -280,8 +280,7 @@
             return;
         }
         // Guards caches against retries for what they lack while the origin has no room for it.
-        if (aside && q.asked.missedAt > now - MISSING_MS
-                && (origin == null || !fits(origin.out, origin.limit, q))) {
+        if (aside && q.asked.missedAt > now - MISSING_MS && !originFits(q)) {
             giveUp(q);
             return;
         }
@@ -434,18 +433,21 @@
         outAtCaches--;
         suspect(first);
         boolean spare = q.out == 1 && extras >= 1 && q.execsLeft(site) >= (site.originModel() >= 0 ? 2 : 1);
-        boolean originFits = spare && origin != null && fits(origin.out, origin.limit, q);
-        Node n = originFits ? origin : spare ? choose(q) : null;
+        // The origin has the key for sure, and an open connection; a successor would likely miss.
+        Node n = spare ? originFits(q) ? origin : choose(q) : null;
         if (n != null) {
             extras--;
             send(q, n);
         }
     }
 
+    private boolean originFits(Query q) {
+        return origin != null && mayGoTo(q, origin) && fits(origin.out, origin.limit, q);
+    }
+
     private void toOrigin(Query q) {
         // Guards the origin: what is in flight there is limited, and the last of it is kept for importance.
-        if (origin != null && q.execsLeft(site) > 0 && mayGoTo(q, origin)
-                && fits(origin.out, origin.limit, q)) {
+        if (q.execsLeft(site) > 0 && originFits(q)) {
             send(q, origin);
         } else {
             giveUp(q);
@@ -512,7 +514,11 @@
             return;
         }
         extras--;
-        route(q);
+        if (outcome == Outcome.FULL && originFits(q)) {
+            send(q, origin);
+        } else {
+            route(q);
+        }
     }
 
     /** What an outcome tells of the node. */
