--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -57,8 +57,7 @@
     private static final double SCARCE_LEAST = 0.05;
     /** Share by which a limit under one grows for each good answer: a fifth of late ones holds it. */
     private static final double GROWTH = 0.2;
-    /** Share of the idle connections worth their price that are kept, as a use just seen overstates the rate;
-     * what a failed connect leaves of it, and what each timely answer adds. */
+    /** Share kept of idle connections worth their price; what a failed connect leaves, an answer adds. */
     private static final double HOLD_FIRST = 0.5;
     private static final double HOLD_KEPT = 0.5;
     private static final double HOLD_GROWTH = 0.02;
@@ -123,6 +122,7 @@
     private List<Node> caches = List.of();
     private long[] ring = {};
     private double ringScale;
+    private boolean ringIsStale;
     private Node origin;
     private int outAtCaches;
     private int walk;
@@ -166,7 +166,7 @@
         followed = true;
         askWait = ASK_AGAIN_MS;
         members.forEach(this::learn);
-        rebuildRing();
+        ringIsStale = true; // built anew for the next query: a thin proxy sees many changes between two
     }
 
     public void listFailed(double nowMs) {
@@ -182,8 +182,7 @@
         timers.after(delayMs, () -> {
             if (turn == askTurn && !followed) {
                 host.followList();
-                // Guards against a call that is never answered.
-                askAfter(site.askEveryMs() * ASK_MOST * (0.7 + 0.3 * random.nextDouble()));
+                askAfter(site.askEveryMs() * ASK_MOST * (0.7 + 0.3 * random.nextDouble())); // if unanswered
             }
         });
     }
@@ -198,6 +197,7 @@
 
     /** Builds the ring from the list alone, so that proxies with one list agree and no other key moves. */
     private void rebuildRing() {
+        ringIsStale = false;
         Predicate<Node> isReady = n -> n.state == Member.State.READY;
         origin = nodes.values().stream().filter(isReady.and(n -> n.isOrigin)).findFirst().orElse(null);
         List<Node> ready = nodes.values().stream().filter(isReady.and(n -> !n.isOrigin))
@@ -230,6 +230,9 @@
 
     public void query(double nowMs, QueryId id, int grade, Key key, double leftMs, boolean write) {
         now = nowMs;
+        if (ringIsStale) {
+            rebuildRing();
+        }
         Query q = new Query(id, site.grades().get(grade), key, write);
         q.hash = Hash.mix(key.equals(Key.NONE) ? id.value() : key.value());
         q.quitAt = now + leftMs;
@@ -366,10 +369,7 @@
         return warmth(n) >= 1 || Hash.fraction(q.hash ^ n.seed) < warmth(n) && withinColdBudget(n, q);
     }
 
-    /**
-     * Guards a cold cache without knowing of the other proxies: a key that alone is more than its due stays
-     * away, and where more is sent than answered, all is let in by a chance as much smaller.
-     */
+    /** Guards a cold cache: no key over its due, and less by chance while more is sent than answered. */
     private boolean withinColdBudget(Node n, Query q) {
         double answered = fleet.count(now, BUCKET_MS * BUCKETS, Tally.GOOD)
                 + fetching.count(now, BUCKET_MS * BUCKETS, Tally.GOOD);
@@ -433,7 +433,6 @@
         outAtCaches--;
         suspect(first);
         boolean spare = q.out == 1 && extras >= 1 && q.execsLeft(site) >= (site.originModel() >= 0 ? 2 : 1);
-        // The origin has the key for sure, and an open connection; a successor would likely miss.
         Node n = spare ? originFits(q) ? origin : choose(q) : null;
         if (n != null) {
             extras--;
@@ -442,7 +441,8 @@
     }
 
     private boolean originFits(Query q) {
-        return origin != null && mayGoTo(q, origin) && fits(origin.out, origin.limit, q);
+        return origin != null && origin.state == Member.State.READY && mayGoTo(q, origin)
+                && fits(origin.out, origin.limit, q);
     }
 
     private void toOrigin(Query q) {
