Take out two settings the router no longer reads

The window of the cold rule and the statement timeout lost their last readers with the old cold budget and the telling of tardy retries. No decision changes. Settings without these two keys are no longer malformed, as nothing asks for them.

--- a/src/main/java/dappleseam/drill/DeploymentReader.java
+++ b/src/main/java/dappleseam/drill/DeploymentReader.java
@@ -50,7 +50,6 @@
                 onRequest ? number(rules, "askEveryS") * MS_PER_S : 0,
                 number(rules, "coldFrom"),
                 number(rules, "warmAfterS") * MS_PER_S,
-                number(rules, "fallS") * MS_PER_S,
                 root.path("penalties").path("connection").asDouble(),
                 root.path("penalties").path("handshake").asDouble());
     }
@@ -69,7 +68,6 @@
                 },
                 grade.path("windowS").asDouble() * MS_PER_S,
                 number(grade, "sloTimeS") * MS_PER_S,
-                number(grade, "statementTimeoutS") * MS_PER_S,
                 grade.path("importance").asDouble(1),
                 grade.path("tardyImportance").asDouble(),
                 grade.path("stream").asBoolean());
--- a/src/main/java/dappleseam/router/Deployment.java
+++ b/src/main/java/dappleseam/router/Deployment.java
@@ -20,6 +20,5 @@
         double askEveryMs,
         double coldFrom,
         double warmAfterMs,
-        double fallMs,
         double openPrice,
         double handshakePrice) {}
--- a/src/main/java/dappleseam/router/ServiceGrade.java
+++ b/src/main/java/dappleseam/router/ServiceGrade.java
@@ -2,7 +2,7 @@
 
 /** What is promised for one kind of query; {@code tardyShare} of its importance is paid past the SLO time. */
 public record ServiceGrade(Repeat repeat, Group group, double windowMs, double sloMs,
-                           double statementTimeoutMs, double importance, double tardyShare, boolean stream) {
+                           double importance, double tardyShare, boolean stream) {
     public enum Repeat { IDEMPOTENT, DEDUPLICATED, NON_IDEMPOTENT }
 
     /** Which nodes drop repeats of a deduplicated query. */
--- a/src/test/java/dappleseam/router/OneProxy.java
+++ b/src/test/java/dappleseam/router/OneProxy.java
@@ -22,7 +22,7 @@
     }
 
     static ServiceGrade grade(ServiceGrade.Repeat repeat, ServiceGrade.Group group) {
-        return new ServiceGrade(repeat, group, 2000, 600, 2000, 1, 0, false);
+        return new ServiceGrade(repeat, group, 2000, 600, 1, 0, false);
     }
 
     /** Two proxies, three executions, caches that fetch for themselves, a pushed list. */
@@ -45,7 +45,7 @@
     private static Deployment site(ServiceGrade grade, int originModel, boolean parallel,
                                    double askEvery) {
         return new Deployment(List.of(grade), 2, originModel, true, 1, 3, parallel, true, 1000,
-                askEvery, 0.2, 10000, 1500, 0.05, 0.05);
+                askEvery, 0.2, 10000, 0.05, 0.05);
     }
 
     static Member ready(long node) {
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -94,7 +94,7 @@
 
     @Test
     void aDeduplicatedQueryIsNotRepeatedPastItsWindow() {
-        ServiceGrade brief = new ServiceGrade(Repeat.DEDUPLICATED, Group.ALL, 300, 600, 2000, 1, 0.5, false);
+        ServiceGrade brief = new ServiceGrade(Repeat.DEDUPLICATED, Group.ALL, 300, 600, 1, 0.5, false);
         OneProxy p = new OneProxy(OneProxy.through(brief)).listed(3);
         p.ask(1000, 1, 42);
         p.ended(1310, 1, 0, Outcome.RESET, 310);
