--- /dev/null
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -0,0 +1,203 @@
+package dappleseam.clients;
+
+import dappleseam.query.Command;
+import dappleseam.router.QueryId;
+import dappleseam.wire.Chain;
+import dappleseam.wire.Link;
+import dappleseam.wire.Loop;
+import dappleseam.wire.Progress;
+import dappleseam.wire.RespMessage;
+import dappleseam.wire.RespReader;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Locale;
+import java.util.regex.Pattern;
+import org.xnio.StreamConnection;
+
+/** One client's connection: commands in, answers out in the order of the commands. */
+final class ClientConnection implements Link.Events {
+    /** Bytes of the longest value. */
+    private static final int LONGEST_BULK = 64 << 10;
+    /** Commands owed an answer, and bytes the client has not taken, at which nothing more is read from it. */
+    private static final int MOST_OWED = 128;
+    private static final long MOST_UNREAD = 128 << 10;
+    /** Time in ms after which buffers are looked for again. */
+    private static final double BUFFERS_AGAIN_MS = 20;
+    /** What may go on into a path or a header. */
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._~:-]{1,128}");
+    private static final Pattern FACTS = Pattern.compile("[!-+\\--~]+(,[!-+\\--~]+)*");
+    private static final int LONGEST_FACTS = 1024;
+
+    private final Loop loop;
+    private final Queries queries;
+    private final Runnable whenClosed;
+    private final RespReader reader;
+    private final Link link;
+    private final ArrayDeque<Owed> owed = new ArrayDeque<>();
+    private boolean paused;
+    /** Nothing more is taken; the connection ends once what is owed is written. */
+    private boolean last;
+
+    ClientConnection(Loop loop, StreamConnection connection, Queries queries, Runnable whenClosed) {
+        this.loop = loop;
+        this.queries = queries;
+        this.whenClosed = whenClosed;
+        reader = new RespReader(loop.pool(), LONGEST_BULK);
+        link = loop.link(connection, this);
+    }
+
+    void open() {
+        link.resume();
+        link.readable();
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+        while (bytes.hasRemaining() && !last && !link.isClosed()) {
+            Progress progress = reader.read(bytes);
+            if (progress == Progress.BAD) {
+                last = true;
+                oweOne().line("-ERR Protocol error");
+            } else if (progress == Progress.DONE) {
+                command(reader.take());
+            }
+        }
+        pauseIfFull();
+    }
+
+    private Owed oweOne() {
+        Owed one = new Owed(this);
+        owed.add(one);
+        return one;
+    }
+
+    private void command(RespMessage message) {
+        Owed one = oweOne();
+        Chain first = message.sign == '*' ? message.bulk(0) : null;
+        String verb = first == null || first.size() > 16 ? "" : first.text().toUpperCase(Locale.ROOT);
+        switch (verb) {
+            case "C.GET" -> query(message, 4, one);
+            case "C.SET" -> query(message, 5, one);
+            case "PING" -> one.line("+PONG");
+            case "CLIENT", "SELECT" -> one.line("+OK");
+            case "QUIT" -> {
+                last = true;
+                one.line("+OK");
+            }
+            default -> one.line("-ERR unknown command");
+        }
+        message.release();
+    }
+
+    private void query(RespMessage message, int parts, Owed one) {
+        String key = text(message, 1, 128);
+        String id = text(message, 2, 128);
+        String facts = text(message, 3, LONGEST_FACTS);
+        if (message.bulks.size() != parts || message.bulk(parts - 1) == null) {
+            one.line("-ERR wrong number of arguments");
+        } else if (!NAME.matcher(key).matches() || !NAME.matcher(id).matches()) {
+            one.line("-ERR malformed key or id");
+        } else if (!FACTS.matcher(facts).matches()) {
+            one.line("-ERR malformed list of names and values");
+        } else {
+            Command command = new Command(key, id, facts, parts == 5 ? message.takeBulk(4) : null);
+            QueryId query = queries.take(command, one);
+            one.belongsTo(query);
+        }
+    }
+
+    private static String text(RespMessage message, int at, int longest) {
+        Chain bulk = message.bulk(at);
+        return bulk == null || bulk.size() > longest ? "" : bulk.text();
+    }
+
+    Chain newAnswer() {
+        return new Chain(loop.pool());
+    }
+
+    boolean isClosed() {
+        return link.isClosed();
+    }
+
+    boolean owesNothing() {
+        return owed.isEmpty() && link.out().size() == 0 && reader.isBetweenMessages();
+    }
+
+    /** Writes the answers whose turn has come. */
+    void flushAnswers() {
+        boolean any = false;
+        while (!owed.isEmpty() && owed.peekFirst().answer() != null) {
+            link.out().take(owed.pollFirst().answer());
+            any = true;
+        }
+        if (any) {
+            link.flush();
+        }
+    }
+
+    @Override
+    public void drained() {
+        if (last && owed.isEmpty()) {
+            close();
+        } else if (paused && !isFull()) {
+            resume();
+        }
+    }
+
+    private boolean isFull() {
+        return owed.size() >= MOST_OWED || link.out().size() >= MOST_UNREAD || loop.pool().isScarce();
+    }
+
+    /** Guards the buffers against a client that sends and does not read, or sends more than can be held. */
+    private void pauseIfFull() {
+        if (!paused && !link.isClosed() && isFull()) {
+            paused = true;
+            link.pause();
+            loop.at(loop.nowMs() + BUFFERS_AGAIN_MS, this::resume);
+        }
+    }
+
+    private void resume() {
+        if (paused && !link.isClosed()) {
+            paused = false;
+            if (isFull()) {
+                pauseIfFull();
+            } else {
+                link.resume();
+            }
+        }
+    }
+
+    @Override
+    public void ended(String cause) {
+        gone();
+    }
+
+    /** Ends the connection if nothing has come on it and nothing is owed. */
+    void closeIfIdle() {
+        if (!link.isClosed()) {
+            link.readable(); // what is read now is answered; a close with it unread would lose it
+        }
+        if (!link.isClosed() && owesNothing()) {
+            close();
+        }
+    }
+
+    void close() {
+        link.close();
+        gone();
+    }
+
+    private void gone() {
+        reader.release();
+        for (Owed one : owed) {
+            if (one.answer() != null) {
+                one.answer().release();
+            } else if (one.query() != null) {
+                queries.clientLeft(one.query());
+            }
+        }
+        owed.clear();
+        whenClosed.run();
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/clients/ClientFront.java
@@ -0,0 +1,75 @@
+package dappleseam.clients;
+
+import dappleseam.query.Slots;
+import dappleseam.wire.Loop;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/** Where clients connect. */
+public final class ClientFront {
+    private static final Logger LOG = System.getLogger(ClientFront.class.getName());
+    private static final int BACKLOG = 512;
+
+    private final Loop loop;
+    private final Queries queries;
+    private final int most;
+    private final Slots<ClientConnection> connections = new Slots<>();
+    private AcceptingChannel<StreamConnection> server;
+
+    /** Takes {@code most} connections at once; more wait to be accepted. */
+    public ClientFront(Loop loop, Queries queries, int most) {
+        this.loop = loop;
+        this.queries = queries;
+        this.most = most;
+    }
+
+    public void listen(XnioWorker worker, InetSocketAddress address) throws IOException {
+        server = worker.createStreamConnectionServer(address, this::acceptable, OptionMap.builder()
+                .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG)
+                .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most - 1).getMap());
+        server.resumeAccepts();
+    }
+
+    private void acceptable(AcceptingChannel<StreamConnection> channel) {
+        try {
+            StreamConnection connection = channel.accept();
+            while (connection != null) {
+                opened(connection);
+                connection = channel.accept();
+            }
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "accepting a client failed: {0}", e.getMessage());
+        }
+    }
+
+    private void opened(StreamConnection connection) {
+        if (connections.isFull(most)) {
+            IoUtils.safeClose(connection);
+            return;
+        }
+        int[] slot = new int[1];
+        ClientConnection client =
+                new ClientConnection(loop, connection, queries, () -> connections.free(slot[0]));
+        slot[0] = connections.put(client);
+        client.open();
+    }
+
+    /** Accepts no more. */
+    public void stopListening() {
+        IoUtils.safeClose(server);
+    }
+
+    /** Ends the connections on which nothing is owed, and says whether any are left. */
+    public boolean closeIdle() {
+        connections.all().forEach(ClientConnection::closeIfIdle);
+        return connections.used() > 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/clients/Queries.java
@@ -0,0 +1,12 @@
+package dappleseam.clients;
+
+import dappleseam.query.Command;
+import dappleseam.router.QueryId;
+
+/** Who takes the clients' queries. */
+public interface Queries {
+    /** Takes a query, and answers it through {@code owed}, now or later; null where it was turned away. */
+    QueryId take(Command command, Owed owed);
+
+    void clientLeft(QueryId id);
+}
--- a/src/main/java/dappleseam/drill/Exchange.java
+++ b/src/main/java/dappleseam/drill/Exchange.java
@@ -1,5 +1,6 @@
 package dappleseam.drill;
 
+import dappleseam.router.Deployment;
 import dappleseam.router.Key;
 import dappleseam.router.Member;
 import dappleseam.router.NodeId;
@@ -7,6 +8,8 @@
 import dappleseam.router.QueryId;
 import dappleseam.router.Router;
 import dappleseam.router.TimerId;
+import dappleseam.site.FaultySettingException;
+import dappleseam.site.SiteReader;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -27,7 +30,7 @@
         Outcome.CANCELLED, Outcome.UNSENT
     };
 
-    private final DeploymentReader deployments = new DeploymentReader();
+    private final SiteReader sites = new SiteReader();
     private final Map<Integer, Router> routers = new HashMap<>();
     private final Reply reply = new Reply();
 
@@ -88,7 +91,12 @@
         long seed = in.getLong();
         byte[] settings = bytes(in, in.getInt());
         RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
-        var deployment = deployments.read(settings);
+        Deployment deployment;
+        try {
+            deployment = sites.readSite(settings).deployment();
+        } catch (FaultySettingException e) {
+            throw new MalformedFrameException(e.getMessage());
+        }
         guarded(instance, () ->
                 routers.put(instance, new Router(deployment, random, reply.forInstance(instance), nowMs)));
     }
--- a/src/main/java/dappleseam/drill/Reply.java
+++ b/src/main/java/dappleseam/drill/Reply.java
@@ -62,8 +62,6 @@
     }
 
     private final class InstanceHost implements Host {
-        private static final int EVERY_PEER = -1;
-
         private final int instance;
 
         InstanceHost(int instance) {
@@ -100,17 +98,6 @@
             start(12, instance, 1).put((byte) 1);
         }
 
-        @Override
-        public void fetchList() {
-            start(10, instance, 0);
-        }
-
-        @Override
-        public void tellPeers(byte[] message) {
-            start(7, instance, 6 + message.length)
-                    .putInt(EVERY_PEER).putShort((short) message.length).put(message);
-        }
-
         @Override
         public void wake(TimerId timer, double delayMs) {
             start(2, instance, 12).putDouble(delayMs * S_PER_MS).putInt(timer.value());
--- /dev/null
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -0,0 +1,186 @@
+package dappleseam.origin;
+
+import dappleseam.query.Backend;
+import dappleseam.query.Command;
+import dappleseam.query.Ending;
+import dappleseam.query.Execution;
+import dappleseam.query.Reached;
+import dappleseam.router.Outcome;
+import dappleseam.servers.Connections;
+import dappleseam.wire.Chain;
+import dappleseam.wire.HttpReader;
+import dappleseam.wire.Link;
+import dappleseam.wire.Loop;
+import dappleseam.wire.Progress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.xnio.StreamConnection;
+
+/** The origin, over HTTP/1.1: one exchange at a time on each connection. */
+public final class Origin implements Backend {
+    private static final long LONGEST_BODY = 65 << 10;
+    /** Share of the origin's own idle time after which a connection is closed, before the origin does. */
+    private static final double IDLE_SHARE = 0.7;
+
+    private final Loop loop;
+    private final InetSocketAddress endpoint;
+    private final Connections limits;
+    private final List<Connection> open = new ArrayList<>();
+    private boolean retired;
+
+    public Origin(Loop loop, InetSocketAddress endpoint, Connections limits) {
+        this.loop = loop;
+        this.endpoint = endpoint;
+        this.limits = limits;
+    }
+
+    @Override
+    public void begin(Execution execution) {
+        for (int i = open.size() - 1; i >= 0; i--) { // the one used last: the others may fall idle
+            Connection c = open.get(i);
+            if (c.current == null) {
+                open.remove(i);
+                open.add(c);
+                c.send(execution);
+                return;
+            }
+        }
+        Connection c = new Connection(execution);
+        open.add(c);
+        c.dialling = loop.dial(endpoint, limits.connectTimeoutMs(), c::up, c::failed);
+    }
+
+    @Override
+    public Reached giveUp(Execution execution) {
+        for (Connection c : open) {
+            if (c.current == execution) {
+                Reached reached = c.reached();
+                c.current = null;
+                c.close();
+                return reached;
+            }
+        }
+        return Reached.NOT_WHOLE;
+    }
+
+    @Override
+    public void closeIdle() {
+        for (Connection c : List.copyOf(open)) {
+            if (c.current == null) {
+                c.close();
+            }
+        }
+    }
+
+    @Override
+    public void retire() {
+        retired = true;
+        closeIdle();
+    }
+
+    private final class Connection implements Link.Events {
+        private final HttpReader reader = new HttpReader(loop.pool(), LONGEST_BODY);
+        private Loop.Deadline dialling = () -> { };
+        private Loop.Deadline closing = () -> { };
+        private Link link;
+        private Execution current;
+        private long endsAt;
+
+        Connection(Execution first) {
+            current = first;
+        }
+
+        private void up(StreamConnection connection) {
+            link = loop.link(connection, this);
+            link.resume();
+            send(current);
+        }
+
+        private void failed(String cause) {
+            open.remove(this);
+            end(Ending.broken(Reached.NOT_WHOLE, cause));
+        }
+
+        void send(Execution e) {
+            closing.callOff();
+            current = e;
+            write(e.command, link.out());
+            endsAt = link.queued();
+            link.flush();
+        }
+
+        private static void write(Command command, Chain to) {
+            to.put((command.isWrite() ? "PUT /" : "GET /") + command.key() + " HTTP/1.1\r\nHost: origin\r\n"
+                    + "X-Correlation-Id: " + command.id() + "\r\nX-Facts: " + command.facts() + "\r\n"
+                    + (command.isWrite() ? "Content-Length: " + command.value().size() + "\r\n\r\n" : "\r\n"));
+            if (command.isWrite()) {
+                to.copy(command.value());
+            }
+        }
+
+        Reached reached() {
+            return link != null && link.written() >= endsAt ? Reached.WHOLE : Reached.NOT_WHOLE;
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            Progress progress = reader.read(bytes);
+            if (progress == Progress.BAD || current == null || bytes.hasRemaining()) {
+                close();
+                end(Ending.erred("not an answer in HTTP"));
+            } else if (progress == Progress.DONE) {
+                answered();
+            }
+        }
+
+        private void answered() {
+            boolean completed = reader.status() == 200;
+            Ending failure = reader.header("x-unprocessed").equals("1") ? Ending.of(Outcome.FULL)
+                    : Ending.erred("status " + reader.status());
+            boolean staysOpen = reader.staysOpen() && !retired;
+            Chain body = reader.takeBody();
+            Execution done = current;
+            current = null;
+            if (staysOpen) {
+                closing = loop.at(loop.nowMs() + IDLE_SHARE * limits.idleCloseMs(), this::close);
+            } else {
+                close();
+            }
+            if (!completed) {
+                body.release();
+            }
+            done.end(completed ? Ending.completed(body) : failure);
+        }
+
+        @Override
+        public void ended(String cause) {
+            if (current != null && reader.endsBody()) {
+                answered();
+                return;
+            }
+            Reached reached = reached();
+            close();
+            end(Ending.broken(reached, cause));
+        }
+
+        void close() {
+            dialling.callOff();
+            closing.callOff();
+            reader.release();
+            open.remove(this);
+            if (link != null) {
+                link.close();
+            }
+        }
+
+        private void end(Ending ending) {
+            if (current != null) {
+                Execution e = current;
+                current = null;
+                e.end(ending);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/proxy/BackgroundLog.java
@@ -0,0 +1,60 @@
+package dappleseam.proxy;
+
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.SimpleFormatter;
+
+/** Writes log lines from a thread of its own; a line that finds no room is dropped. */
+final class BackgroundLog extends Handler {
+    private static final int MOST_LINES = 1000;
+    private static final BackgroundLog INSTANCE = new BackgroundLog();
+
+    private final ArrayBlockingQueue<String> lines = new ArrayBlockingQueue<>(MOST_LINES);
+    private final Formatter formatter = new SimpleFormatter();
+
+    private BackgroundLog() {}
+
+    /** Takes over what System.Logger writes by way of the platform's own logging. */
+    static void start() {
+        System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %3$s %5$s%6$s%n");
+        LogManager.getLogManager().reset();
+        Logger.getLogger("").addHandler(INSTANCE);
+        Logger.getLogger("org.xnio").setLevel(Level.WARNING);
+        Thread writer = new Thread(INSTANCE::write, "log");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    private void write() {
+        FileOutputStream err = new FileOutputStream(FileDescriptor.err);
+        try {
+            while (true) {
+                err.write(lines.take().getBytes(StandardCharsets.UTF_8));
+            }
+        } catch (IOException | InterruptedException e) {
+            Thread.currentThread().interrupt(); // nobody reads the log: it fills up, and lines are dropped
+        }
+    }
+
+    @Override
+    public void publish(LogRecord entry) {
+        if (isLoggable(entry)) {
+            lines.offer(formatter.format(entry));
+        }
+    }
+
+    @Override
+    public void flush() {}
+
+    @Override
+    public void close() {}
+}
--- /dev/null
+++ b/src/main/java/dappleseam/proxy/EventLoop.java
@@ -0,0 +1,181 @@
+package dappleseam.proxy;
+
+import dappleseam.wire.BufferPool;
+import dappleseam.wire.Link;
+import dappleseam.wire.Loop;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/** The one I/O thread: its clock, its deadlines in one ordered structure, and its connections to peers. */
+final class EventLoop implements Loop {
+    private static final Logger LOG = System.getLogger(EventLoop.class.getName());
+    private static final OptionMap DIAL = OptionMap.create(Options.TCP_NODELAY, true);
+    private static final int SCRATCH = 32 << 10;
+
+    private final XnioIoThread thread;
+    private final BufferPool pool;
+    private final int mostDialled;
+    private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH);
+    private final TreeSet<At> deadlines = new TreeSet<>();
+    private final double bornMs = System.currentTimeMillis();
+    private final long bornNanos = System.nanoTime();
+    private long deadlineCount;
+    private double alarmAt = Double.POSITIVE_INFINITY;
+    private XnioExecutor.Key alarm;
+    private int dialled;
+
+    EventLoop(XnioIoThread thread, BufferPool pool, int mostDialled) {
+        this.thread = thread;
+        this.pool = pool;
+        this.mostDialled = mostDialled;
+    }
+
+    @Override
+    public double nowMs() {
+        return bornMs + (System.nanoTime() - bornNanos) / 1e6;
+    }
+
+    @Override
+    public BufferPool pool() {
+        return pool;
+    }
+
+    @Override
+    public Link link(StreamConnection connection, Link.Events events) {
+        return new Link(connection, pool, scratch, events);
+    }
+
+    private final class At implements Deadline, Comparable<At> {
+        private final double whenMs;
+        private final long number = deadlineCount++;
+        private final Runnable due;
+
+        At(double whenMs, Runnable due) {
+            this.whenMs = whenMs;
+            this.due = due;
+        }
+
+        @Override
+        public int compareTo(At other) {
+            int byTime = Double.compare(whenMs, other.whenMs);
+            return byTime != 0 ? byTime : Long.compare(number, other.number);
+        }
+
+        @Override
+        public void callOff() {
+            deadlines.remove(this);
+        }
+    }
+
+    @Override
+    public Deadline at(double whenMs, Runnable due) {
+        At deadline = new At(whenMs, due);
+        deadlines.add(deadline);
+        setAlarm();
+        return deadline;
+    }
+
+    /** One alarm of the thread's, for the first deadline. */
+    private void setAlarm() {
+        if (deadlines.isEmpty() || deadlines.first().whenMs >= alarmAt) {
+            return;
+        }
+        if (alarm != null) {
+            alarm.remove();
+        }
+        alarmAt = deadlines.first().whenMs;
+        long micros = (long) Math.max(0, Math.ceil(1000 * (alarmAt - nowMs())));
+        alarm = thread.executeAfter(this::fire, micros, TimeUnit.MICROSECONDS);
+    }
+
+    private void fire() {
+        alarm = null;
+        alarmAt = Double.POSITIVE_INFINITY;
+        double now = nowMs();
+        while (!deadlines.isEmpty() && deadlines.first().whenMs <= now) {
+            Runnable due = deadlines.pollFirst().due;
+            try {
+                due.run();
+            } catch (RuntimeException e) { // one fault leaves the other deadlines
+                LOG.log(Level.ERROR, "a deadline failed", e);
+            }
+        }
+        setAlarm();
+    }
+
+    @Override
+    public Deadline dial(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> up,
+                         Consumer<String> failed) {
+        if (dialled >= mostDialled) {
+            failed.accept("no descriptor left");
+            return () -> { };
+        }
+        return new Dialling(to, timeoutMs, up, failed);
+    }
+
+    /** A connection on its way; told once. */
+    private final class Dialling implements Deadline {
+        private final Consumer<StreamConnection> up;
+        private final Consumer<String> failed;
+        private final Deadline timeout;
+        private final IoFuture<StreamConnection> future;
+        private boolean over;
+
+        Dialling(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> up, Consumer<String> failed) {
+            this.up = up;
+            this.failed = failed;
+            dialled++;
+            timeout = at(nowMs() + timeoutMs, () -> fail("not up in time"));
+            future = thread.openStreamConnection(to, this::opened, DIAL);
+            future.addNotifier((done, none) -> {
+                if (done.getStatus() == IoFuture.Status.FAILED) {
+                    IOException e = done.getException();
+                    thread.execute(() -> fail(e.getMessage()));
+                }
+            }, null);
+        }
+
+        private void opened(StreamConnection connection) {
+            connection.setCloseListener(closed -> dialled--);
+            if (over) {
+                org.xnio.IoUtils.safeClose(connection);
+                return;
+            }
+            over = true;
+            timeout.callOff();
+            up.accept(connection);
+        }
+
+        private void fail(String cause) {
+            if (!over) {
+                over = true;
+                timeout.callOff();
+                dialled--;
+                future.cancel();
+                failed.accept(cause);
+            }
+        }
+
+        @Override
+        public void callOff() {
+            if (!over) {
+                over = true;
+                timeout.callOff();
+                dialled--;
+                future.cancel();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -0,0 +1,350 @@
+package dappleseam.proxy;
+
+import dappleseam.clients.Owed;
+import dappleseam.clients.Queries;
+import dappleseam.list.Listed;
+import dappleseam.list.ListReader;
+import dappleseam.list.ListWatch;
+import dappleseam.list.NodeList;
+import dappleseam.origin.Origin;
+import dappleseam.query.Backend;
+import dappleseam.query.Command;
+import dappleseam.query.Ending;
+import dappleseam.query.Execution;
+import dappleseam.query.Reached;
+import dappleseam.query.Slots;
+import dappleseam.router.Host;
+import dappleseam.router.Key;
+import dappleseam.router.Member;
+import dappleseam.router.NodeId;
+import dappleseam.router.Outcome;
+import dappleseam.router.QueryId;
+import dappleseam.router.Router;
+import dappleseam.router.TimerId;
+import dappleseam.servers.CacheNode;
+import dappleseam.servers.Connections;
+import dappleseam.site.Post;
+import dappleseam.site.Site;
+import dappleseam.wire.Loop;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+/** Between the router and the peers: holds the queries taken, and does what the router decides. */
+final class Proxy implements Host, Queries {
+    private static final Logger LOG = System.getLogger(Proxy.class.getName());
+    private static final float[] NO_REPORT = {};
+    /** Time in ms by which an answer goes out before the client stops waiting for it. */
+    private static final double LAST_HOP_MS = 10;
+    /** Time in ms past that at which a query the router forgot is aborted; it guards rule 1. */
+    private static final double FORGOTTEN_MS = 15;
+    /** Time to come back in ms where no more queries can be held. */
+    private static final double TABLE_FULL_MS = 250;
+
+    private final Loop loop;
+    private final Site site;
+    private final Connections connections;
+    private final Router router;
+    private final ListReader lists;
+    private final ListWatch watch;
+    private final Map<NodeId, Peer> peers = new HashMap<>();
+    private final Slots<Taken> queries = new Slots<>();
+    /** Told to the router one after the other: what it does may bring about the next. */
+    private final ArrayDeque<Runnable> toTell = new ArrayDeque<>();
+    private boolean telling;
+
+    /** A listed node and where it is dialled. */
+    private record Peer(InetSocketAddress endpoint, Backend backend) {}
+
+    /** A query taken, until it is answered and its last execution has ended. */
+    private static final class Taken {
+        final Command command;
+        final Owed owed;
+        final double quitAt;
+        final List<Sent> execs = new ArrayList<>(3);
+        Loop.Deadline forgotten;
+        boolean answered;
+        int out;
+
+        Taken(Command command, Owed owed, double quitAt) {
+            this.command = command;
+            this.owed = owed;
+            this.quitAt = quitAt;
+        }
+    }
+
+    private record Sent(Execution execution, Backend backend, Loop.Deadline deadline) {}
+
+    Proxy(Loop loop, Post post) throws IOException {
+        this.loop = loop;
+        site = post.site();
+        connections = new Connections(site.commandsAtOnce(), site.idleCloseMs(), site.connectTimeoutMs(),
+                !site.deployment().parallelExecutions());
+        lists = new ListReader(site.machines(), site.zones());
+        NodeList known = post.known().isObject() ? lists.read(post.known()) : new NodeList(0, true, List.of());
+        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(post.seed());
+        watch = new ListWatch(loop, post.listService(), lists, known.version(), this::news, this::listFailed);
+        router = new Router(site.deployment(), random, this, loop.nowMs());
+        learn(known);
+        tell(() -> router.listGiven(loop.nowMs(), members(known), true));
+    }
+
+    int held() {
+        return queries.used();
+    }
+
+    private void tell(Runnable event) {
+        toTell.add(event);
+        if (telling) {
+            return;
+        }
+        telling = true;
+        while (!toTell.isEmpty()) {
+            try {
+                toTell.poll().run();
+            } catch (RuntimeException e) { // the query it concerned is aborted in time; the others go on
+                LOG.log(Level.ERROR, "the router failed", e);
+            }
+        }
+        telling = false;
+    }
+
+    private void news(NodeList list) {
+        learn(list);
+        List<Member> members = members(list);
+        if (list.whole()) {
+            tell(() -> router.listGiven(loop.nowMs(), members, false));
+        } else {
+            tell(() -> router.listChanged(loop.nowMs(), members));
+        }
+    }
+
+    private void listFailed(String cause) {
+        LOG.log(Level.WARNING, "list: a call failed: {0}", cause);
+        tell(() -> router.listFailed(loop.nowMs()));
+    }
+
+    private static List<Member> members(NodeList list) {
+        return list.entries().stream().map(Listed::member).toList();
+    }
+
+    private void learn(NodeList list) {
+        Set<NodeId> listed = new HashSet<>();
+        for (Listed entry : list.entries()) {
+            Member m = entry.member();
+            listed.add(m.node());
+            if (m.state() == Member.State.GONE) {
+                forget(m.node());
+            } else if (entry.endpoint() != null) {
+                Peer peer = peers.get(m.node());
+                if (peer == null || !peer.endpoint.equals(entry.endpoint())) {
+                    forget(m.node());
+                    peers.put(m.node(), new Peer(entry.endpoint(), backend(m, entry.endpoint())));
+                }
+            }
+        }
+        if (list.whole()) {
+            List.copyOf(peers.keySet()).stream().filter(id -> !listed.contains(id)).forEach(this::forget);
+        }
+    }
+
+    private Backend backend(Member m, InetSocketAddress endpoint) {
+        return m.model() == site.deployment().originModel() ? new Origin(loop, endpoint, connections)
+                : new CacheNode(loop, endpoint, connections);
+    }
+
+    private void forget(NodeId node) {
+        Peer peer = peers.remove(node);
+        if (peer != null) {
+            peer.backend.retire();
+        }
+    }
+
+    @Override
+    public QueryId take(Command command, Owed owed) {
+        int grade = site.gradeNames().indexOf(command.fact("c"));
+        double waits = waits(command, grade);
+        if (grade < 0 || waits <= 0 || queries.isFull(site.mostHeld())) {
+            command.release();
+            if (grade < 0 || waits <= 0) {
+                owed.line("-ERR malformed list of names and values");
+            } else {
+                owed.busy(site.deployment().maxRetryAfterMs() > 0 ? TABLE_FULL_MS : 0);
+            }
+            return null;
+        }
+        double left = Math.max(1, waits - LAST_HOP_MS);
+        Taken taken = new Taken(command, owed, loop.nowMs() + left);
+        QueryId id = new QueryId(queries.put(taken));
+        taken.forgotten = loop.at(taken.quitAt + FORGOTTEN_MS, () -> forgotten(id));
+        tell(() -> router.query(loop.nowMs(), id, grade, key(command.key()), taken.quitAt - loop.nowMs(),
+                command.isWrite()));
+        return id;
+    }
+
+    /** What {@code d} says, in ms; the statement timeout where it is missing, and -1 where it is no number. */
+    private double waits(Command command, int grade) {
+        String text = command.fact("d");
+        if (text.isEmpty()) {
+            return grade < 0 ? -1 : site.statementTimeoutsMs().get(grade);
+        }
+        try {
+            double waits = Double.parseDouble(text);
+            return waits < 1e7 ? waits : -1;
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    private static Key key(String text) {
+        try {
+            return new Key(Long.parseUnsignedLong(text, 16));
+        } catch (NumberFormatException e) {
+            return new Key(text.hashCode() * 0x9e3779b97f4a7c15L | 1);
+        }
+    }
+
+    private void forgotten(QueryId id) {
+        Taken taken = queries.get(id.value());
+        if (taken != null && !taken.answered) {
+            LOG.log(Level.ERROR, "query {0} had no answer at its statement timeout", taken.command.id());
+            answered(taken);
+            taken.owed.line("-ERR failed");
+            tell(() -> router.clientLeft(loop.nowMs(), id));
+            freeIfOver(id, taken);
+        }
+    }
+
+    @Override
+    public void clientLeft(QueryId id) {
+        Taken taken = queries.get(id.value());
+        if (taken != null && !taken.answered) {
+            answered(taken);
+            tell(() -> router.clientLeft(loop.nowMs(), id));
+            tell(() -> freeIfOver(id, taken));
+        }
+    }
+
+    private static void answered(Taken taken) {
+        taken.answered = true;
+        taken.forgotten.callOff();
+    }
+
+    private void freeIfOver(QueryId id, Taken taken) {
+        if (taken.answered && taken.out == 0 && queries.get(id.value()) == taken) {
+            queries.free(id.value());
+            taken.command.release();
+        }
+    }
+
+    @Override
+    public void execute(QueryId id, NodeId node, double timeoutMs) {
+        Taken taken = queries.get(id.value());
+        if (taken == null) {
+            LOG.log(Level.ERROR, "an execution for a query not held");
+            return;
+        }
+        double now = loop.nowMs();
+        double until = timeoutMs == 0 ? taken.quitAt : Math.min(taken.quitAt, now + timeoutMs);
+        Execution execution = new Execution(id, taken.execs.size(), taken.command, now, until, this::ended);
+        Peer peer = peers.get(node);
+        taken.out++;
+        if (taken.answered || peer == null || taken.execs.size() >= site.deployment().mostExecutions()) {
+            taken.execs.add(new Sent(execution, null, () -> { }));
+            execution.end(Ending.of(Outcome.UNSENT));
+            return;
+        }
+        Loop.Deadline deadline = loop.at(until, () -> timedOut(execution, peer.backend));
+        taken.execs.add(new Sent(execution, peer.backend, deadline));
+        peer.backend.begin(execution);
+    }
+
+    private void timedOut(Execution execution, Backend backend) {
+        Reached reached = backend.giveUp(execution);
+        execution.end(Ending.of(reached == Reached.WHOLE ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED));
+    }
+
+    @Override
+    public void cancel(QueryId id, int number) {
+        Taken taken = queries.get(id.value());
+        if (taken != null && !taken.execs.get(number).execution.hasEnded()) {
+            Sent sent = taken.execs.get(number);
+            Reached reached = sent.backend.giveUp(sent.execution);
+            sent.execution.end(Ending.of(reached == Reached.WHOLE ? Outcome.CANCELLED : Outcome.UNSENT));
+        }
+    }
+
+    private void ended(Execution execution, Ending ending) {
+        Taken taken = queries.get(execution.query.value());
+        taken.execs.get(execution.number).deadline.callOff();
+        double took = loop.nowMs() - execution.sentAt;
+        if (ending.outcome() == Outcome.COMPLETED) {
+            if (!taken.answered) {
+                answered(taken);
+                taken.owed.value(ending.value());
+            }
+            ending.value().release();
+        } else if (!ending.cause().isEmpty()) {
+            LOG.log(Level.DEBUG, "execution {0}: {1}", ending.outcome(), ending.cause());
+        }
+        tell(() -> {
+            router.executionEnded(loop.nowMs(), execution.query, execution.number, ending.outcome(), took,
+                    taken.answered, 0, NO_REPORT);
+            taken.out--;
+            freeIfOver(execution.query, taken);
+        });
+    }
+
+    @Override
+    public void reject(QueryId id, double retryAfterMs) {
+        Taken taken = queries.get(id.value());
+        if (taken != null && !taken.answered) {
+            answered(taken);
+            taken.owed.busy(retryAfterMs);
+            tell(() -> freeIfOver(id, taken));
+        }
+    }
+
+    @Override
+    public void abort(QueryId id) {
+        Taken taken = queries.get(id.value());
+        if (taken != null && !taken.answered) {
+            answered(taken);
+            taken.owed.line("-ERR failed");
+            tell(() -> freeIfOver(id, taken));
+        }
+    }
+
+    @Override
+    public void closeIdle(NodeId node) {
+        Peer peer = peers.get(node);
+        if (peer != null) {
+            peer.backend.closeIdle();
+        }
+    }
+
+    @Override
+    public void followList() {
+        watch.follow();
+    }
+
+    @Override
+    public void wake(TimerId timer, double delayMs) {
+        loop.at(loop.nowMs() + delayMs, () -> tell(() -> router.woken(loop.nowMs(), timer)));
+    }
+
+    @Override
+    public void log(String text) {
+        LOG.log(Level.INFO, text);
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -0,0 +1,110 @@
+package dappleseam.proxy;
+
+import dappleseam.clients.ClientFront;
+import dappleseam.site.FaultySettingException;
+import dappleseam.site.Post;
+import dappleseam.site.SiteReader;
+import dappleseam.wire.BufferPool;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs one proxy on sockets until it is told to end. */
+@Command(name = "serve", mixinStandardHelpOptions = true, description = "Serve clients on sockets.")
+public final class Serve implements Callable<Integer> {
+    private static final Logger LOG = System.getLogger(Serve.class.getName());
+    /** Buffers in all: 24 MB, next to a heap and a machine of three times that. */
+    private static final int BUFFERS = 3 << 10;
+    /** Descriptors that are no connection: the program's own files and its selectors. */
+    private static final int OWN_DESCRIPTORS = 96;
+    /** Share of the other descriptors that is kept for caches, origin and list. */
+    private static final double SHARE_FOR_PEERS = 0.4;
+    /** Times in ms after SIGTERM: until no more connections are accepted, and between looks at who is idle. */
+    private static final double ACCEPT_MORE_MS = 450;
+    private static final double LOOK_AGAIN_MS = 10;
+    /** Time in ms beyond the longest statement timeout after which the program ends with what is left. */
+    private static final double END_BEYOND_MS = 600;
+
+    @Option(names = "--config", defaultValue = "${env:NODE_CONFIG}", required = true,
+            description = "What this proxy is told at its start, as JSON (default: the file that NODE_CONFIG names).")
+    private Path config;
+
+    private EventLoop loop;
+    private ClientFront front;
+    private final CountDownLatch ended = new CountDownLatch(1);
+
+    @Override
+    public Integer call() throws Exception {
+        BackgroundLog.start();
+        Post post;
+        try {
+            post = new SiteReader().readPost(config);
+        } catch (FaultySettingException | IOException e) {
+            System.err.println("dappleseam serve: " + e.getMessage());
+            return 1;
+        }
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.THREAD_DAEMON, true).getMap());
+        int forPeers = (int) (SHARE_FOR_PEERS * (post.descriptors() - OWN_DESCRIPTORS));
+        CountDownLatch begun = new CountDownLatch(1);
+        IOException[] fault = new IOException[1];
+        worker.getIoThread().execute(() -> {
+            try {
+                loop = new EventLoop(worker.getIoThread(), new BufferPool(BUFFERS), forPeers);
+                Proxy proxy = new Proxy(loop, post);
+                front = new ClientFront(loop, proxy, post.descriptors() - OWN_DESCRIPTORS - forPeers);
+                front.listen(worker, post.listen());
+            } catch (IOException e) {
+                fault[0] = e;
+            } finally {
+                begun.countDown();
+            }
+        });
+        begun.await();
+        if (fault[0] != null) {
+            System.err.println("dappleseam serve: cannot start: " + fault[0].getMessage());
+            return 1;
+        }
+        LOG.log(Level.INFO, "{0} serves on {1}", post.name(), post.listen());
+        double longest = post.site().statementTimeoutsMs().stream().mapToDouble(d -> d).max().orElse(0);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(worker, longest)));
+        ended.await();
+        return 0;
+    }
+
+    /** SIGTERM: goes on for a little, answers all it has taken, and ends with status 0. */
+    private void drain(XnioWorker worker, double longestMs) {
+        LOG.log(Level.INFO, "told to end: answering what was taken");
+        CountDownLatch done = new CountDownLatch(1);
+        worker.getIoThread().execute(() -> loop.at(loop.nowMs() + ACCEPT_MORE_MS, () -> {
+            front.stopListening();
+            closeIdle(done);
+        }));
+        try {
+            done.await((long) (longestMs + END_BEYOND_MS), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        LOG.log(Level.INFO, "ended");
+        Runtime.getRuntime().halt(0); // a plain end after SIGTERM would have status 143
+    }
+
+    private void closeIdle(CountDownLatch done) {
+        if (front.closeIdle()) {
+            loop.at(loop.nowMs() + LOOK_AGAIN_MS, () -> closeIdle(done));
+        } else {
+            done.countDown();
+        }
+    }
+}
--- a/src/main/java/dappleseam/router/Host.java
+++ b/src/main/java/dappleseam/router/Host.java
@@ -19,12 +19,6 @@
     /** Asks for changes of the list from now on; what was missed comes first. */
     void followList();
 
-    /** Asks for the whole list, once. */
-    void fetchList();
-
-    /** Sends a short message to every other proxy. */
-    void tellPeers(byte[] message);
-
     /** Calls {@link Router#woken} after the delay. */
     void wake(TimerId timer, double delayMs);
 
--- /dev/null
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -0,0 +1,249 @@
+package dappleseam.servers;
+
+import dappleseam.query.Backend;
+import dappleseam.query.Command;
+import dappleseam.query.Ending;
+import dappleseam.query.Execution;
+import dappleseam.query.Reached;
+import dappleseam.router.Outcome;
+import dappleseam.wire.Chain;
+import dappleseam.wire.Link;
+import dappleseam.wire.Loop;
+import dappleseam.wire.Progress;
+import dappleseam.wire.RespMessage;
+import dappleseam.wire.RespReader;
+import dappleseam.wire.RespWriter;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import org.xnio.StreamConnection;
+
+/** One cache node and this proxy's connections to it, on which commands are answered in order. */
+public final class CacheNode implements Backend {
+    /** Bytes of the longest answer: a value and some. */
+    private static final int LONGEST_BULK = 65 << 10;
+    /** Share of the node's own idle time after which a connection is closed, before the node does. */
+    private static final double IDLE_SHARE = 0.7;
+    /** Time in ms that a connection may owe only answers nobody waits for; then it is taken for dead. */
+    private static final double STUCK_MS = 5000;
+
+    private final Loop loop;
+    private final InetSocketAddress endpoint;
+    private final Connections limits;
+    private final List<Connection> open = new ArrayList<>();
+    private boolean retired;
+
+    public CacheNode(Loop loop, InetSocketAddress endpoint, Connections limits) {
+        this.loop = loop;
+        this.endpoint = endpoint;
+        this.limits = limits;
+    }
+
+    @Override
+    public void begin(Execution execution) {
+        Connection best = null;
+        for (Connection c : open) {
+            if (c.hasRoom() && (best == null || c.load() < best.load())) {
+                best = c;
+            }
+        }
+        if (best == null) {
+            best = new Connection();
+            open.add(best);
+            best.waiting.add(execution);
+            best.dial();
+        } else {
+            best.send(execution);
+        }
+    }
+
+    @Override
+    public Reached giveUp(Execution execution) {
+        for (Connection c : List.copyOf(open)) {
+            if (c.waiting.remove(execution)) {
+                return Reached.NOT_WHOLE;
+            }
+            for (Sent sent : c.sent) {
+                if (sent.execution == execution) {
+                    return c.giveUp(sent);
+                }
+            }
+        }
+        return Reached.NOT_WHOLE;
+    }
+
+    @Override
+    public void closeIdle() {
+        for (Connection c : List.copyOf(open)) {
+            if (c.link != null && c.load() == 0) {
+                c.close();
+            }
+        }
+    }
+
+    @Override
+    public void retire() {
+        retired = true;
+        closeIdle();
+    }
+
+    private record Sent(Execution execution, long endsAt) {}
+
+    private final class Connection implements Link.Events {
+        /** Not written yet, as the connection is not up. */
+        final ArrayDeque<Execution> waiting = new ArrayDeque<>();
+        /** Written and not answered, in order. */
+        final ArrayDeque<Sent> sent = new ArrayDeque<>();
+        private final RespReader reader = new RespReader(loop.pool(), LONGEST_BULK);
+        private Link link;
+        /** Closes the connection unless something happens. */
+        private Loop.Deadline closing = () -> { };
+
+        int load() {
+            return waiting.size() + sent.size();
+        }
+
+        /** Behind an answer that nobody waits for any more, a query would wait for what was too slow. */
+        boolean hasRoom() {
+            return load() < limits.commandsAtOnce()
+                    && (sent.isEmpty() || !sent.peekFirst().execution.hasEnded());
+        }
+
+        void dial() {
+            loop.dial(endpoint, limits.connectTimeoutMs(), this::up, this::failed);
+        }
+
+        private void up(StreamConnection connection) {
+            link = loop.link(connection, this);
+            link.resume();
+            while (!waiting.isEmpty() && !link.isClosed()) {
+                send(waiting.poll());
+            }
+            if (!link.isClosed()) {
+                settled();
+            }
+        }
+
+        private void failed(String cause) {
+            open.remove(this);
+            broken(cause);
+        }
+
+        void send(Execution e) {
+            closing.callOff();
+            if (link == null) {
+                waiting.add(e);
+                return;
+            }
+            write(e.command, Math.max(1, Math.round(e.waitUntil - loop.nowMs())), link.out());
+            sent.add(new Sent(e, link.queued()));
+            link.flush();
+        }
+
+        private static void write(Command command, long waitMs, Chain to) {
+            RespWriter.array(to, command.isWrite() ? 5 : 4);
+            RespWriter.bulk(to, command.isWrite() ? "C.SET" : "C.GET");
+            RespWriter.bulk(to, command.key());
+            RespWriter.bulk(to, command.id());
+            RespWriter.bulk(to, command.factsWaiting(waitMs));
+            if (command.isWrite()) {
+                RespWriter.bulk(to, command.value());
+            }
+        }
+
+        /** The neighbours keep the connection; alone on it, the execution is ended with it where asked. */
+        Reached giveUp(Sent given) {
+            if (limits.closeToGiveUp() && sent.size() == 1) {
+                Reached reached = link.written() >= given.endsAt ? Reached.WHOLE : Reached.NOT_WHOLE;
+                sent.clear();
+                close();
+                return reached;
+            }
+            closing.callOff();
+            closing = loop.at(loop.nowMs() + STUCK_MS, this::closeIfForgotten);
+            return Reached.WHOLE; // what is not written yet goes out still
+        }
+
+        private void closeIfForgotten() {
+            if (sent.stream().allMatch(s -> s.execution.hasEnded())) {
+                close();
+            }
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            while (bytes.hasRemaining() && !link.isClosed()) {
+                Progress progress = reader.read(bytes);
+                if (progress == Progress.BAD) {
+                    close();
+                    broken("not RESP");
+                } else if (progress == Progress.DONE) {
+                    answered(reader.take());
+                }
+            }
+            if (!link.isClosed()) {
+                settled();
+            }
+        }
+
+        private void answered(RespMessage message) {
+            Sent first = sent.poll();
+            if (first == null) {
+                message.release();
+                close();
+                return;
+            }
+            first.execution.end(ending(message));
+            message.release();
+        }
+
+        private static Ending ending(RespMessage message) {
+            if (message.sign == '*') {
+                return message.bulk(0) == null ? Ending.of(Outcome.MISS) : Ending.completed(message.takeBulk(0));
+            }
+            return message.isError() && message.line.startsWith("BUSY") ? Ending.of(Outcome.FULL)
+                    : Ending.erred(message.line);
+        }
+
+        /** Retires a connection that carries nothing, now or before the node would close it. */
+        private void settled() {
+            if (load() > 0) {
+                return;
+            }
+            closing.callOff();
+            if (retired) {
+                close();
+            } else {
+                closing = loop.at(loop.nowMs() + IDLE_SHARE * limits.idleCloseMs(), this::closeIfForgotten);
+            }
+        }
+
+        @Override
+        public void ended(String cause) {
+            closing.callOff();
+            reader.release();
+            open.remove(this);
+            broken(cause);
+        }
+
+        void close() {
+            closing.callOff();
+            reader.release();
+            open.remove(this);
+            link.close();
+        }
+
+        private void broken(String cause) {
+            while (!sent.isEmpty()) {
+                Sent s = sent.poll();
+                boolean whole = link.written() >= s.endsAt;
+                s.execution.end(Ending.broken(whole ? Reached.WHOLE : Reached.NOT_WHOLE, cause));
+            }
+            while (!waiting.isEmpty()) {
+                waiting.poll().end(Ending.broken(Reached.NOT_WHOLE, cause));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/servers/Connections.java
@@ -0,0 +1,8 @@
+package dappleseam.servers;
+
+/**
+ * What a deployment allows of connections: commands on one at once, the time after which the node closes
+ * an idle one, the time in which one comes up, and whether giving up must end the connection, as where
+ * two executions of a query may never be out together.
+ */
+public record Connections(int commandsAtOnce, double idleCloseMs, double connectTimeoutMs, boolean closeToGiveUp) {}
--- /dev/null
+++ b/src/main/java/dappleseam/site/SiteReader.java
@@ -0,0 +1,157 @@
+package dappleseam.site;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import dappleseam.router.Deployment;
+import dappleseam.router.ServiceGrade;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The one place where what is given at start is read, checked and given defaults. */
+public final class SiteReader {
+    private static final double MS_PER_S = 1000;
+    /** Default of descriptors where no limit is told: what systems usually allow. */
+    private static final int DESCRIPTORS = 1024;
+    private static final int LEAST_DESCRIPTORS = 256;
+
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    /** What a proxy is told, from its file. */
+    public Post readPost(Path file) throws IOException {
+        JsonNode root = parse(Files.readAllBytes(file), file.getFileName().toString());
+        int descriptors = (int) number(root.path("limits"), "limits.", "sockets", DESCRIPTORS);
+        if (descriptors < LEAST_DESCRIPTORS) {
+            throw new FaultySettingException("limits.sockets", "is under " + LEAST_DESCRIPTORS);
+        }
+        return new Post(root.path("name").asText("proxy"), address(root, "listen"), address(root, "discovery"),
+                seed(root), descriptors, root.path("known"), site(need(root, "", "settings"), "settings."));
+    }
+
+    /** The settings alone, from their JSON text. */
+    public Site readSite(byte[] json) {
+        return site(parse(json, "settings"), "");
+    }
+
+    private JsonNode parse(byte[] json, String what) {
+        try {
+            return mapper.readTree(json);
+        } catch (JsonProcessingException e) {
+            throw new FaultySettingException(what, "is not JSON: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new FaultySettingException(what, "cannot be read: " + e.getMessage());
+        }
+    }
+
+    private static Site site(JsonNode root, String at) {
+        JsonNode ceilings = need(root, at, "ceilings");
+        JsonNode rules = need(root, at, "rules");
+        JsonNode penalties = root.path("penalties");
+        JsonNode extra = root.path("extra");
+        String inCeilings = at + "ceilings.";
+        List<ServiceGrade> grades = new ArrayList<>();
+        List<String> names = new ArrayList<>();
+        List<Double> timeouts = new ArrayList<>();
+        for (JsonNode grade : need(root, at, "serviceGrades")) {
+            String inGrade = at + "serviceGrades[" + grades.size() + "].";
+            grades.add(grade(grade, inGrade));
+            names.add(grade.path("name").asText());
+            timeouts.add(MS_PER_S * number(grade, inGrade, "statementTimeoutS", 60));
+        }
+        if (grades.isEmpty()) {
+            throw new FaultySettingException(at + "serviceGrades", "is empty");
+        }
+        boolean retryAfter = ceilings.path("retryAfter").asBoolean();
+        boolean onRequest = root.path("membershipMode").asText().equals("on_request");
+        String scale = root.path("weightSource").asText();
+        Deployment deployment = new Deployment(
+                List.copyOf(grades),
+                Math.max(1, root.path("balancers").asInt(1)),
+                extra.path("mode").asText().equals("aside") ? extra.path("originKind").asInt(-1) : -1,
+                scale.equals("nominal") || scale.equals("rough"),
+                MS_PER_S * number(root, at, "tickS", 0),
+                (int) number(ceilings, inCeilings, "mostExecutions"),
+                ceilings.path("parallelTries").asBoolean(),
+                ceilings.path("mayCancel").asBoolean(),
+                retryAfter ? MS_PER_S * number(ceilings, inCeilings, "maxRetryAfterS", 0) : 0,
+                onRequest ? MS_PER_S * number(rules, at + "rules.", "askEveryS") : 0,
+                number(rules, at + "rules.", "coldFrom"),
+                MS_PER_S * number(rules, at + "rules.", "warmAfterS"),
+                number(penalties, at + "penalties.", "connection", 0),
+                number(penalties, at + "penalties.", "handshake", 0));
+        return new Site(deployment, List.copyOf(names), List.copyOf(timeouts), names(root.path("flavors")),
+                names(root.path("dcs")),
+                Math.max(1, (int) number(ceilings, inCeilings, "streamsPerConn", 1)),
+                MS_PER_S * number(ceilings, inCeilings, "idleCloseS", 60),
+                MS_PER_S * number(ceilings, inCeilings, "connectTimeoutS", 1),
+                (int) number(ceilings, inCeilings, "mostHeld", Integer.MAX_VALUE));
+    }
+
+    private static ServiceGrade grade(JsonNode grade, String at) {
+        return new ServiceGrade(
+                switch (need(grade, at, "semantics").asText()) {
+                    case "read_like" -> ServiceGrade.Repeat.IDEMPOTENT;
+                    case "idempotency_key" -> ServiceGrade.Repeat.DEDUPLICATED;
+                    default -> ServiceGrade.Repeat.NON_IDEMPOTENT;
+                },
+                switch (grade.path("group").asText()) {
+                    case "all" -> ServiceGrade.Group.ALL;
+                    case "zone" -> ServiceGrade.Group.ZONE;
+                    default -> ServiceGrade.Group.CELL;
+                },
+                MS_PER_S * number(grade, at, "windowS", 0),
+                MS_PER_S * number(grade, at, "sloTimeS"),
+                number(grade, at, "importance", 1),
+                number(grade, at, "tardyImportance", 0),
+                grade.path("stream").asBoolean());
+    }
+
+    private static List<String> names(JsonNode array) {
+        List<String> names = new ArrayList<>();
+        array.forEach(name -> names.add(name.asText()));
+        return List.copyOf(names);
+    }
+
+    private static JsonNode need(JsonNode node, String at, String name) {
+        JsonNode found = node.get(name);
+        if (found == null || found.isNull()) {
+            throw new FaultySettingException(at + name, "is missing");
+        }
+        return found;
+    }
+
+    private static double number(JsonNode node, String at, String name) {
+        JsonNode found = need(node, at, name);
+        if (!found.isNumber() || found.asDouble() < 0) {
+            throw new FaultySettingException(at + name, "is not a number from 0");
+        }
+        return found.asDouble();
+    }
+
+    private static double number(JsonNode node, String at, String name, double byDefault) {
+        return node.path(name).isMissingNode() || node.path(name).isNull() ? byDefault : number(node, at, name);
+    }
+
+    private static InetSocketAddress address(JsonNode root, String name) {
+        String text = need(root, "", name).asText();
+        int colon = text.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (RuntimeException e) {
+            throw new FaultySettingException(name, "is not an address and a port: " + text);
+        }
+    }
+
+    private static long seed(JsonNode root) {
+        String digits = root.path("seed").asText("0");
+        try {
+            return Long.parseUnsignedLong(digits, 16);
+        } catch (NumberFormatException e) {
+            throw new FaultySettingException("seed", "is not 16 hexadecimal digits: " + digits);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/wire/Chain.java
@@ -0,0 +1,100 @@
+package dappleseam.wire;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.WritableByteChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+
+/** Bytes in a row of pooled buffers: added at the end, taken from the front. */
+public final class Chain {
+    private final BufferPool pool;
+    /** Each from its position, the first byte not yet taken, to its limit. */
+    private final ArrayDeque<ByteBuffer> buffers = new ArrayDeque<>();
+    private long size;
+
+    public Chain(BufferPool pool) {
+        this.pool = pool;
+    }
+
+    public long size() {
+        return size;
+    }
+
+    /** Adds up to {@code count} bytes of {@code in}, and moves its position past them. */
+    public void put(ByteBuffer in, int count) {
+        int left = Math.min(count, in.remaining());
+        while (left > 0) {
+            ByteBuffer last = buffers.peekLast();
+            if (last == null || last.limit() == last.capacity()) {
+                last = pool.take().limit(0);
+                buffers.addLast(last);
+            }
+            int part = Math.min(left, last.capacity() - last.limit());
+            int at = last.limit();
+            last.limit(at + part);
+            last.put(at, in, in.position(), part);
+            in.position(in.position() + part);
+            left -= part;
+            size += part;
+        }
+    }
+
+    public Chain put(String ascii) {
+        byte[] bytes = ascii.getBytes(StandardCharsets.ISO_8859_1);
+        put(ByteBuffer.wrap(bytes), bytes.length);
+        return this;
+    }
+
+    /** Adds a copy of all that {@code other} holds. */
+    public Chain copy(Chain other) {
+        for (ByteBuffer buffer : other.buffers) {
+            put(buffer.duplicate(), buffer.remaining());
+        }
+        return this;
+    }
+
+    /** Moves all that {@code other} holds to the end of this one. */
+    public void take(Chain other) {
+        if (other.size <= BufferPool.SIZE / 4) {
+            copy(other); // a short answer does not keep a buffer of its own
+            other.release();
+        } else {
+            buffers.addAll(other.buffers);
+            size += other.size;
+            other.buffers.clear();
+            other.size = 0;
+        }
+    }
+
+    /** Writes what the channel takes, gives those buffers back, and says how many bytes went. */
+    long writeTo(WritableByteChannel channel) throws IOException {
+        long written = 0;
+        while (!buffers.isEmpty()) {
+            ByteBuffer first = buffers.peekFirst();
+            written += channel.write(first);
+            if (first.hasRemaining()) {
+                break;
+            }
+            pool.giveBack(buffers.pollFirst());
+        }
+        size -= written;
+        return written;
+    }
+
+    public byte[] bytes() {
+        ByteBuffer all = ByteBuffer.allocate((int) size);
+        buffers.forEach(buffer -> all.put(buffer.duplicate()));
+        return all.array();
+    }
+
+    public String text() {
+        return new String(bytes(), StandardCharsets.ISO_8859_1);
+    }
+
+    public void release() {
+        buffers.forEach(pool::giveBack);
+        buffers.clear();
+        size = 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/wire/HttpReader.java
@@ -0,0 +1,179 @@
+package dappleseam.wire;
+
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+
+/** Reads HTTP/1.1 answers as their bytes come; head and body are bounded. */
+public final class HttpReader {
+    private static final int LONGEST_HEAD = 8 << 10;
+
+    private enum Part { STATUS, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_THE_END }
+
+    private final BufferPool pool;
+    private final long longestBody;
+    private final StringBuilder line = new StringBuilder();
+    private final Map<String, String> headers = new HashMap<>();
+    private Part part = Part.STATUS;
+    private int headBytes;
+    private int status;
+    private Chain body;
+    private long left;
+
+    public HttpReader(BufferPool pool, long longestBody) {
+        this.pool = pool;
+        this.longestBody = longestBody;
+        body = new Chain(pool);
+    }
+
+    public int status() {
+        return status;
+    }
+
+    /** The header's value, by its name in small letters; empty where it is missing. */
+    public String header(String name) {
+        return headers.getOrDefault(name, "");
+    }
+
+    /** Whether the connection can carry another exchange after this one. */
+    public boolean staysOpen() {
+        return part != Part.TO_THE_END && !header("connection").equalsIgnoreCase("close");
+    }
+
+    public boolean isBetweenMessages() {
+        return part == Part.STATUS && line.length() == 0;
+    }
+
+    /** The body of the answer that is done; the caller releases it. The next answer may then be read. */
+    public Chain takeBody() {
+        Chain done = body;
+        body = new Chain(pool);
+        headers.clear();
+        headBytes = 0;
+        part = Part.STATUS;
+        return done;
+    }
+
+    public Progress read(ByteBuffer in) {
+        while (in.hasRemaining()) {
+            Progress progress = switch (part) {
+                case BODY, CHUNK, TO_THE_END -> bodyPart(in);
+                default -> linePart(in);
+            };
+            if (progress != Progress.MORE) {
+                return progress;
+            }
+        }
+        return Progress.MORE;
+    }
+
+    /** The connection has ended: whether that is also the end of the body. */
+    public boolean endsBody() {
+        return part == Part.TO_THE_END;
+    }
+
+    private Progress bodyPart(ByteBuffer in) {
+        int count = (int) Math.min(left, in.remaining());
+        body.put(in, count);
+        left -= count;
+        if (left > 0) {
+            return Progress.MORE;
+        }
+        if (part == Part.CHUNK) {
+            part = Part.CHUNK_END;
+            return Progress.MORE;
+        }
+        return part == Part.BODY ? Progress.DONE : Progress.BAD;
+    }
+
+    private Progress linePart(ByteBuffer in) {
+        char c = (char) (in.get() & 0xFF);
+        if (++headBytes > LONGEST_HEAD) {
+            return Progress.BAD;
+        }
+        if (c != '\n') {
+            line.append(c);
+            return Progress.MORE;
+        }
+        int end = line.length() > 0 && line.charAt(line.length() - 1) == '\r' ? line.length() - 1 : line.length();
+        String text = line.substring(0, end);
+        line.setLength(0);
+        return switch (part) {
+            case STATUS -> statusLine(text);
+            case HEADERS -> text.isEmpty() ? headDone() : addHeader(text) ? Progress.MORE : Progress.BAD;
+            case CHUNK_SIZE -> chunkSize(text);
+            case CHUNK_END -> {
+                headBytes = 0;
+                part = Part.CHUNK_SIZE;
+                yield text.isEmpty() ? Progress.MORE : Progress.BAD;
+            }
+            default -> text.isEmpty() ? Progress.DONE : Progress.MORE;
+        };
+    }
+
+    private Progress statusLine(String text) {
+        if (!text.startsWith("HTTP/1.") || text.length() < 12) {
+            return Progress.BAD;
+        }
+        status = (int) number(text.substring(9, 12), 10, 999);
+        part = Part.HEADERS;
+        return status < 100 ? Progress.BAD : Progress.MORE;
+    }
+
+    private boolean addHeader(String text) {
+        int colon = text.indexOf(':');
+        if (colon < 1) {
+            return false;
+        }
+        headers.put(text.substring(0, colon).toLowerCase(Locale.ROOT), text.substring(colon + 1).strip());
+        return true;
+    }
+
+    private Progress headDone() {
+        if (status < 200) { // an interim answer: the real one follows
+            headers.clear();
+            part = Part.STATUS;
+            return Progress.MORE;
+        }
+        if (status == 204 || status == 304) {
+            return Progress.DONE;
+        }
+        if (header("transfer-encoding").equalsIgnoreCase("chunked")) {
+            part = Part.CHUNK_SIZE;
+            headBytes = 0;
+            return Progress.MORE;
+        }
+        String length = header("content-length");
+        if (length.isEmpty()) {
+            part = Part.TO_THE_END;
+            left = longestBody + 1;
+            return Progress.MORE;
+        }
+        left = number(length, 10, longestBody);
+        part = Part.BODY;
+        return left < 0 ? Progress.BAD : left == 0 ? Progress.DONE : Progress.MORE;
+    }
+
+    private Progress chunkSize(String text) {
+        int semicolon = text.indexOf(';');
+        String digits = semicolon < 0 ? text : text.substring(0, semicolon);
+        left = number(digits.strip(), 16, longestBody - body.size());
+        part = left == 0 ? Part.TRAILERS : Part.CHUNK;
+        return left < 0 ? Progress.BAD : Progress.MORE;
+    }
+
+    /** The number from 0 to {@code most}; -1 for anything else. */
+    private static long number(String digits, int radix, long most) {
+        if (digits.isEmpty() || digits.length() > 9
+                || !digits.chars().allMatch(c -> Character.digit(c, radix) >= 0)) {
+            return -1;
+        }
+        long number = Long.parseLong(digits, radix);
+        return number <= most ? number : -1;
+    }
+
+    public void release() {
+        body.release();
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -0,0 +1,141 @@
+package dappleseam.wire;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.conduits.ConduitStreamSinkChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+
+/** One open connection on XNIO's conduits: hands on what comes, and writes out as the peer takes it. */
+public final class Link {
+    /** Reads in a row before other connections have their turn. */
+    private static final int READS = 8;
+
+    /** What happens on a connection. */
+    public interface Events {
+        /** Bytes have come; all of them are to be used up before this returns. */
+        void received(ByteBuffer bytes);
+
+        /** The peer has ended the connection, or it broke. Called at most once, and never after close. */
+        void ended(String cause);
+
+        /** All that was put out is written. */
+        default void drained() {}
+    }
+
+    private final StreamConnection connection;
+    private final ConduitStreamSourceChannel source;
+    private final ConduitStreamSinkChannel sink;
+    private final ByteBuffer scratch;
+    private final Events events;
+    private final Chain out;
+    private long written;
+    private boolean closed;
+
+    /** {@code scratch} is shared by all connections of the thread: what is read is used up at once. */
+    public Link(StreamConnection connection, BufferPool pool, ByteBuffer scratch, Events events) {
+        this.connection = connection;
+        this.scratch = scratch;
+        this.events = events;
+        out = new Chain(pool);
+        source = connection.getSourceChannel();
+        sink = connection.getSinkChannel();
+        source.getReadSetter().set(channel -> readable());
+        sink.getWriteSetter().set(channel -> flush());
+    }
+
+    public void resume() {
+        if (!closed) {
+            source.resumeReads();
+        }
+    }
+
+    /** Reads no more until {@link #resume}. */
+    public void pause() {
+        if (!closed) {
+            source.suspendReads();
+        }
+    }
+
+    /** Where messages are written; {@link #flush} sends them. */
+    public Chain out() {
+        return out;
+    }
+
+    /** Bytes put out since the start. */
+    public long queued() {
+        return written + out.size();
+    }
+
+    /** Bytes handed to the kernel since the start: they may have come to the peer. */
+    public long written() {
+        return written;
+    }
+
+    public boolean isClosed() {
+        return closed;
+    }
+
+    public void flush() {
+        if (closed) {
+            return;
+        }
+        try {
+            written += out.writeTo(sink);
+            if (out.size() > 0) {
+                sink.resumeWrites();
+                return;
+            }
+            if (sink.isWriteResumed()) {
+                sink.suspendWrites();
+            }
+        } catch (IOException | RuntimeException e) {
+            end("write: " + e.getMessage());
+            return;
+        }
+        events.drained();
+    }
+
+    /** Reads what is there now, without waiting to be told. */
+    public void readable() {
+        for (int i = 0; i < READS && !closed; i++) {
+            int count;
+            try {
+                scratch.clear();
+                count = source.read(scratch);
+                if (count > 0) {
+                    events.received(scratch.flip());
+                }
+            } catch (IOException e) {
+                end("read: " + e.getMessage());
+                return;
+            } catch (RuntimeException e) { // a fault ends this connection and no other
+                end("fault: " + e);
+                return;
+            }
+            if (count < 0) {
+                end("closed by the peer");
+                return;
+            }
+            if (count < scratch.capacity()) {
+                return;
+            }
+        }
+    }
+
+    private void end(String cause) {
+        if (!closed) {
+            close();
+            events.ended(cause);
+        }
+    }
+
+    public void close() {
+        if (!closed) {
+            closed = true;
+            out.release();
+            IoUtils.safeClose(connection);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/wire/Loop.java
@@ -0,0 +1,26 @@
+package dappleseam.wire;
+
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+import org.xnio.StreamConnection;
+
+/** What the one I/O thread offers to those who speak to a peer. */
+public interface Loop {
+    /** Unix time in ms with fractions, which never goes back. */
+    double nowMs();
+
+    /** Calls {@code due} at that time, or soon after. */
+    Deadline at(double whenMs, Runnable due);
+
+    /** Opens a connection; exactly one of the two is called, unless the deadline is called off before. */
+    Deadline dial(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> up, Consumer<String> failed);
+
+    Link link(StreamConnection connection, Link.Events events);
+
+    BufferPool pool();
+
+    /** Something to come that can be called off. */
+    interface Deadline {
+        void callOff();
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/wire/RespMessage.java
@@ -0,0 +1,41 @@
+package dappleseam.wire;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One RESP2 message: a line behind its sign, a bulk string, or an array of bulk strings. */
+public final class RespMessage {
+    /** {@code + - : $ *}. */
+    public final char sign;
+    /** The text of a message that is one line. */
+    public final String line;
+    /** The bulk string, or those of the array; null stands for a null one. */
+    public final List<Chain> bulks = new ArrayList<>(5);
+
+    RespMessage(char sign, String line) {
+        this.sign = sign;
+        this.line = line;
+    }
+
+    public boolean isError() {
+        return sign == '-';
+    }
+
+    public Chain bulk(int at) {
+        return at < bulks.size() ? bulks.get(at) : null;
+    }
+
+    /** Hands the bulk string over: it is no longer released with the message. */
+    public Chain takeBulk(int at) {
+        return bulks.set(at, null);
+    }
+
+    public void release() {
+        for (Chain bulk : bulks) {
+            if (bulk != null) {
+                bulk.release();
+            }
+        }
+        bulks.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/wire/RespReader.java
@@ -0,0 +1,144 @@
+package dappleseam.wire;
+
+import java.nio.ByteBuffer;
+
+/** Reads RESP2 as its bytes come: lines, bulk strings, and arrays of bulk strings, all bounded. */
+public final class RespReader {
+    private static final int LONGEST_LINE = 512;
+    private static final int LONGEST_ARRAY = 16;
+
+    private final BufferPool pool;
+    private final int longestBulk;
+    private final StringBuilder line = new StringBuilder();
+    private RespMessage message;
+    /** Bulk strings of the array still to come. */
+    private int bulksLeft;
+    private Chain bulk;
+    /** Bytes of the bulk string still to come; -1 and -2 for the line end behind it. */
+    private int bulkLeft;
+
+    public RespReader(BufferPool pool, int longestBulk) {
+        this.pool = pool;
+        this.longestBulk = longestBulk;
+    }
+
+    /** The message that is done; the caller releases it. */
+    public RespMessage take() {
+        RespMessage done = message;
+        message = null;
+        return done;
+    }
+
+    public boolean isBetweenMessages() {
+        return message == null && line.length() == 0;
+    }
+
+    public Progress read(ByteBuffer in) {
+        while (in.hasRemaining()) {
+            Progress progress = bulk != null ? bulkPart(in) : linePart(in);
+            if (progress != Progress.MORE) {
+                return progress;
+            }
+        }
+        return Progress.MORE;
+    }
+
+    private Progress linePart(ByteBuffer in) {
+        char c = (char) (in.get() & 0xFF);
+        if (c != '\n') {
+            line.append(c);
+            return line.length() > LONGEST_LINE ? Progress.BAD : Progress.MORE;
+        }
+        int end = line.length() - 1;
+        if (end < 1 || line.charAt(end) != '\r') {
+            return Progress.BAD;
+        }
+        char sign = line.charAt(0);
+        String rest = line.substring(1, end);
+        line.setLength(0);
+        if (message != null && sign != '$') {
+            return Progress.BAD;
+        }
+        return switch (sign) {
+            case '+', '-', ':' -> {
+                message = new RespMessage(sign, rest);
+                yield Progress.DONE;
+            }
+            case '*' -> array(number(rest, LONGEST_ARRAY));
+            case '$' -> bulk(number(rest, longestBulk));
+            default -> Progress.BAD;
+        };
+    }
+
+    private Progress array(int length) {
+        if (length < -1) {
+            return Progress.BAD;
+        }
+        message = new RespMessage('*', "");
+        bulksLeft = Math.max(0, length);
+        return bulksLeft == 0 ? Progress.DONE : Progress.MORE;
+    }
+
+    private Progress bulk(int length) {
+        if (length < -1) {
+            return Progress.BAD;
+        }
+        if (message == null) {
+            message = new RespMessage('$', "");
+            bulksLeft = 1;
+        }
+        if (length == -1) {
+            return bulkDone(null);
+        }
+        bulk = new Chain(pool);
+        bulkLeft = length == 0 ? -1 : length;
+        return Progress.MORE;
+    }
+
+    private Progress bulkPart(ByteBuffer in) {
+        if (bulkLeft > 0) {
+            int part = Math.min(bulkLeft, in.remaining());
+            bulk.put(in, part);
+            bulkLeft = bulkLeft == part ? -1 : bulkLeft - part;
+            return Progress.MORE;
+        }
+        byte expected = (byte) (bulkLeft == -1 ? '\r' : '\n');
+        if (in.get() != expected) {
+            return Progress.BAD;
+        }
+        if (bulkLeft-- == -1) {
+            return Progress.MORE;
+        }
+        Chain done = bulk;
+        bulk = null;
+        return bulkDone(done);
+    }
+
+    private Progress bulkDone(Chain done) {
+        message.bulks.add(done);
+        return --bulksLeft == 0 ? Progress.DONE : Progress.MORE;
+    }
+
+    /** The number from -1 to {@code most}; -2 for anything else. */
+    private static int number(String digits, int most) {
+        if (digits.equals("-1")) {
+            return -1;
+        }
+        if (digits.isEmpty() || digits.length() > 9 || !digits.chars().allMatch(c -> c >= '0' && c <= '9')) {
+            return -2;
+        }
+        int number = Integer.parseInt(digits);
+        return number <= most ? number : -2;
+    }
+
+    /** Gives back what a message cut short holds. */
+    public void release() {
+        if (bulk != null) {
+            bulk.release();
+            bulk = null;
+        }
+        if (message != null) {
+            take().release();
+        }
+    }
+}
--- a/src/test/java/dappleseam/router/OneProxy.java
+++ b/src/test/java/dappleseam/router/OneProxy.java
@@ -116,16 +116,6 @@
         done.add("follow");
     }
 
-    @Override
-    public void fetchList() {
-        done.add("fetch");
-    }
-
-    @Override
-    public void tellPeers(byte[] message) {
-        done.add("tell");
-    }
-
     @Override
     public void wake(TimerId timer, double delayMs) {
         timers.add(timer);
