Keep buffers, drains and copy rules safe where connections fail or peers stall

Where two executions may not be out together, each connection carries one and giving up closes it; what waits for a connection is ended when its node goes; a half-written command or answer ends its connection; a client that takes nothing for 20 s is closed; what is unanswered 3.3 s after SIGTERM is aborted.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -21,6 +21,8 @@
     /** Commands owed an answer, and bytes the client has not taken, at which nothing more is read from it. */
     private static final int MOST_OWED = 128;
     private static final long MOST_UNREAD = 128 << 10;
+    /** Time in ms without a byte taken after which a client has gone: well past any statement timeout. */
+    private static final double STALL_MS = 20_000;
     /** Time in ms after which buffers are looked for again. */
     private static final double BUFFERS_AGAIN_MS = 20;
     /** What may go on into a path or a header. */
@@ -34,6 +36,7 @@
     private final RespReader reader;
     private final Link link;
     private final ArrayDeque<Owed> owed = new ArrayDeque<>();
+    private Loop.Deadline stallWatch;
     private boolean paused;
     /** Nothing more is taken; the connection ends once what is owed is written. */
     private boolean last;
@@ -111,10 +114,6 @@
         return bulk == null || bulk.size() > longest ? "" : bulk.text();
     }
 
-    Chain newAnswer() {
-        return new Chain(loop.pool());
-    }
-
     boolean isClosed() {
         return link.isClosed();
     }
@@ -126,12 +125,36 @@
     /** Writes the answers whose turn has come. */
     void flushAnswers() {
         boolean any = false;
-        while (!owed.isEmpty() && owed.peekFirst().answer() != null) {
-            link.out().take(owed.pollFirst().answer());
-            any = true;
+        try {
+            while (!owed.isEmpty() && owed.peekFirst().isAnswered()) {
+                owed.pollFirst().writeTo(link.out());
+                any = true;
+            }
+        } catch (RuntimeException e) { // half an answer cannot be followed by another
+            close();
+            return;
         }
         if (any) {
             link.flush();
+            watchForStall();
+        }
+    }
+
+    /** Guards the buffers against a client that takes nothing of its answers any more. */
+    private void watchForStall() {
+        if (link.out().size() > 0 && stallWatch == null) {
+            long before = link.written();
+            stallWatch = loop.at(loop.nowMs() + STALL_MS, () -> {
+                stallWatch = null;
+                if (link.isClosed()) {
+                    return;
+                }
+                if (link.written() == before) {
+                    close();
+                } else {
+                    watchForStall();
+                }
+            });
         }
     }
 
@@ -191,9 +214,8 @@
     private void gone() {
         reader.release();
         for (Owed one : owed) {
-            if (one.answer() != null) {
-                one.answer().release();
-            } else if (one.query() != null) {
+            one.release();
+            if (!one.isAnswered() && one.query() != null) {
                 queries.clientLeft(one.query());
             }
         }
--- a/src/main/java/dappleseam/clients/Owed.java
+++ b/src/main/java/dappleseam/clients/Owed.java
@@ -7,8 +7,9 @@
 /** The answer that one command is owed; it goes out once those before it on the connection have. */
 public final class Owed {
     private final ClientConnection connection;
-    /** The answer in full; null until it is there. */
-    private Chain answer;
+    /** One of the two, once the answer is there. */
+    private Chain value;
+    private String line;
     /** Null for a command that is no query. */
     private QueryId query;
 
@@ -24,14 +25,18 @@
         return query;
     }
 
-    Chain answer() {
-        return answer;
+    boolean isAnswered() {
+        return value != null || line != null;
     }
 
-    public void value(Chain value) {
-        Chain out = connection.newAnswer();
-        RespWriter.bulk(out, value);
-        answered(out);
+    /** Answers with the value, and takes it over. */
+    public void value(Chain whole) {
+        if (isAnswered() || connection.isClosed()) {
+            whole.release();
+            return;
+        }
+        value = whole;
+        connection.flushAnswers();
     }
 
     /** Trying again is harmless, after so many ms where that is over 0. */
@@ -41,17 +46,23 @@
 
     /** An answer of one line, with its sign in front. */
     public void line(String signed) {
-        Chain out = connection.newAnswer();
-        RespWriter.line(out, signed);
-        answered(out);
+        if (!isAnswered() && !connection.isClosed()) {
+            line = signed;
+            connection.flushAnswers();
+        }
     }
 
-    private void answered(Chain whole) {
-        if (answer != null || connection.isClosed()) {
-            whole.release();
-            return;
+    void writeTo(Chain out) {
+        if (line != null) {
+            RespWriter.line(out, line);
+        } else {
+            RespWriter.bulkMoved(out, value);
+        }
+    }
+
+    void release() {
+        if (value != null) {
+            value.release();
         }
-        answer = whole;
-        connection.flushAnswers();
     }
 }
--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -106,7 +106,13 @@
         void send(Execution e) {
             closing.callOff();
             current = e;
-            write(e.command, link.out());
+            endsAt = Long.MAX_VALUE;
+            try {
+                write(e.command, link.out());
+            } catch (RuntimeException fault) { // half a head must not be followed by another
+                ended("fault: " + fault);
+                return;
+            }
             endsAt = link.queued();
             link.flush();
         }
--- a/src/main/java/dappleseam/proxy/BackgroundLog.java
+++ b/src/main/java/dappleseam/proxy/BackgroundLog.java
@@ -3,6 +3,8 @@
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.logging.Formatter;
@@ -19,16 +21,15 @@
     private static final BackgroundLog INSTANCE = new BackgroundLog();
 
     private final ArrayBlockingQueue<String> lines = new ArrayBlockingQueue<>(MOST_LINES);
-    private final Formatter formatter = new SimpleFormatter();
+    private final Formatter texts = new SimpleFormatter();
 
     private BackgroundLog() {}
 
     /** Takes over what System.Logger writes by way of the platform's own logging. */
     static void start() {
-        System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %3$s %5$s%6$s%n");
         LogManager.getLogManager().reset();
         Logger.getLogger("").addHandler(INSTANCE);
-        Logger.getLogger("org.xnio").setLevel(Level.WARNING);
+        Logger.getLogger("org").setLevel(Level.WARNING);
         Thread writer = new Thread(INSTANCE::write, "log");
         writer.setDaemon(true);
         writer.start();
@@ -48,7 +49,13 @@
     @Override
     public void publish(LogRecord entry) {
         if (isLoggable(entry)) {
-            lines.offer(formatter.format(entry));
+            StringWriter line = new StringWriter();
+            line.append(entry.getInstant().toString()).append(' ').append(entry.getLevel().getName()).append(' ')
+                    .append(texts.formatMessage(entry)).append('\n');
+            if (entry.getThrown() != null) {
+                entry.getThrown().printStackTrace(new PrintWriter(line));
+            }
+            lines.offer(line.toString());
         }
     }
 
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -88,8 +88,11 @@
     Proxy(Loop loop, Post post) throws IOException {
         this.loop = loop;
         site = post.site();
-        connections = new Connections(site.commandsAtOnce(), site.idleCloseMs(), site.connectTimeoutMs(),
-                !site.deployment().parallelExecutions());
+        // Where two executions may never be out together, giving one up has to end its connection, and so
+        // each has one of its own: a neighbour's would be reset with it.
+        boolean together = site.deployment().parallelExecutions();
+        connections = new Connections(together ? site.commandsAtOnce() : 1, site.idleCloseMs(),
+                site.connectTimeoutMs(), !together);
         lists = new ListReader(site.machines(), site.zones());
         NodeList known = post.known().isObject() ? lists.read(post.known()) : new NodeList(0, true, List.of());
         RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(post.seed());
@@ -99,8 +102,14 @@
         tell(() -> router.listGiven(loop.nowMs(), members(known), true));
     }
 
-    int held() {
-        return queries.used();
+    /** Answers at once what has no answer yet: this process is about to end. */
+    void abortAll() {
+        for (Taken taken : queries.all()) {
+            if (!taken.answered) {
+                answered(taken);
+                taken.owed.line("-ERR failed");
+            }
+        }
     }
 
     private void tell(Runnable event) {
@@ -289,11 +298,12 @@
         taken.execs.get(execution.number).deadline.callOff();
         double took = loop.nowMs() - execution.sentAt;
         if (ending.outcome() == Outcome.COMPLETED) {
-            if (!taken.answered) {
+            if (taken.answered) {
+                ending.value().release();
+            } else {
                 answered(taken);
                 taken.owed.value(ending.value());
             }
-            ending.value().release();
         } else if (!ending.cause().isEmpty()) {
             LOG.log(Level.DEBUG, "execution {0}: {1}", ending.outcome(), ending.cause());
         }
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -23,8 +23,8 @@
 @Command(name = "serve", mixinStandardHelpOptions = true, description = "Serve clients on sockets.")
 public final class Serve implements Callable<Integer> {
     private static final Logger LOG = System.getLogger(Serve.class.getName());
-    /** Buffers in all: 24 MB, next to a heap and a machine of three times that. */
-    private static final int BUFFERS = 3 << 10;
+    /** Buffers in all: 40 MB, in a machine of 192 MB of which the heap and the program take 130 at most. */
+    private static final int BUFFERS = 5 << 10;
     /** Descriptors that are no connection: the program's own files and its selectors. */
     private static final int OWN_DESCRIPTORS = 96;
     /** Share of the other descriptors that is kept for caches, origin and list. */
@@ -32,8 +32,9 @@
     /** Times in ms after SIGTERM: until no more connections are accepted, and between looks at who is idle. */
     private static final double ACCEPT_MORE_MS = 450;
     private static final double LOOK_AGAIN_MS = 10;
-    /** Time in ms beyond the longest statement timeout after which the program ends with what is left. */
-    private static final double END_BEYOND_MS = 600;
+    /** Time in ms after SIGTERM at which what is left is aborted: the platform kills 3.7 s after it. */
+    private static final double ABORT_MS = 3300;
+    private static final long END_MS = 3500;
 
     @Option(names = "--config", defaultValue = "${env:NODE_CONFIG}", required = true,
             description = "What this proxy is told at its start, as JSON (default: the file that NODE_CONFIG names).")
@@ -41,6 +42,7 @@
 
     private EventLoop loop;
     private ClientFront front;
+    private Proxy proxy;
     private final CountDownLatch ended = new CountDownLatch(1);
 
     @Override
@@ -62,7 +64,7 @@
         worker.getIoThread().execute(() -> {
             try {
                 loop = new EventLoop(worker.getIoThread(), new BufferPool(BUFFERS), forPeers);
-                Proxy proxy = new Proxy(loop, post);
+                proxy = new Proxy(loop, post);
                 front = new ClientFront(loop, proxy, post.descriptors() - OWN_DESCRIPTORS - forPeers);
                 front.listen(worker, post.listen());
             } catch (IOException e) {
@@ -77,22 +79,24 @@
             return 1;
         }
         LOG.log(Level.INFO, "{0} serves on {1}", post.name(), post.listen());
-        double longest = post.site().statementTimeoutsMs().stream().mapToDouble(d -> d).max().orElse(0);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(worker, longest)));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(worker)));
         ended.await();
         return 0;
     }
 
     /** SIGTERM: goes on for a little, answers all it has taken, and ends with status 0. */
-    private void drain(XnioWorker worker, double longestMs) {
+    private void drain(XnioWorker worker) {
         LOG.log(Level.INFO, "told to end: answering what was taken");
         CountDownLatch done = new CountDownLatch(1);
-        worker.getIoThread().execute(() -> loop.at(loop.nowMs() + ACCEPT_MORE_MS, () -> {
-            front.stopListening();
-            closeIdle(done);
-        }));
+        worker.getIoThread().execute(() -> {
+            loop.at(loop.nowMs() + ACCEPT_MORE_MS, () -> {
+                front.stopListening();
+                closeIdle(done);
+            });
+            loop.at(loop.nowMs() + ABORT_MS, proxy::abortAll);
+        });
         try {
-            done.await((long) (longestMs + END_BEYOND_MS), TimeUnit.MILLISECONDS);
+            done.await(END_MS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -87,6 +87,9 @@
     public void retire() {
         retired = true;
         closeIdle();
+        for (Connection c : List.copyOf(open)) { // what waits for a connection must not start after the grace
+            c.endWaiting("the node is gone");
+        }
     }
 
     private record Sent(Execution execution, long endsAt) {}
@@ -137,7 +140,14 @@
                 waiting.add(e);
                 return;
             }
-            write(e.command, Math.max(1, Math.round(e.waitUntil - loop.nowMs())), link.out());
+            try {
+                write(e.command, Math.max(1, Math.round(e.waitUntil - loop.nowMs())), link.out());
+            } catch (RuntimeException fault) { // half a command must not be followed by another
+                sent.add(new Sent(e, Long.MAX_VALUE));
+                close();
+                broken("fault: " + fault);
+                return;
+            }
             sent.add(new Sent(e, link.queued()));
             link.flush();
         }
@@ -222,9 +232,7 @@
 
         @Override
         public void ended(String cause) {
-            closing.callOff();
-            reader.release();
-            open.remove(this);
+            close();
             broken(cause);
         }
 
@@ -241,6 +249,10 @@
                 boolean whole = link.written() >= s.endsAt;
                 s.execution.end(Ending.broken(whole ? Reached.WHOLE : Reached.NOT_WHOLE, cause));
             }
+            endWaiting(cause);
+        }
+
+        void endWaiting(String cause) {
             while (!waiting.isEmpty()) {
                 waiting.poll().end(Ending.broken(Reached.NOT_WHOLE, cause));
             }
