--- a/src/main/java/dappleseam/proxy/EventLoop.java
+++ b/src/main/java/dappleseam/proxy/EventLoop.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.xnio.IoFuture;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -118,13 +119,18 @@
     @Override
     public Deadline dial(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> up,
                          Consumer<String> failed) {
-        if (dialled >= mostDialled) {
+        if (!mayDial()) {
             failed.accept("no descriptor left");
             return () -> { };
         }
         return new Dialling(to, timeoutMs, up, failed);
     }
 
+    @Override
+    public boolean mayDial() {
+        return dialled < mostDialled;
+    }
+
     /** A connection on its way; told once. */
     private final class Dialling implements Deadline {
         private final Consumer<StreamConnection> up;
@@ -150,7 +156,7 @@
         private void opened(StreamConnection connection) {
             connection.setCloseListener(closed -> dialled--);
             if (over) {
-                org.xnio.IoUtils.safeClose(connection);
+                IoUtils.safeClose(connection);
                 return;
             }
             over = true;
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -49,7 +49,7 @@
                 best = c;
             }
         }
-        if (best == null) {
+        if (best == null || best.load() >= limits.commandsWanted() && loop.mayDial()) {
             best = new Connection();
             open.add(best);
             best.waiting.add(execution);
--- a/src/main/java/dappleseam/wire/Loop.java
+++ b/src/main/java/dappleseam/wire/Loop.java
@@ -15,6 +15,9 @@
     /** Opens a connection; exactly one of the two is called, unless the deadline is called off before. */
     Deadline dial(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> up, Consumer<String> failed);
 
+    /** Whether there is a descriptor left for another connection to a peer. */
+    boolean mayDial();
+
     Link link(StreamConnection connection, Link.Events events);
 
     BufferPool pool();
