--- a/src/main/java/dappleseam/list/ListWatch.java
+++ b/src/main/java/dappleseam/list/ListWatch.java
@@ -19,6 +19,9 @@
     /** How long a call may take beyond its waiting, in ms: the service works through calls in turn. */
     private static final double LATE_MS = 2000;
     private static final double CONNECT_MS = 1000;
+    /** Time in ms before a failed call is made again where the list is to be followed always; doubled. */
+    private static final double AGAIN_MS = 100;
+    private static final double AGAIN_MOST_MS = 2000;
 
     private final Loop loop;
     private final InetSocketAddress service;
@@ -26,6 +29,8 @@
     private final Consumer<NodeList> news;
     private final Consumer<String> failed;
     private long version;
+    private boolean always;
+    private double againMs = AGAIN_MS;
     /** The call that is out; null while nothing is followed. */
     private Call call;
 
@@ -46,6 +51,12 @@
         }
     }
 
+    /** Follows from now on without being asked, as where the list is pushed to a proxy. */
+    public void followAlways() {
+        always = true;
+        follow();
+    }
+
     private void begin(long holdMs) {
         call = new Call(holdMs);
         call.dial();
@@ -107,6 +118,7 @@
                 body.release();
             }
             version = list.version();
+            againMs = AGAIN_MS;
             if (staysOpen) {
                 ask(HOLD_MS);
             } else {
@@ -129,6 +141,10 @@
             if (call == this) {
                 end();
                 failed.accept(cause);
+                if (always) {
+                    loop.at(loop.nowMs() + againMs, ListWatch.this::follow);
+                    againMs = Math.min(AGAIN_MOST_MS, 2 * againMs);
+                }
             }
         }
 
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -102,6 +102,14 @@
         router = new Router(site.deployment(), random, this, loop.nowMs());
         learn(known);
         tell(() -> router.listGiven(loop.nowMs(), members(known), true));
+        if (isPushed()) {
+            watch.followAlways();
+        }
+    }
+
+    /** The router asks for the list only where it has to; what is pushed there, is watched for here. */
+    private boolean isPushed() {
+        return site.deployment().askEveryMs() == 0;
     }
 
     /** Answers at once what has no answer yet: this process is about to end. */
@@ -142,7 +150,9 @@
 
     private void listFailed(String cause) {
         LOG.log(Level.WARNING, "list: a call failed: {0}", cause);
-        tell(() -> router.listFailed(loop.nowMs()));
+        if (!isPushed()) {
+            tell(() -> router.listFailed(loop.nowMs()));
+        }
     }
 
     private static List<Member> members(NodeList list) {
