--- a/src/main/java/dappleseam/proxy/EventLoop.java
+++ b/src/main/java/dappleseam/proxy/EventLoop.java
@@ -105,15 +105,18 @@
         alarm = null;
         alarmAt = Double.POSITIVE_INFINITY;
         double now = nowMs();
-        while (!deadlines.isEmpty() && deadlines.first().whenMs <= now) {
-            Runnable due = deadlines.pollFirst().due;
-            try {
-                due.run();
-            } catch (RuntimeException e) { // one fault leaves the other deadlines
-                LOG.log(Level.ERROR, "a deadline failed", e);
+        try {
+            while (!deadlines.isEmpty() && deadlines.first().whenMs <= now) {
+                Runnable due = deadlines.pollFirst().due;
+                try {
+                    due.run();
+                } catch (RuntimeException e) { // one fault leaves the other deadlines
+                    LOG.log(Level.ERROR, "a deadline failed", e);
+                }
             }
+        } finally {
+            setAlarm();
         }
-        setAlarm();
     }
 
     @Override
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -128,14 +128,17 @@
             return;
         }
         telling = true;
-        while (!toTell.isEmpty()) {
-            try {
-                toTell.poll().run();
-            } catch (RuntimeException e) { // the query it concerned is aborted in time; the others go on
-                LOG.log(Level.ERROR, "the router failed", e);
+        try {
+            while (!toTell.isEmpty()) {
+                try {
+                    toTell.poll().run();
+                } catch (RuntimeException e) { // the query it concerned is aborted in time; the others go on
+                    LOG.log(Level.ERROR, "the router failed", e);
+                }
             }
+        } finally {
+            telling = false;
         }
-        telling = false;
     }
 
     private void news(NodeList list) {
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -26,7 +26,7 @@
     /** Buffers in all: 40 MB, in a machine of 192 MB of which the heap and the program take 130 at most. */
     private static final int BUFFERS = 5 << 10;
     /** Descriptors that are no connection: the program's own files and its selectors. */
-    private static final int OWN_DESCRIPTORS = 96;
+    private static final int OWN_DESCRIPTORS = 48;
     /** Share of the other descriptors that is kept for caches, origin and list. */
     private static final double SHARE_FOR_PEERS = 0.4;
     /** Times in ms after SIGTERM: until no more connections are accepted, and between looks at who is idle. */
--- a/src/main/java/dappleseam/site/SiteReader.java
+++ b/src/main/java/dappleseam/site/SiteReader.java
@@ -17,7 +17,7 @@
     private static final double MS_PER_S = 1000;
     /** Default of descriptors where no limit is told: what systems usually allow. */
     private static final int DESCRIPTORS = 1024;
-    private static final int LEAST_DESCRIPTORS = 256;
+    private static final int LEAST_DESCRIPTORS = 96;
 
     private final ObjectMapper mapper = new ObjectMapper();
 
--- /dev/null
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -0,0 +1,399 @@
+package dappleseam.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Starts the program and speaks to it over sockets, as a client and for its peers. */
+class ServeTest {
+    private static final String MISS = "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n";
+
+    @TempDir
+    Path folder;
+    private Sockets sockets;
+
+    @BeforeEach
+    void prepare() throws Exception {
+        sockets = new Sockets();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        sockets.close();
+    }
+
+    private static String hit(String value) {
+        return "*3\r\n$" + value.length() + "\r\n" + value + "\r\n$3\r\nhit\r\n$-1\r\n";
+    }
+
+    private static String ok(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    @Test
+    void aReadIsAnsweredWithWhatTheCacheSends() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000,size=3");
+        Sockets.Told asked = sockets.cache.next();
+        assertThat(asked.words().subList(0, 3)).containsExactly("C.GET", "00000000000000aa", "id1");
+        assertThat(asked.words().get(3)).matches("c=read,d=(8\\d{3}|[1-7]\\d{3}),size=3");
+        asked.answer(hit("value"));
+        assertThat(client.answer()).isEqualTo("value");
+    }
+
+    @Test
+    void aMissIsFetchedFromTheOrigin() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000");
+        sockets.cache.next().answer(MISS);
+        Sockets.Told asked = sockets.origin.next();
+        assertThat(asked.words()).contains("GET /00000000000000aa HTTP/1.1", "X-Correlation-Id: id1",
+                "X-Facts: c=read,d=9000");
+        asked.answer(ok("fetched"));
+        assertThat(client.answer()).isEqualTo("fetched");
+    }
+
+    @Test
+    void aWriteGoesToTheOriginWithItsValue() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("C.SET", "00000000000000aa", "id1", "c=put,d=9000,k=77", "X".repeat(20000));
+        Sockets.Told asked = sockets.origin.next();
+        assertThat(asked.words()).contains("PUT /00000000000000aa HTTP/1.1", "Content-Length: 20000");
+        asked.answer(ok("receipt"));
+        assertThat(client.answer()).isEqualTo("receipt");
+    }
+
+    /** Guards rule 2: a write that may have run is aborted, never rejected or sent again. */
+    @Test
+    void aWriteWhoseConnectionBreaksIsAborted() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("C.SET", "00000000000000aa", "id1", "c=put,d=9000", "v");
+        sockets.origin.next().from().close();
+        assertThat(client.answer()).startsWith("-ERR");
+        assertThat(sockets.origin.told).noneMatch(t -> t.words().get(0).startsWith("PUT"));
+    }
+
+    @Test
+    void aWriteThatNeverRanIsRejected() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("C.SET", "00000000000000aa", "id1", "c=put,d=9000", "v");
+        String notRun = "HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+        for (Sockets.Told asked = sockets.origin.next(); asked != null;
+                asked = sockets.origin.told.poll(500, TimeUnit.MILLISECONDS)) {
+            asked.answer(notRun);
+        }
+        assertThat(client.answer()).startsWith("-BUSY");
+    }
+
+    /** Guards against a pipelining client that gets its neighbour's answer. */
+    @Test
+    void answersComeInTheOrderOfTheCommands() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000");
+        client.send("C.SET", "00000000000000bb", "id2", "c=put,d=9000", "v");
+        client.send("PING");
+        sockets.origin.next().answer(ok("second"));
+        sockets.cache.next().answer(hit("first"));
+        assertThat(client.answer()).isEqualTo("first");
+        assertThat(client.answer()).isEqualTo("second");
+        assertThat(client.answer()).isEqualTo("+PONG");
+    }
+
+    /** Guards a connection's neighbours: what nobody waits for is dropped, and theirs still come. */
+    @Test
+    void aClientThatLeavesDoesNotDisturbItsNeighbour() throws Exception {
+        Sockets.Client leaving = sockets.start(folder, "").client();
+        Sockets.Client staying = sockets.client();
+        leaving.send("C.GET", "00000000000000aa", "id1", "c=read,d=20000");
+        Sockets.Told first = sockets.cache.next();
+        staying.send("C.GET", "00000000000000bb", "id2", "c=read,d=20000");
+        Sockets.Told second = sockets.cache.next();
+        assertThat(second.from()).isSameAs(first.from());
+        leaving.socket.close();
+        first.answer(hit("for nobody") + hit("mine"));
+        assertThat(staying.answer()).isEqualTo("mine");
+    }
+
+    /** Guards rule 1: a cache that says nothing costs the query no answer. */
+    @Test
+    void aSilentCacheIsGivenUpBeforeTheStatementTimeout() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        long sent = System.nanoTime();
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=600");
+        sockets.cache.next();
+        assertThat(client.answer()).matches("-(BUSY|ERR).*");
+        assertThat(System.nanoTime() - sent).isGreaterThan(400_000_000L);
+    }
+
+    /** Guards the caches against what no client may send: one -SYNTAX of theirs voids a day. */
+    @Test
+    void badInputGetsAnErrorAndGoesNoFurther() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("C.GET", "key with spaces", "id1", "c=read,d=600");
+        client.send("C.GET", "00000000000000aa", "id1", "c=unknown,d=600");
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=soon");
+        client.send("C.SET", "00000000000000aa", "id1", "c=put,d=600");
+        client.send("FLUSHALL");
+        for (int i = 0; i < 5; i++) {
+            assertThat(client.answer()).startsWith("-ERR");
+        }
+        client.raw("GET / HTTP/1.1\r\n");
+        assertThat(client.answer()).startsWith("-ERR");
+        assertThat(client.isAtEnd()).isTrue();
+        assertThat(sockets.cache.told).isEmpty();
+    }
+
+    /** Guards rule 3: what the list tells is followed, and the next watch begins at once. */
+    @Test
+    void aDrainingCacheGetsNothingNew() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        Sockets.Told watch = sockets.list.next();
+        assertThat(watch.words().get(0)).startsWith("GET /registry/instances?from=1&hold_ms=");
+        watch.answer(ok("{\"rev\":2,\"all\":false,\"targets\":["
+                + Sockets.entry("s-1", sockets.cache, "m", "draining") + "]}"));
+        assertThat(sockets.list.next().words().get(0)).startsWith("GET /registry/instances?from=2&hold_ms=");
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000");
+        sockets.origin.next().answer(ok("from the origin"));
+        assertThat(client.answer()).isEqualTo("from the origin");
+    }
+
+    /** Guards a planned restart: what was taken is answered, and the program ends by itself with status 0. */
+    @Test
+    void sigtermLetsWhatWasTakenEnd() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000");
+        Sockets.Told asked = sockets.cache.next();
+        sockets.program.destroy();
+        Thread.sleep(100);
+        Sockets.Client late = sockets.client();
+        late.send("PING");
+        assertThat(late.answer()).isEqualTo("+PONG");
+        asked.answer(hit("value"));
+        assertThat(client.answer()).isEqualTo("value");
+        assertThat(client.isAtEnd()).isTrue();
+        assertThat(sockets.program.waitFor(Sockets.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(sockets.program.exitValue()).isZero();
+    }
+
+    @Test
+    void aFaultySettingIsNamed() throws Exception {
+        sockets.start(folder, ",\"mostHeld\":\"many\"");
+        assertThat(sockets.program.waitFor(Sockets.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(sockets.program.exitValue()).isEqualTo(1);
+        assertThat(Files.readString(folder.resolve("log"))).contains("settings.ceilings.mostHeld");
+    }
+
+    /** The program, started with small stand-ins for its peers, and a client to speak to it. */
+    private static final class Sockets {
+        static final long PATIENCE_S = 20;
+
+        final Peer cache = new Peer();
+        final Peer origin = new Peer();
+        final Peer list = new Peer();
+        Process program;
+        int port;
+
+        /** A stand-in: commands or heads that came in, and the connections on which the test answers them. */
+        static final class Peer implements AutoCloseable {
+            final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+            final BlockingQueue<Told> told = new LinkedBlockingQueue<>();
+
+            Peer() throws IOException {
+                Thread accept = new Thread(() -> {
+                    try {
+                        while (true) {
+                            Socket socket = server.accept();
+                            Thread reader = new Thread(() -> read(socket));
+                            reader.setDaemon(true);
+                            reader.start();
+                        }
+                    } catch (IOException e) {
+                        // the test is over
+                    }
+                });
+                accept.setDaemon(true);
+                accept.start();
+            }
+
+            private void read(Socket socket) {
+                try {
+                    InputStream in = new BufferedInputStream(socket.getInputStream());
+                    while (true) {
+                        told.add(new Told(message(in), socket));
+                    }
+                } catch (IOException e) {
+                    told.add(new Told(List.of("closed"), socket));
+                }
+            }
+
+            /** What came next, other than a connection's end. */
+            Told next() throws InterruptedException {
+                Told next = told.poll(PATIENCE_S, TimeUnit.SECONDS);
+                if (next == null) {
+                    throw new AssertionError("nothing came");
+                }
+                return next.words.get(0).equals("closed") ? next() : next;
+            }
+
+            String endpoint() {
+                return "127.0.0.1:" + server.getLocalPort();
+            }
+
+            @Override
+            public void close() throws IOException {
+                server.close();
+            }
+        }
+
+        record Told(List<String> words, Socket from) {
+            void answer(String bytes) throws IOException {
+                from.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            }
+        }
+
+        /** One RESP message's words, or one HTTP head's lines. */
+        static List<String> message(InputStream in) throws IOException {
+            String line = line(in);
+            List<String> words = new ArrayList<>();
+            if (line.startsWith("*")) {
+                int count = Integer.parseInt(line.substring(1));
+                for (int i = 0; i < count; i++) {
+                    words.add(bulk(in, line(in)));
+                }
+            } else if (line.startsWith("$")) {
+                words.add(bulk(in, line));
+            } else {
+                words.add(line);
+                if (line.contains(" HTTP/1.1")) {
+                    while (!line.isEmpty()) {
+                        line = line(in);
+                        words.add(line);
+                    }
+                }
+            }
+            return words;
+        }
+
+        private static String bulk(InputStream in, String head) throws IOException {
+            byte[] bytes = in.readNBytes(Integer.parseInt(head.substring(1)));
+            line(in);
+            return new String(bytes, StandardCharsets.ISO_8859_1);
+        }
+
+        private static String line(InputStream in) throws IOException {
+            ByteArrayOutputStream line = new ByteArrayOutputStream();
+            int c = in.read();
+            for (; c >= 0 && c != '\n'; c = in.read()) {
+                line.write(c);
+            }
+            if (c < 0) {
+                throw new IOException("ended");
+            }
+            return line.toString(StandardCharsets.ISO_8859_1).stripTrailing();
+        }
+
+        Sockets() throws IOException {}
+
+        static String entry(String uid, Peer peer, String model, String state) {
+            return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + peer.endpoint() + "\",\"az\":\"a\",\"model\":\"" + model
+                    + "\",\"pod_group\":0,\"state\":\"" + state + "\",\"capacity_hint\":1,\"boot_ms\":0}";
+        }
+
+        /** Starts the program with one cache and the origin known; {@code more} adds to the ceilings. */
+        Sockets start(Path folder, String more) throws IOException {
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+                port = free.getLocalPort();
+            }
+            Path config = folder.resolve("config.json");
+            Files.writeString(config, """
+                    {"name":"p","listen":"127.0.0.1:%d","discovery":"%s","seed":"1",
+                     "limits":{"cores":1,"memory_mb":192,"sockets":1024},
+                     "known":{"rev":1,"all":true,"targets":[%s,%s]},
+                     "settings":{"balancers":1,"flavors":["m","origin"],"dcs":["a"],
+                      "membershipMode":"on_request","extra":{"mode":"aside","originKind":1},
+                      "penalties":{"connection":0.1},
+                      "ceilings":{"mostExecutions":3,"parallelTries":true,"mayCancel":true,"retryAfter":true,
+                                  "maxRetryAfterS":1,"streamsPerConn":8,"idleCloseS":60,"connectTimeoutS":2%s},
+                      "rules":{"askEveryS":10,"coldFrom":0.5,"warmAfterS":5},
+                      "serviceGrades":[
+                       {"name":"read","semantics":"read_like","sloTimeS":20,"statementTimeoutS":30},
+                       {"name":"put","semantics":"non_idempotent","sloTimeS":20,"statementTimeoutS":30}]}}"""
+                    .formatted(port, list.endpoint(), entry("s-1", cache, "m", "ready"),
+                            entry("s-0", origin, "origin", "ready"), more));
+            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "dappleseam.Main", "serve",
+                    "--config", config.toString());
+            program = builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+            return this;
+        }
+
+        /** A connection to the program, once it is ready. */
+        Sockets.Client client() throws IOException, InterruptedException {
+            for (int i = 0; i < PATIENCE_S * 100 && program.isAlive(); i++) {
+                try {
+                    return new Client(new Socket("127.0.0.1", port));
+                } catch (IOException e) {
+                    Thread.sleep(10);
+                }
+            }
+            throw new AssertionError("the program does not serve");
+        }
+
+        static final class Client {
+            final Socket socket;
+            private final InputStream in;
+
+            Client(Socket socket) throws IOException {
+                this.socket = socket;
+                socket.setSoTimeout((int) (1000 * PATIENCE_S));
+                in = new BufferedInputStream(socket.getInputStream());
+            }
+
+            void send(String... words) throws IOException {
+                StringBuilder command = new StringBuilder("*" + words.length + "\r\n");
+                for (String word : words) {
+                    command.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+                }
+                raw(command.toString());
+            }
+
+            void raw(String bytes) throws IOException {
+                socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            }
+
+            String answer() throws IOException {
+                return message(in).get(0);
+            }
+
+            boolean isAtEnd() throws IOException {
+                return in.read() < 0;
+            }
+        }
+
+        void close() throws Exception {
+            program.destroyForcibly();
+            program.waitFor();
+            cache.close();
+            origin.close();
+            list.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/dappleseam/query/SlotsTest.java
@@ -0,0 +1,30 @@
+package dappleseam.query;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class SlotsTest {
+    /** Guards a query against the late answer of the one that had its slot before. */
+    @Test
+    void aNumberFindsNothingOnceItsSlotIsUsedAgain() {
+        Slots<String> slots = new Slots<>();
+        int first = slots.put("first");
+        slots.free(first);
+        int second = slots.put("second");
+        assertThat(second).isNotEqualTo(first);
+        assertThat(slots.get(first)).isNull();
+        slots.free(first);
+        assertThat(slots.get(second)).isEqualTo("second");
+    }
+
+    @Test
+    void theTableIsBounded() {
+        Slots<Integer> slots = new Slots<>();
+        while (!slots.isFull(Integer.MAX_VALUE)) {
+            slots.put(slots.used());
+        }
+        assertThat(slots.used()).isEqualTo(4096);
+        assertThat(slots.isFull(4097)).isTrue();
+    }
+}
--- /dev/null
+++ b/src/test/java/dappleseam/site/SiteReaderTest.java
@@ -0,0 +1,42 @@
+package dappleseam.site;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SiteReaderTest {
+    private static final String SITE = """
+            {"ceilings":{"mostExecutions":2},"rules":{"coldFrom":0.2,"warmAfterS":10},
+             "serviceGrades":[{"name":"read","semantics":"read_like","sloTimeS":0.5}]}""";
+
+    private static Site read(String json) {
+        return new SiteReader().readSite(json.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void whatIsMissingHasDefaults() {
+        Site site = read(SITE);
+        assertThat(site.gradeNames()).containsExactly("read");
+        assertThat(site.commandsAtOnce()).isEqualTo(1);
+        assertThat(site.deployment().parallelExecutions()).isFalse();
+        assertThat(site.deployment().originModel()).isEqualTo(-1);
+        assertThat(site.deployment().grades().get(0).sloMs()).isEqualTo(500);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "\"mostExecutions\":2 | \"mostExecutions\":\"two\" | ceilings.mostExecutions: is not a number from 0",
+        "\"coldFrom\":0.2 | \"coldFrom\":-1 | rules.coldFrom: is not a number from 0",
+        "\"sloTimeS\":0.5 | \"slo\":1 | serviceGrades[0].sloTimeS: is missing",
+        "\"rules\" | \"rule\" | rules: is missing",
+        "{\"name\":\"read\",\"semantics\":\"read_like\",\"sloTimeS\":0.5} | '' | serviceGrades: is empty"})
+    void aFaultNamesItsKey(String sound, String faulty, String message) {
+        assertThat(SITE).contains(sound);
+        assertThatThrownBy(() -> read(SITE.replace(sound, faulty)))
+                .isInstanceOf(FaultySettingException.class).hasMessage(message);
+    }
+}
--- /dev/null
+++ b/src/test/java/dappleseam/wire/ReadersTest.java
@@ -0,0 +1,111 @@
+package dappleseam.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ReadersTest {
+    private final BufferPool pool = new BufferPool(8);
+
+    private static ByteBuffer bytes(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Guards against a peer whose bytes come one at a time. */
+    @Test
+    void anArrayInSingleBytesIsReadWhole() {
+        RespReader reader = new RespReader(pool, 100);
+        ByteBuffer in = bytes("*3\r\n$3\r\na\r\n\r\n$0\r\n\r\n$-1\r\n");
+        Progress progress = Progress.MORE;
+        while (in.hasRemaining()) {
+            assertThat(progress).isEqualTo(Progress.MORE);
+            progress = reader.read(ByteBuffer.wrap(new byte[] {in.get()}));
+        }
+        assertThat(progress).isEqualTo(Progress.DONE);
+        RespMessage message = reader.take();
+        assertThat(message.bulk(0).text()).isEqualTo("a\r\n");
+        assertThat(message.bulk(1).size()).isZero();
+        assertThat(message.bulk(2)).isNull();
+    }
+
+    @Test
+    void whatFollowsAMessageIsLeft() {
+        ByteBuffer in = bytes("-BUSY\r\n+OK\r\n");
+        RespReader reader = new RespReader(pool, 100);
+        assertThat(reader.read(in)).isEqualTo(Progress.DONE);
+        assertThat(reader.take().line).isEqualTo("BUSY");
+        assertThat(in.remaining()).isEqualTo(5);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"GET / HTTP/1.1\r\n", "*17\r\n", "*-2\r\n", "$101\r\n", "*1\r\n+OK\r\n", "$1\r\nab\r\n",
+        "*1\n", "$99999999999\r\n", "*1\r\n*1\r\n", "$+1\r\n"})
+    void whatIsNoMessageIsBad(String text) {
+        assertThat(new RespReader(pool, 100).read(bytes(text))).isEqualTo(Progress.BAD);
+    }
+
+    /** Guards the memory against a line without end. */
+    @Test
+    void aLineWithoutEndIsBad() {
+        assertThat(new RespReader(pool, 100).read(bytes("+".repeat(1000)))).isEqualTo(Progress.BAD);
+    }
+
+    @Test
+    void aMessageCutShortGivesItsBuffersBack() {
+        RespReader reader = new RespReader(pool, 1 << 16);
+        reader.read(bytes("*2\r\n$1\r\na\r\n$20000\r\n" + "x".repeat(9000)));
+        assertThat(pool.inUse()).isEqualTo(3);
+        reader.release();
+        assertThat(pool.inUse()).isZero();
+    }
+
+    @Test
+    void thePoolIsBounded() {
+        Chain chain = new Chain(pool);
+        String tooMuch = "x".repeat(9 * BufferPool.SIZE);
+        assertThatThrownBy(() -> chain.put(tooMuch)).isInstanceOf(IllegalStateException.class);
+        assertThat(pool.isScarce()).isTrue();
+        chain.release();
+        assertThat(pool.isScarce()).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: 1\r\n\r\nvalue",
+        "HTTP/1.1 200 OK\r\nX-A: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nva\r\n3;x=y\r\nlue\r\n0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nx-a: 1\r\nContent-Length: 5\r\n\r\nvalue"})
+    void anAnswerInSingleBytesIsReadWhole(String text) {
+        HttpReader reader = new HttpReader(pool, 100);
+        ByteBuffer in = bytes(text);
+        Progress progress = Progress.MORE;
+        while (in.hasRemaining()) {
+            assertThat(progress).isEqualTo(Progress.MORE);
+            progress = reader.read(ByteBuffer.wrap(new byte[] {in.get()}));
+        }
+        assertThat(progress).isEqualTo(Progress.DONE);
+        assertThat(reader.status()).isEqualTo(200);
+        assertThat(reader.header("x-a")).isEqualTo("1");
+        assertThat(reader.staysOpen()).isTrue();
+        assertThat(reader.takeBody().text()).isEqualTo("value");
+    }
+
+    @Test
+    void aBodyMayEndWithItsConnection() {
+        HttpReader reader = new HttpReader(pool, 100);
+        assertThat(reader.read(bytes("HTTP/1.1 200 OK\r\n\r\nvalue"))).isEqualTo(Progress.MORE);
+        assertThat(reader.endsBody()).isTrue();
+        assertThat(reader.staysOpen()).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"-ERR no\r\n", "HTTP/1.1 abc\r\n", "HTTP/1.1 200 OK\r\nno colon\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"})
+    void whatIsNoAnswerIsBad(String text) {
+        assertThat(new HttpReader(pool, 100).read(bytes(text))).isEqualTo(Progress.BAD);
+    }
+}
