--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -40,6 +40,9 @@
             description = "What this proxy is told at its start, as JSON (default: the file that NODE_CONFIG names).")
     private Path config;
 
+    @Option(names = "--check", description = "Start with it, say whether that works, and end.")
+    private boolean check;
+
     private EventLoop loop;
     private ClientFront front;
     private Proxy proxy;
@@ -79,6 +82,9 @@
             return 1;
         }
         LOG.log(Level.INFO, "{0} serves on {1}", post.name(), post.listen());
+        if (check) {
+            return 0;
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(worker)));
         ended.await();
         return 0;
