--- a/src/main/java/dappleseam/list/ListReader.java
+++ b/src/main/java/dappleseam/list/ListReader.java
@@ -54,7 +54,7 @@
             default -> Member.State.GONE;
         };
         String zone = entry.path("az").asText();
-        return new Listed(new Member(new NodeId(hash(uid)), state, machines.indexOf(entry.path("model").asText()),
+        return new Listed(uid, new Member(new NodeId(hash(uid)), state, machines.indexOf(entry.path("model").asText()),
                 entry.path("pod_group").asInt(), zones.computeIfAbsent(zone, z -> zones.size()),
                 entry.path("capacity_hint").asDouble(1), entry.path("boot_ms").asDouble()),
                 address(entry.path("endpoint").asText()));
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -48,6 +48,8 @@
     private static final double LAST_HOP_MS = 10;
     /** Time in ms past that at which a query the router forgot is aborted; it guards rule 1. */
     private static final double FORGOTTEN_MS = 15;
+    /** Least time in ms between two lines about errors: a failing node must not fill the log. */
+    private static final double ERRORS_APART_MS = 1000;
     /** Time to come back in ms where no more queries can be held. */
     private static final double TABLE_FULL_MS = 250;
 
@@ -62,9 +64,10 @@
     /** Told to the router one after the other: what it does may bring about the next. */
     private final ArrayDeque<Runnable> toTell = new ArrayDeque<>();
     private boolean telling;
+    private double errorLoggedAt;
 
     /** A listed node and where it is dialled. */
-    private record Peer(InetSocketAddress endpoint, Backend backend) {}
+    private record Peer(InetSocketAddress endpoint, Member.State state, Backend backend) {}
 
     /** A query taken, until it is answered and its last execution has ended. */
     private static final class Taken {
@@ -170,11 +173,7 @@
             if (m.state() == Member.State.GONE) {
                 forget(m.node());
             } else if (entry.endpoint() != null) {
-                Peer peer = peers.get(m.node());
-                if (peer == null || !peer.endpoint.equals(entry.endpoint())) {
-                    forget(m.node());
-                    peers.put(m.node(), new Peer(entry.endpoint(), backend(m, entry.endpoint())));
-                }
+                know(entry);
             }
         }
         if (list.whole()) {
@@ -182,6 +181,26 @@
         }
     }
 
+    private void know(Listed entry) {
+        Member m = entry.member();
+        Peer peer = peers.get(m.node());
+        boolean moved = peer != null && !peer.endpoint.equals(entry.endpoint());
+        if (peer == null || moved || peer.state != m.state()) {
+            LOG.log(Level.INFO, "node {0} is {1} at {2}: {3}", entry.uid(), name(m.node()), entry.endpoint(),
+                    m.state());
+            if (moved) {
+                peer.backend.retire();
+            }
+            Backend backend = peer == null || moved ? backend(m, entry.endpoint()) : peer.backend;
+            peers.put(m.node(), new Peer(entry.endpoint(), m.state(), backend));
+        }
+    }
+
+    /** As the router names it in its lines. */
+    private static String name(NodeId node) {
+        return Long.toHexString(node.value());
+    }
+
     private Backend backend(Member m, InetSocketAddress endpoint) {
         return m.model() == site.deployment().originModel() ? new Origin(loop, endpoint, connections)
                 : new CacheNode(loop, endpoint, connections);
@@ -190,6 +209,7 @@
     private void forget(NodeId node) {
         Peer peer = peers.remove(node);
         if (peer != null) {
+            LOG.log(Level.INFO, "node {0} has left the list", name(node));
             peer.backend.retire();
         }
     }
@@ -319,8 +339,9 @@
                 answered(taken);
                 taken.owed.value(ending.value());
             }
-        } else if (!ending.cause().isEmpty()) {
-            LOG.log(Level.DEBUG, "execution {0}: {1}", ending.outcome(), ending.cause());
+        } else if (ending.outcome() == Outcome.ERRED && loop.nowMs() > errorLoggedAt + ERRORS_APART_MS) {
+            errorLoggedAt = loop.nowMs();
+            LOG.log(Level.WARNING, "execution ended ERRED: {0}", ending.cause());
         }
         tell(() -> {
             router.executionEnded(loop.nowMs(), execution.query, execution.number, ending.outcome(), took,
