--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -1,6 +1,7 @@
 package dappleseam.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -9,6 +10,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -193,6 +195,65 @@
         assertThat(sockets.program.exitValue()).isZero();
     }
 
+    /** Guards rule 2 where no two executions may be out together: the one given up ends with its connection. */
+    @Test
+    void givingUpClosesTheConnectionWhereCopiesAreBarred() throws Exception {
+        Sockets.Client client = sockets.start(folder, ",\"parallelTries\":false").client();
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=20000");
+        client.send("C.GET", "00000000000000bb", "id2", "c=read,d=700");
+        Sockets.Told one = sockets.cache.next();
+        Sockets.Told other = sockets.cache.next();
+        assertThat(other.from()).isNotSameAs(one.from());
+        Sockets.Told given = other.words().contains("id2") ? other : one;
+        Sockets.Told ended = sockets.cache.told.poll(Sockets.PATIENCE_S, TimeUnit.SECONDS);
+        assertThat(ended.words()).containsExactly("closed");
+        assertThat(ended.from()).isSameAs(given.from());
+    }
+
+    /** Guards against a write that crosses the node's own closing of an idle connection. */
+    @Test
+    void anIdleConnectionIsClosedBeforeTheNodeWould() throws Exception {
+        Sockets.Client client = sockets.start(folder, ",\"idleCloseS\":2").client();
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000");
+        Sockets.Told asked = sockets.cache.next();
+        asked.answer(hit("value"));
+        Sockets.Told ended = sockets.cache.told.poll(Sockets.PATIENCE_S, TimeUnit.SECONDS);
+        assertThat(ended.words()).containsExactly("closed");
+        assertThat(client.answer()).isEqualTo("value");
+    }
+
+    /** Guards against a list service that is down for a while. */
+    @Test
+    void aFailedWatchIsBegunAgain() throws Exception {
+        sockets.start(folder, "").client();
+        sockets.list.next().answer("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+        sockets.list.next().from().close();
+        assertThat(sockets.list.next().words().get(0)).startsWith("GET /registry/instances?from=1&hold_ms=");
+    }
+
+    /** Guards the descriptors: clients beyond those meant for them wait to be accepted. */
+    @Test
+    void clientsBeyondTheLimitWait() throws Exception {
+        sockets.sockets = 96;
+        List<Sockets.Client> clients = new ArrayList<>();
+        clients.add(sockets.start(folder, "").client());
+        for (int i = 1; i < 60; i++) {
+            clients.add(new Sockets.Client(new Socket("127.0.0.1", sockets.port)));
+        }
+        for (Sockets.Client client : clients) {
+            client.send("PING");
+        }
+        assertThat(clients.get(0).answer()).isEqualTo("+PONG");
+        Sockets.Client last = clients.get(59);
+        last.socket.setSoTimeout(300);
+        assertThatThrownBy(last::answer).isInstanceOf(SocketTimeoutException.class);
+        for (Sockets.Client client : clients.subList(0, 50)) {
+            client.socket.close();
+        }
+        last.socket.setSoTimeout((int) (1000 * Sockets.PATIENCE_S));
+        assertThat(last.answer()).isEqualTo("+PONG");
+    }
+
     @Test
     void aFaultySettingIsNamed() throws Exception {
         sockets.start(folder, ",\"mostHeld\":\"many\"");
@@ -210,6 +271,7 @@
         final Peer list = new Peer();
         Process program;
         int port;
+        int sockets = 1024;
 
         /** A stand-in: commands or heads that came in, and the connections on which the test answers them. */
         static final class Peer implements AutoCloseable {
@@ -325,7 +387,7 @@
             Path config = folder.resolve("config.json");
             Files.writeString(config, """
                     {"name":"p","listen":"127.0.0.1:%d","discovery":"%s","seed":"1",
-                     "limits":{"cores":1,"memory_mb":192,"sockets":1024},
+                     "limits":{"cores":1,"memory_mb":192,"sockets":%d},
                      "known":{"rev":1,"all":true,"targets":[%s,%s]},
                      "settings":{"balancers":1,"flavors":["m","origin"],"dcs":["a"],
                       "membershipMode":"on_request","extra":{"mode":"aside","originKind":1},
@@ -336,7 +398,7 @@
                       "serviceGrades":[
                        {"name":"read","semantics":"read_like","sloTimeS":20,"statementTimeoutS":30},
                        {"name":"put","semantics":"non_idempotent","sloTimeS":20,"statementTimeoutS":30}]}}"""
-                    .formatted(port, list.endpoint(), entry("s-1", cache, "m", "ready"),
+                    .formatted(port, list.endpoint(), sockets, entry("s-1", cache, "m", "ready"),
                             entry("s-0", origin, "origin", "ready"), more));
             ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                     "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "dappleseam.Main", "serve",
