End what waits for a connection to a draining node; count a dialled connection once

A connection given up as it came up was counted twice as closed, which in time would have let more be opened than descriptors are kept for. Found by reading; no run has shown either.

--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -2,11 +2,11 @@
 
 import dappleseam.query.Backend;
 import dappleseam.query.Command;
+import dappleseam.query.Connections;
 import dappleseam.query.Ending;
 import dappleseam.query.Execution;
 import dappleseam.query.Reached;
 import dappleseam.router.Outcome;
-import dappleseam.servers.Connections;
 import dappleseam.wire.Chain;
 import dappleseam.wire.HttpReader;
 import dappleseam.wire.Link;
@@ -74,10 +74,21 @@
         }
     }
 
+    @Override
+    public void endWaiting() {
+        for (Connection c : List.copyOf(open)) {
+            if (c.link == null) {
+                c.close();
+                c.end(Ending.broken(Reached.NOT_WHOLE, "the origin drains or is gone"));
+            }
+        }
+    }
+
     @Override
     public void retire() {
         retired = true;
         closeIdle();
+        endWaiting();
     }
 
     private final class Connection implements Link.Events {
--- a/src/main/java/dappleseam/proxy/EventLoop.java
+++ b/src/main/java/dappleseam/proxy/EventLoop.java
@@ -157,22 +157,19 @@
         }
 
         private void opened(StreamConnection connection) {
-            connection.setCloseListener(closed -> dialled--);
             if (over) {
                 IoUtils.safeClose(connection);
                 return;
             }
             over = true;
+            connection.setCloseListener(closed -> dialled--);
             timeout.callOff();
             up.accept(connection);
         }
 
         private void fail(String cause) {
             if (!over) {
-                over = true;
-                timeout.callOff();
-                dialled--;
-                future.cancel();
+                callOff();
                 failed.accept(cause);
             }
         }
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -2,13 +2,14 @@
 
 import dappleseam.clients.Owed;
 import dappleseam.clients.Queries;
-import dappleseam.list.Listed;
 import dappleseam.list.ListReader;
 import dappleseam.list.ListWatch;
+import dappleseam.list.Listed;
 import dappleseam.list.NodeList;
 import dappleseam.origin.Origin;
 import dappleseam.query.Backend;
 import dappleseam.query.Command;
+import dappleseam.query.Connections;
 import dappleseam.query.Ending;
 import dappleseam.query.Execution;
 import dappleseam.query.Reached;
@@ -22,13 +23,12 @@
 import dappleseam.router.Router;
 import dappleseam.router.TimerId;
 import dappleseam.servers.CacheNode;
-import dappleseam.servers.Connections;
 import dappleseam.site.Post;
 import dappleseam.site.Site;
 import dappleseam.wire.Loop;
 import java.io.IOException;
-import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.lang.System.Logger;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -193,6 +193,9 @@
             }
             Backend backend = peer == null || moved ? backend(m, entry.endpoint()) : peer.backend;
             peers.put(m.node(), new Peer(entry.endpoint(), m.state(), backend));
+            if (m.state() == Member.State.DRAINING) {
+                backend.endWaiting();
+            }
         }
     }
 
--- a/src/main/java/dappleseam/query/Backend.java
+++ b/src/main/java/dappleseam/query/Backend.java
@@ -10,6 +10,9 @@
     /** Closes the connections that carry nothing. */
     void closeIdle();
 
+    /** Ends what still waits for a connection: it must not begin at a node that drains. */
+    void endWaiting();
+
     /** Takes nothing new, and closes each connection once it carries nothing. */
     void retire();
 }
--- a/src/main/java/dappleseam/servers/Connections.java
+++ b/src/main/java/dappleseam/query/Connections.java
@@ -1,4 +1,4 @@
-package dappleseam.servers;
+package dappleseam.query;
 
 /**
  * What a deployment allows of connections: commands on one at once, how many there are to be before
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -2,6 +2,7 @@
 
 import dappleseam.query.Backend;
 import dappleseam.query.Command;
+import dappleseam.query.Connections;
 import dappleseam.query.Ending;
 import dappleseam.query.Execution;
 import dappleseam.query.Reached;
@@ -83,13 +84,18 @@
         }
     }
 
+    @Override
+    public void endWaiting() {
+        for (Connection c : List.copyOf(open)) {
+            c.endWaiting("the node drains or is gone");
+        }
+    }
+
     @Override
     public void retire() {
         retired = true;
         closeIdle();
-        for (Connection c : List.copyOf(open)) { // what waits for a connection must not start after the grace
-            c.endWaiting("the node is gone");
-        }
+        endWaiting();
     }
 
     private record Sent(Execution execution, long endsAt) {}
