--- a/src/main/java/dappleseam/drill/Exchange.java
+++ b/src/main/java/dappleseam/drill/Exchange.java
@@ -24,7 +24,6 @@
     private static final double MS_PER_S = 1000;
     private static final int RECORD_HEADER = 5;
     private static final int WRITE_BIT = 4;
-    private static final float[] NO_REPORT = {};
     private static final Outcome[] ENDINGS = {
         Outcome.ERRED, Outcome.FULL, Outcome.TIMED_OUT, Outcome.CONNECT_FAILED, Outcome.RESET,
         Outcome.CANCELLED, Outcome.UNSENT
@@ -141,10 +140,9 @@
                 Outcome outcome = outcome(in.getShort() & 0xFFFF);
                 double tookMs = in.getDouble() * MS_PER_S;
                 boolean finished = in.get() != 0;
-                int note = in.get();
-                float[] report = report(in);
-                return () -> router.executionEnded(
-                        nowMs, query, execution, outcome, tookMs, finished, note, report);
+                in.get();
+                skipReport(in);
+                return () -> router.executionEnded(nowMs, query, execution, outcome, tookMs, finished);
             }
             case 6: {
                 QueryId query = query(in);
@@ -158,7 +156,7 @@
                 node(in);
                 in.getShort();
                 in.getDouble();
-                report(in);
+                skipReport(in);
                 return () -> { }; // no probe is ever sent
             }
             default: {
@@ -210,16 +208,10 @@
         return new NodeId(address | (in.getShort() & 0xFFFFL) << 32);
     }
 
-    private static float[] report(ByteBuffer in) {
-        int count = in.get() & 0xFF;
-        if (count == 0) {
-            return NO_REPORT;
+    private static void skipReport(ByteBuffer in) {
+        for (int left = in.get() & 0xFF; left > 0; left--) {
+            in.getFloat();
         }
-        float[] values = new float[count];
-        for (int i = 0; i < count; i++) {
-            values[i] = in.getFloat();
-        }
-        return values;
     }
 
     private static byte[] bytes(ByteBuffer in, int count) {
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -43,7 +43,6 @@
 /** Between the router and the peers: holds the queries taken, and does what the router decides. */
 final class Proxy implements Host, Queries {
     private static final Logger LOG = System.getLogger(Proxy.class.getName());
-    private static final float[] NO_REPORT = {};
     /** Time in ms by which an answer goes out before the client stops waiting for it. */
     private static final double LAST_HOP_MS = 10;
     /** Time in ms past that at which a query the router forgot is aborted; it guards rule 1. */
@@ -348,7 +347,7 @@
         }
         tell(() -> {
             router.executionEnded(loop.nowMs(), execution.query, execution.number, ending.outcome(), took,
-                    taken.answered, 0, NO_REPORT);
+                    taken.answered);
             taken.out--;
             freeIfOver(execution.query, taken);
         });
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -455,7 +455,7 @@
     }
 
     public void executionEnded(double nowMs, QueryId id, int execution, Outcome outcome, double tookMs,
-                               boolean finished, int note, float[] report) {
+                               boolean finished) {
         now = nowMs;
         Query q = queries.get(id);
         if (q == null || execution >= q.execs.size() || q.execs.get(execution).ended) {
--- a/src/test/java/dappleseam/router/OneProxy.java
+++ b/src/test/java/dappleseam/router/OneProxy.java
@@ -9,7 +9,6 @@
     static final ServiceGrade READ = grade(ServiceGrade.Repeat.IDEMPOTENT, ServiceGrade.Group.ALL);
     static final int ORIGIN_MODEL = 9;
     static final NodeId ORIGIN = new NodeId(99);
-    static final float[] NO_REPORT = {};
 
     final List<String> done = new ArrayList<>();
     final List<NodeId> sentTo = new ArrayList<>();
@@ -77,8 +76,7 @@
     }
 
     void ended(double at, int id, int execution, Outcome outcome, double took) {
-        router.executionEnded(at, new QueryId(id), execution, outcome, took, outcome == Outcome.COMPLETED, 0,
-                NO_REPORT);
+        router.executionEnded(at, new QueryId(id), execution, outcome, took, outcome == Outcome.COMPLETED);
     }
 
     NodeId last() {
