--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -6,6 +6,7 @@
 import dappleseam.query.Ending;
 import dappleseam.query.Execution;
 import dappleseam.query.Reached;
+import dappleseam.query.Slots;
 import dappleseam.router.Outcome;
 import dappleseam.wire.Chain;
 import dappleseam.wire.HttpReader;
@@ -14,8 +15,6 @@
 import dappleseam.wire.Progress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
 import org.xnio.StreamConnection;
 
 /** The origin, over HTTP/1.1: one exchange at a time on each connection. */
@@ -27,7 +26,7 @@
     private final Loop loop;
     private final InetSocketAddress endpoint;
     private final Connections limits;
-    private final List<Connection> open = new ArrayList<>();
+    private final Slots<Connection> open = new Slots<>();
     private boolean retired;
 
     public Origin(Loop loop, InetSocketAddress endpoint, Connections limits) {
@@ -38,23 +37,19 @@
 
     @Override
     public void begin(Execution execution) {
-        for (int i = open.size() - 1; i >= 0; i--) { // the one used last: the others may fall idle
-            Connection c = open.get(i);
+        for (Connection c : open.all()) { // always the first that is free, so that the last ones fall idle
             if (c.current == null) {
-                open.remove(i);
-                open.add(c);
                 c.send(execution);
                 return;
             }
         }
         Connection c = new Connection(execution);
-        open.add(c);
         c.dialling = loop.dial(endpoint, limits.connectTimeoutMs(), c::up, c::failed);
     }
 
     @Override
     public Reached giveUp(Execution execution) {
-        for (Connection c : open) {
+        for (Connection c : open.all()) {
             if (c.current == execution) {
                 Reached reached = c.reached();
                 c.current = null;
@@ -67,7 +62,7 @@
 
     @Override
     public void closeIdle() {
-        for (Connection c : List.copyOf(open)) {
+        for (Connection c : open.all()) {
             if (c.current == null) {
                 c.close();
             }
@@ -76,7 +71,7 @@
 
     @Override
     public void endWaiting() {
-        for (Connection c : List.copyOf(open)) {
+        for (Connection c : open.all()) {
             if (c.link == null) {
                 c.close();
                 c.end(Ending.broken(Reached.NOT_WHOLE, "the origin drains or is gone"));
@@ -95,6 +90,7 @@
         private final HttpReader reader = new HttpReader(loop.pool(), LONGEST_BODY);
         private Loop.Deadline dialling = () -> { };
         private Loop.Deadline closing = () -> { };
+        private final int slot = open.put(this);
         private Link link;
         private Execution current;
         private long endsAt;
@@ -110,7 +106,7 @@
         }
 
         private void failed(String cause) {
-            open.remove(this);
+            open.free(slot);
             end(Ending.broken(Reached.NOT_WHOLE, cause));
         }
 
@@ -186,7 +182,7 @@
             dialling.callOff();
             closing.callOff();
             reader.release();
-            open.remove(this);
+            open.free(slot);
             if (link != null) {
                 link.close();
             }
--- a/src/main/java/dappleseam/query/Slots.java
+++ b/src/main/java/dappleseam/query/Slots.java
@@ -1,5 +1,6 @@
 package dappleseam.query;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -13,26 +14,21 @@
 
     private final List<T> held = new ArrayList<>();
     private final List<Integer> numbers = new ArrayList<>();
-    private final int[] free = new int[MOST];
-    private int freeCount;
-    private int used;
+    private final ArrayDeque<Integer> free = new ArrayDeque<>();
 
     /** Whether there is no slot left, of the table's or of as many as {@code most}. */
     public boolean isFull(int most) {
-        return used >= Math.min(most, MOST);
+        return used() >= Math.min(most, MOST);
     }
 
     public int put(T value) {
-        int index;
-        if (freeCount > 0) {
-            index = free[--freeCount];
-        } else {
-            index = held.size();
+        if (free.isEmpty()) {
+            free.addLast(held.size());
+            numbers.add(held.size());
             held.add(null);
-            numbers.add(index);
         }
+        int index = free.pollLast();
         held.set(index, value);
-        used++;
         return numbers.get(index);
     }
 
@@ -46,16 +42,22 @@
             int index = number & MOST - 1;
             held.set(index, null);
             numbers.set(index, number + MOST);
-            free[freeCount++] = index;
-            used--;
+            free.addLast(index);
         }
     }
 
     public int used() {
-        return used;
+        return held.size() - free.size();
     }
 
+    /** What is held now, in the order of the slots; the table may change while it is walked. */
     public List<T> all() {
-        return held.stream().filter(value -> value != null).toList();
+        List<T> all = new ArrayList<>(used());
+        for (T value : held) {
+            if (value != null) {
+                all.add(value);
+            }
+        }
+        return all;
     }
 }
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -6,6 +6,7 @@
 import dappleseam.query.Ending;
 import dappleseam.query.Execution;
 import dappleseam.query.Reached;
+import dappleseam.query.Slots;
 import dappleseam.router.Outcome;
 import dappleseam.wire.Chain;
 import dappleseam.wire.Link;
@@ -17,8 +18,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.List;
 import org.xnio.StreamConnection;
 
 /** One cache node and this proxy's connections to it, on which commands are answered in order. */
@@ -33,7 +32,7 @@
     private final Loop loop;
     private final InetSocketAddress endpoint;
     private final Connections limits;
-    private final List<Connection> open = new ArrayList<>();
+    private final Slots<Connection> open = new Slots<>();
     private boolean retired;
 
     public CacheNode(Loop loop, InetSocketAddress endpoint, Connections limits) {
@@ -45,14 +44,13 @@
     @Override
     public void begin(Execution execution) {
         Connection best = null;
-        for (Connection c : open) {
+        for (Connection c : open.all()) {
             if (c.hasRoom() && (best == null || c.load() < best.load())) {
                 best = c;
             }
         }
         if (best == null || best.load() >= limits.commandsWanted() && loop.mayDial()) {
             best = new Connection();
-            open.add(best);
             best.waiting.add(execution);
             best.dial();
         } else {
@@ -62,7 +60,7 @@
 
     @Override
     public Reached giveUp(Execution execution) {
-        for (Connection c : List.copyOf(open)) {
+        for (Connection c : open.all()) {
             if (c.waiting.remove(execution)) {
                 return Reached.NOT_WHOLE;
             }
@@ -77,7 +75,7 @@
 
     @Override
     public void closeIdle() {
-        for (Connection c : List.copyOf(open)) {
+        for (Connection c : open.all()) {
             if (c.link != null && c.load() == 0) {
                 c.close();
             }
@@ -86,7 +84,7 @@
 
     @Override
     public void endWaiting() {
-        for (Connection c : List.copyOf(open)) {
+        for (Connection c : open.all()) {
             c.endWaiting("the node drains or is gone");
         }
     }
@@ -106,6 +104,7 @@
         /** Written and not answered, in order. */
         final ArrayDeque<Sent> sent = new ArrayDeque<>();
         private final RespReader reader = new RespReader(loop.pool(), LONGEST_BULK);
+        private final int slot = open.put(this);
         private Link link;
         /** Closes the connection unless something happens. */
         private Loop.Deadline closing = () -> { };
@@ -136,7 +135,7 @@
         }
 
         private void failed(String cause) {
-            open.remove(this);
+            open.free(slot);
             broken(cause);
         }
 
@@ -245,7 +244,7 @@
         void close() {
             closing.callOff();
             reader.release();
-            open.remove(this);
+            open.free(slot);
             link.close();
         }
 
