--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -130,8 +130,15 @@
         Sockets.Told second = sockets.cache.next();
         assertThat(second.from()).isSameAs(first.from());
         leaving.socket.close();
-        first.answer(hit("for nobody") + hit("mine"));
+        Sockets.Client third = sockets.client();
+        for (int i = 0; i < 2; i++) { // after two rounds of the loop it has seen the connection's end
+            third.send("PING");
+            assertThat(third.answer()).isEqualTo("+PONG");
+        }
+        first.answer(MISS + hit("mine"));
         assertThat(staying.answer()).isEqualTo("mine");
+        staying.send("C.SET", "00000000000000cc", "id3", "c=put,d=9000", "v");
+        assertThat(sockets.origin.next().words()).contains("X-Correlation-Id: id3");
     }
 
     /** Guards rule 1: a cache that says nothing costs the query no answer. */
@@ -195,6 +202,18 @@
         assertThat(sockets.program.exitValue()).isZero();
     }
 
+    /** Guards rule 1 at a planned restart: what nobody answers is aborted before the platform kills. */
+    @Test
+    void whatCannotEndIsAbortedBeforeTheKill() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=19000");
+        sockets.cache.next();
+        sockets.program.destroy();
+        assertThat(client.answer()).startsWith("-ERR");
+        assertThat(sockets.program.waitFor(Sockets.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(sockets.program.exitValue()).isZero();
+    }
+
     /** Guards rule 2 where no two executions may be out together: the one given up ends with its connection. */
     @Test
     void givingUpClosesTheConnectionWhereCopiesAreBarred() throws Exception {
