Name a faulty address at the start, and keep the libraries' chatter out of the log

A faulty entry of the known list ended the start half done, with the line that it serves: the I/O thread's exception was caught only where it was about input and output (Serve.call).

--- a/src/main/java/dappleseam/list/ListReader.java
+++ b/src/main/java/dappleseam/list/ListReader.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import dappleseam.router.Member;
 import dappleseam.router.NodeId;
+import dappleseam.wire.Address;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -54,16 +55,20 @@
             default -> Member.State.GONE;
         };
         String zone = entry.path("az").asText();
-        return new Listed(uid, new Member(new NodeId(hash(uid)), state, machines.indexOf(entry.path("model").asText()),
+        int machine = machines.indexOf(entry.path("model").asText());
+        return new Listed(uid, new Member(new NodeId(hash(uid)), state, machine,
                 entry.path("pod_group").asInt(), zones.computeIfAbsent(zone, z -> zones.size()),
                 entry.path("capacity_hint").asDouble(1), entry.path("boot_ms").asDouble()),
                 address(entry.path("endpoint").asText()));
     }
 
-    private static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return colon < 1 ? null
-                : new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    /** What is gone needs no address. */
+    private static InetSocketAddress address(String text) throws IOException {
+        try {
+            return text.isEmpty() ? null : Address.parse(text);
+        } catch (IllegalArgumentException e) {
+            throw new IOException("list: endpoint is " + e.getMessage());
+        }
     }
 
     /** FNV-1a: the same at every proxy, which the address is not. */
--- a/src/main/java/dappleseam/proxy/BackgroundLog.java
+++ b/src/main/java/dappleseam/proxy/BackgroundLog.java
@@ -19,6 +19,8 @@
 final class BackgroundLog extends Handler {
     private static final int MOST_LINES = 1000;
     private static final BackgroundLog INSTANCE = new BackgroundLog();
+    /** Held here, as the platform forgets a logger, and its level, that nobody holds. */
+    private static final Logger LIBRARIES = Logger.getLogger("org");
 
     private final ArrayBlockingQueue<String> lines = new ArrayBlockingQueue<>(MOST_LINES);
     private final Formatter texts = new SimpleFormatter();
@@ -29,7 +31,7 @@
     static void start() {
         LogManager.getLogManager().reset();
         Logger.getLogger("").addHandler(INSTANCE);
-        Logger.getLogger("org").setLevel(Level.WARNING);
+        LIBRARIES.setLevel(Level.WARNING);
         Thread writer = new Thread(INSTANCE::write, "log");
         writer.setDaemon(true);
         writer.start();
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -63,14 +63,14 @@
                 .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.THREAD_DAEMON, true).getMap());
         int forPeers = (int) (SHARE_FOR_PEERS * (post.descriptors() - OWN_DESCRIPTORS));
         CountDownLatch begun = new CountDownLatch(1);
-        IOException[] fault = new IOException[1];
+        Exception[] fault = new Exception[1];
         worker.getIoThread().execute(() -> {
             try {
                 loop = new EventLoop(worker.getIoThread(), new BufferPool(BUFFERS), forPeers);
                 proxy = new Proxy(loop, post);
                 front = new ClientFront(loop, proxy, post.descriptors() - OWN_DESCRIPTORS - forPeers);
                 front.listen(worker, post.listen());
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException e) {
                 fault[0] = e;
             } finally {
                 begun.countDown();
--- a/src/main/java/dappleseam/query/Command.java
+++ b/src/main/java/dappleseam/query/Command.java
@@ -25,7 +25,8 @@
     public String factsWaiting(long waitMs) {
         StringBuilder changed = new StringBuilder();
         for (String pair : facts.split(",")) {
-            changed.append(changed.length() == 0 ? "" : ",").append(pair.startsWith("d=") ? "d=" + waitMs : pair);
+            changed.append(changed.length() == 0 ? "" : ",");
+            changed.append(pair.startsWith("d=") ? "d=" + waitMs : pair);
         }
         return changed.toString();
     }
--- a/src/main/java/dappleseam/site/SiteReader.java
+++ b/src/main/java/dappleseam/site/SiteReader.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import dappleseam.router.Deployment;
 import dappleseam.router.ServiceGrade;
+import dappleseam.wire.Address;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -138,11 +139,10 @@
 
     private static InetSocketAddress address(JsonNode root, String name) {
         String text = need(root, "", name).asText();
-        int colon = text.lastIndexOf(':');
         try {
-            return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-        } catch (RuntimeException e) {
-            throw new FaultySettingException(name, "is not an address and a port: " + text);
+            return Address.parse(text);
+        } catch (IllegalArgumentException e) {
+            throw new FaultySettingException(name, "is " + e.getMessage());
         }
     }
 
--- a/src/test/java/dappleseam/list/ListReaderTest.java
+++ b/src/test/java/dappleseam/list/ListReaderTest.java
@@ -37,6 +37,8 @@
     @Test
     void whatIsNoListIsToldApart() {
         assertThatThrownBy(() -> read("{\"rev\":1}")).isInstanceOf(IOException.class);
+        assertThatThrownBy(() -> read(list("s-1", "nowhere"))).isInstanceOf(IOException.class)
+                .hasMessageContaining("nowhere");
         assertThatThrownBy(() -> read("<html>")).isInstanceOf(IOException.class);
         assertThatThrownBy(() -> read("{\"rev\":1,\"targets\":[{}]}")).isInstanceOf(IOException.class);
     }
