--- a/src/main/java/dappleseam/wire/HttpReader.java
+++ b/src/main/java/dappleseam/wire/HttpReader.java
@@ -41,10 +41,6 @@
         return part != Part.TO_THE_END && !header("connection").equalsIgnoreCase("close");
     }
 
-    public boolean isBetweenMessages() {
-        return part == Part.STATUS && line.length() == 0;
-    }
-
     /** The body of the answer that is done; the caller releases it. The next answer may then be read. */
     public Chain takeBody() {
         Chain done = body;
