Make one of what the network code wrote more than once

The two parsers' reading of digits, the share of the idle time at caches and origin, the final answer of a rejected and an aborted query, and how a cache's connection ends.

--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -20,8 +20,6 @@
 /** The origin, over HTTP/1.1: one exchange at a time on each connection. */
 public final class Origin implements Backend {
     private static final long LONGEST_BODY = 65 << 10;
-    /** Share of the origin's own idle time after which a connection is closed, before the origin does. */
-    private static final double IDLE_SHARE = 0.7;
 
     private final Loop loop;
     private final InetSocketAddress endpoint;
@@ -157,7 +155,7 @@
             Execution done = current;
             current = null;
             if (staysOpen) {
-                closing = loop.at(loop.nowMs() + IDLE_SHARE * limits.idleCloseMs(), this::close);
+                closing = loop.at(loop.nowMs() + limits.retireMs(), this::close);
             } else {
                 close();
             }
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -27,8 +27,8 @@
 import dappleseam.site.Site;
 import dappleseam.wire.Loop;
 import java.io.IOException;
-import java.lang.System.Logger.Level;
 import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -37,12 +37,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
 /** Between the router and the peers: holds the queries taken, and does what the router decides. */
 final class Proxy implements Host, Queries {
     private static final Logger LOG = System.getLogger(Proxy.class.getName());
+    /** The answer of an aborted query. */
+    private static final String FAILED = "-ERR failed";
     /** Time in ms by which an answer goes out before the client stops waiting for it. */
     private static final double LAST_HOP_MS = 10;
     /** Time in ms past that at which a query the router forgot is aborted; it guards rule 1. */
@@ -119,7 +122,7 @@
         for (Taken taken : queries.all()) {
             if (!taken.answered) {
                 answered(taken);
-                taken.owed.line("-ERR failed");
+                taken.owed.line(FAILED);
             }
         }
     }
@@ -220,13 +223,14 @@
     public QueryId take(Command command, Owed owed) {
         int grade = site.gradeNames().indexOf(command.fact("c"));
         double waits = waits(command, grade);
-        if (grade < 0 || waits <= 0 || queries.isFull(site.mostHeld())) {
+        if (grade < 0 || waits <= 0) {
             command.release();
-            if (grade < 0 || waits <= 0) {
-                owed.line("-ERR malformed list of names and values");
-            } else {
-                owed.busy(site.deployment().maxRetryAfterMs() > 0 ? TABLE_FULL_MS : 0);
-            }
+            owed.line("-ERR malformed list of names and values");
+            return null;
+        }
+        if (queries.isFull(site.mostHeld())) {
+            command.release();
+            owed.busy(site.deployment().maxRetryAfterMs() > 0 ? TABLE_FULL_MS : 0);
             return null;
         }
         double left = Math.max(1, waits - LAST_HOP_MS);
@@ -264,10 +268,8 @@
         Taken taken = queries.get(id.value());
         if (taken != null && !taken.answered) {
             LOG.log(Level.ERROR, "query {0} had no answer at its statement timeout", taken.command.id());
-            answered(taken);
-            taken.owed.line("-ERR failed");
-            tell(() -> router.clientLeft(loop.nowMs(), id));
-            freeIfOver(id, taken);
+            taken.owed.line(FAILED);
+            clientLeft(id);
         }
     }
 
@@ -355,20 +357,19 @@
 
     @Override
     public void reject(QueryId id, double retryAfterMs) {
-        Taken taken = queries.get(id.value());
-        if (taken != null && !taken.answered) {
-            answered(taken);
-            taken.owed.busy(retryAfterMs);
-            tell(() -> freeIfOver(id, taken));
-        }
+        answer(id, owed -> owed.busy(retryAfterMs));
     }
 
     @Override
     public void abort(QueryId id) {
+        answer(id, owed -> owed.line(FAILED));
+    }
+
+    private void answer(QueryId id, Consumer<Owed> last) {
         Taken taken = queries.get(id.value());
         if (taken != null && !taken.answered) {
             answered(taken);
-            taken.owed.line("-ERR failed");
+            last.accept(taken.owed);
             tell(() -> freeIfOver(id, taken));
         }
     }
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -24,8 +24,6 @@
 public final class CacheNode implements Backend {
     /** Bytes of the longest answer: a value and some. */
     private static final int LONGEST_BULK = 65 << 10;
-    /** Share of the node's own idle time after which a connection is closed, before the node does. */
-    private static final double IDLE_SHARE = 0.7;
     /** Time in ms that a connection may owe only answers nobody waits for; then it is taken for dead. */
     private static final double STUCK_MS = 5000;
 
@@ -149,8 +147,7 @@
                 write(e.command, Math.max(1, Math.round(e.waitUntil - loop.nowMs())), link.out());
             } catch (RuntimeException fault) { // half a command must not be followed by another
                 sent.add(new Sent(e, Long.MAX_VALUE));
-                close();
-                broken("fault: " + fault);
+                ended("fault: " + fault);
                 return;
             }
             sent.add(new Sent(e, link.queued()));
@@ -192,8 +189,7 @@
             while (bytes.hasRemaining() && !link.isClosed()) {
                 Progress progress = reader.read(bytes);
                 if (progress == Progress.BAD) {
-                    close();
-                    broken("not RESP");
+                    ended("not RESP");
                 } else if (progress == Progress.DONE) {
                     answered(reader.take());
                 }
@@ -231,7 +227,7 @@
             if (retired) {
                 close();
             } else {
-                closing = loop.at(loop.nowMs() + IDLE_SHARE * limits.idleCloseMs(), this::closeIfForgotten);
+                closing = loop.at(loop.nowMs() + limits.retireMs(), this::closeIfForgotten);
             }
         }
 
--- a/src/main/java/dappleseam/wire/HttpReader.java
+++ b/src/main/java/dappleseam/wire/HttpReader.java
@@ -112,7 +112,7 @@
         if (!text.startsWith("HTTP/1.") || text.length() < 12) {
             return Progress.BAD;
         }
-        status = (int) number(text.substring(9, 12), 10, 999);
+        status = (int) Digits.read(text.substring(9, 12), 10, 999);
         part = Part.HEADERS;
         return status < 100 ? Progress.BAD : Progress.MORE;
     }
@@ -146,7 +146,7 @@
             left = longestBody + 1;
             return Progress.MORE;
         }
-        left = number(length, 10, longestBody);
+        left = Digits.read(length, 10, longestBody);
         part = Part.BODY;
         return left < 0 ? Progress.BAD : left == 0 ? Progress.DONE : Progress.MORE;
     }
@@ -154,21 +154,11 @@
     private Progress chunkSize(String text) {
         int semicolon = text.indexOf(';');
         String digits = semicolon < 0 ? text : text.substring(0, semicolon);
-        left = number(digits.strip(), 16, longestBody - body.size());
+        left = Digits.read(digits.strip(), 16, longestBody - body.size());
         part = left == 0 ? Part.TRAILERS : Part.CHUNK;
         return left < 0 ? Progress.BAD : Progress.MORE;
     }
 
-    /** The number from 0 to {@code most}; -1 for anything else. */
-    private static long number(String digits, int radix, long most) {
-        if (digits.isEmpty() || digits.length() > 9
-                || !digits.chars().allMatch(c -> Character.digit(c, radix) >= 0)) {
-            return -1;
-        }
-        long number = Long.parseLong(digits, radix);
-        return number <= most ? number : -1;
-    }
-
     public void release() {
         body.release();
     }
--- a/src/main/java/dappleseam/wire/RespReader.java
+++ b/src/main/java/dappleseam/wire/RespReader.java
@@ -124,11 +124,8 @@
         if (digits.equals("-1")) {
             return -1;
         }
-        if (digits.isEmpty() || digits.length() > 9 || !digits.chars().allMatch(c -> c >= '0' && c <= '9')) {
-            return -2;
-        }
-        int number = Integer.parseInt(digits);
-        return number <= most ? number : -2;
+        int number = (int) Digits.read(digits, 10, most);
+        return number < 0 ? -2 : number;
     }
 
     /** Gives back what a message cut short holds. */
