Keep serving under silent clients, spoilt answers and SIGHUP

Silent ones and half commands now end after 2.2 s, idle ones after 5 s, and at the limit the least useful makes way.

Now only three bulk strings, -ERR and -BUSY count, a connection is looked at before it is used again, a spoilt answer is an error and no strike, and each command has a connection while descriptors last, so that nothing waits behind it.

SIGHUP ended the JVM by default: the file is read again and the list watch moves; a bad file changes nothing. An id that is open is not taken again, a d that is no plain number is an error.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -10,6 +10,7 @@
 import dappleseam.wire.RespReader;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Locale;
 import java.util.regex.Pattern;
 import org.xnio.StreamConnection;
@@ -23,12 +24,20 @@
     private static final long MOST_UNREAD = 128 << 10;
     /** Time in ms without a byte taken after which a client has gone: well past any statement timeout. */
     private static final double STALL_MS = 20_000;
+    /** Time in ms for the first command, and for the rest of one that has begun: no honest client takes as long. */
+    private static final double SILENT_MS = 2200;
+    /** Time in ms without a query open after which a client that has asked before is closed. */
+    private static final double IDLE_MS = 5000;
     /** Time in ms after which buffers are looked for again. */
     private static final double BUFFERS_AGAIN_MS = 20;
     /** What may go on into a path or a header. */
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._~:-]{1,128}");
     private static final Pattern FACTS = Pattern.compile("[!-+\\--~]+(,[!-+\\--~]+)*");
     private static final int LONGEST_FACTS = 1024;
+    /** Which to keep rather, the later ones: silent, idle, in the middle of a command; then by time. */
+    static final Comparator<ClientConnection> BY_USE =
+            Comparator.comparing(ClientConnection::isIdle).reversed().thenComparing(c -> c.hasAsked)
+                    .thenComparingDouble(c -> c.quietSince);
 
     private final Loop loop;
     private final Queries queries;
@@ -37,6 +46,12 @@
     private final Link link;
     private final ArrayDeque<Owed> owed = new ArrayDeque<>();
     private Loop.Deadline stallWatch;
+    private Loop.Deadline silence = () -> { };
+    /** When the last answer was written, at first when the connection came. */
+    private double quietSince;
+    /** When the command began that is not whole yet. */
+    private double begunAt;
+    private boolean hasAsked;
     private boolean paused;
     /** Nothing more is taken; the connection ends once what is owed is written. */
     private boolean last;
@@ -47,20 +62,56 @@
         this.whenClosed = whenClosed;
         reader = new RespReader(loop.pool(), LONGEST_BULK);
         link = loop.link(connection, this);
+        quietSince = loop.nowMs();
     }
 
     void open() {
         link.resume();
         link.readable();
+        watchForSilence();
+    }
+
+    /** Guards the descriptors against clients that say nothing, or half a command and no more. */
+    private void watchForSilence() {
+        if (!link.isClosed()) {
+            double now = loop.nowMs();
+            silence = loop.at(Math.min(Math.max(silentAt(), now + SILENT_MS / 10), now + IDLE_MS), () -> {
+                link.readable();
+                if (!link.isClosed() && silentAt() <= loop.nowMs()) {
+                    closeSilent();
+                }
+                watchForSilence();
+            });
+        }
+    }
+
+    private double silentAt() {
+        return !reader.isBetweenMessages() ? begunAt + SILENT_MS
+                : !owesNothing() ? Double.POSITIVE_INFINITY : quietSince + (hasAsked ? IDLE_MS : SILENT_MS);
+    }
+
+    private void closeSilent() {
+        if (reader.isBetweenMessages()) {
+            close();
+        } else {
+            refuse("-ERR the command did not end in time");
+        }
+    }
+
+    /** Takes nothing more; ends the connection once this and what else is owed is written. */
+    private void refuse(String line) {
+        last = true;
+        reader.release();
+        oweOne().line(line);
     }
 
     @Override
     public void received(ByteBuffer bytes) {
         while (bytes.hasRemaining() && !last && !link.isClosed()) {
+            begunAt = reader.isBetweenMessages() ? loop.nowMs() : begunAt;
             Progress progress = reader.read(bytes);
             if (progress == Progress.BAD) {
-                last = true;
-                oweOne().line("-ERR Protocol error");
+                refuse("-ERR Protocol error");
             } else if (progress == Progress.DONE) {
                 command(reader.take());
             }
@@ -104,6 +155,7 @@
             one.line("-ERR malformed list of names and values");
         } else {
             Command command = new Command(key, id, facts, parts == 5 ? message.takeBulk(4) : null);
+            hasAsked = true;
             QueryId query = queries.take(command, one);
             one.belongsTo(query);
         }
@@ -119,7 +171,19 @@
     }
 
     boolean owesNothing() {
-        return owed.isEmpty() && link.out().size() == 0 && reader.isBetweenMessages();
+        return owed.isEmpty() && link.out().size() == 0;
+    }
+
+    private boolean isIdle() {
+        return owesNothing() && reader.isBetweenMessages();
+    }
+
+    /** Ends the connection, where nothing is owed on it, for one that is more likely to be of use. */
+    void makeWay() {
+        link.readable();
+        if (!link.isClosed() && owesNothing()) {
+            close();
+        }
     }
 
     /** Writes the answers whose turn has come. */
@@ -135,6 +199,7 @@
             return;
         }
         if (any) {
+            quietSince = loop.nowMs();
             link.flush();
             watchForStall();
         }
@@ -201,7 +266,7 @@
         if (!link.isClosed()) {
             link.readable(); // what is read now is answered; a close with it unread would lose it
         }
-        if (!link.isClosed() && owesNothing()) {
+        if (!link.isClosed() && isIdle()) {
             close();
         }
     }
@@ -212,6 +277,7 @@
     }
 
     private void gone() {
+        silence.callOff();
         reader.release();
         for (Owed one : owed) {
             one.release();
--- a/src/main/java/dappleseam/clients/ClientFront.java
+++ b/src/main/java/dappleseam/clients/ClientFront.java
@@ -17,6 +17,8 @@
 public final class ClientFront {
     private static final Logger LOG = System.getLogger(ClientFront.class.getName());
     private static final int BACKLOG = 512;
+    /** Connections kept free, where nothing is owed on some, for those that come next. */
+    private static final int KEPT_FREE = 8;
 
     private final Loop loop;
     private final Queries queries;
@@ -55,6 +57,7 @@
             IoUtils.safeClose(connection);
             return;
         }
+        makeRoom();
         int[] slot = new int[1];
         ClientConnection client =
                 new ClientConnection(loop, connection, queries, () -> connections.free(slot[0]));
@@ -62,6 +65,14 @@
         client.open();
     }
 
+    /** Guards honest clients against hundreds that connect and say nothing. */
+    private void makeRoom() {
+        if (connections.used() >= most - KEPT_FREE) {
+            connections.all().stream().filter(ClientConnection::owesNothing).min(ClientConnection.BY_USE)
+                    .ifPresent(ClientConnection::makeWay);
+        }
+    }
+
     /** Accepts no more. */
     public void stopListening() {
         IoUtils.safeClose(server);
--- a/src/main/java/dappleseam/list/ListWatch.java
+++ b/src/main/java/dappleseam/list/ListWatch.java
@@ -24,7 +24,7 @@
     private static final double AGAIN_MOST_MS = 2000;
 
     private final Loop loop;
-    private final InetSocketAddress service;
+    private InetSocketAddress service;
     private final ListReader lists;
     private final Consumer<NodeList> news;
     private final Consumer<String> failed;
@@ -57,6 +57,17 @@
         follow();
     }
 
+    /** Follows at another address from now on, from the version last heard; what was missed comes first. */
+    public void moveTo(InetSocketAddress other) {
+        if (!other.equals(service)) {
+            service = other;
+            if (call != null) {
+                call.end();
+            }
+            follow();
+        }
+    }
+
     private void begin(long holdMs) {
         call = new Call(holdMs);
         call.dial();
--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -36,7 +36,7 @@
     @Override
     public void begin(Execution execution) {
         for (Connection c : open.all()) { // always the first that is free, so that the last ones fall idle
-            if (c.current == null) {
+            if (c.current == null && c.isClean()) {
                 c.send(execution);
                 return;
             }
@@ -138,19 +138,32 @@
         @Override
         public void received(ByteBuffer bytes) {
             Progress progress = reader.read(bytes);
-            if (progress == Progress.BAD || current == null || bytes.hasRemaining()) {
+            if (progress == Progress.BAD || current == null) {
+                boolean whole = reached() == Reached.WHOLE;
                 close();
-                end(Ending.erred("not an answer in HTTP"));
+                end(whole ? Ending.erred("not an answer in HTTP")
+                        : Ending.broken(Reached.NOT_WHOLE, "an answer ahead of its query"));
             } else if (progress == Progress.DONE) {
-                answered();
+                answered(!bytes.hasRemaining());
             }
         }
 
-        private void answered() {
+        /** Guards the next query against what came behind the last answer, or an end nobody has read yet. */
+        boolean isClean() {
+            if (link.isQuiet()) {
+                return true;
+            }
+            close();
+            return false;
+        }
+
+        /** Where the answer is not {@code clean}, more came than belongs to it: it counts, the connection ends. */
+        private void answered(boolean clean) {
             boolean completed = reader.status() == 200;
-            Ending failure = reader.header("x-unprocessed").equals("1") ? Ending.of(Outcome.FULL)
-                    : Ending.erred("status " + reader.status());
-            boolean staysOpen = reader.staysOpen() && !retired;
+            boolean neverRan = reader.header("x-unprocessed").equals("1")
+                    && (reader.status() == 503 || reader.status() == 504);
+            Ending failure = neverRan ? Ending.of(Outcome.FULL) : Ending.erred("status " + reader.status());
+            boolean staysOpen = clean && reader.staysOpen() && !retired;
             Chain body = reader.takeBody();
             Execution done = current;
             current = null;
@@ -168,7 +181,7 @@
         @Override
         public void ended(String cause) {
             if (current != null && reader.endsBody()) {
-                answered();
+                answered(true);
                 return;
             }
             Reached reached = reached();
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -40,12 +40,15 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.regex.Pattern;
 
 /** Between the router and the peers: holds the queries taken, and does what the router decides. */
 final class Proxy implements Host, Queries {
     private static final Logger LOG = System.getLogger(Proxy.class.getName());
     /** The answer of an aborted query. */
     private static final String FAILED = "-ERR failed";
+    /** A time in ms as clients write it. */
+    private static final Pattern MS = Pattern.compile("\\d{1,7}(\\.\\d{1,6})?");
     /** Time in ms by which an answer goes out before the client stops waiting for it. */
     private static final double LAST_HOP_MS = 10;
     /** Time in ms past that at which a query the router forgot is aborted; it guards rule 1. */
@@ -63,6 +66,8 @@
     private final ListWatch watch;
     private final Map<NodeId, Peer> peers = new HashMap<>();
     private final Slots<Taken> queries = new Slots<>();
+    /** The ids of the queries that have no answer yet, as the clients gave them. */
+    private final Set<String> openIds = new HashSet<>();
     /** Told to the router one after the other: what it does may bring about the next. */
     private final ArrayDeque<Runnable> toTell = new ArrayDeque<>();
     private boolean telling;
@@ -96,10 +101,8 @@
         // Where two executions may never be out together, giving one up has to end its connection, and so
         // each has one of its own: a neighbour's would be reset with it.
         boolean together = site.deployment().parallelExecutions();
-        // Guards quick queries against waiting behind slow ones, where open connections cost nothing.
-        boolean share = together && site.deployment().openPrice() > 0;
-        connections = new Connections(together ? site.commandsAtOnce() : 1, share ? site.commandsAtOnce() : 1,
-                site.idleCloseMs(), site.connectTimeoutMs(), !together);
+        connections = new Connections(together ? site.commandsAtOnce() : 1, site.idleCloseMs(),
+                site.connectTimeoutMs(), !together);
         lists = new ListReader(site.machines(), site.zones());
         NodeList known = post.known().isObject() ? lists.read(post.known()) : new NodeList(0, true, List.of());
         RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(post.seed());
@@ -117,6 +120,11 @@
         return site.deployment().askEveryMs() == 0;
     }
 
+    /** A new configuration: of all it says, only the list's address may change while the proxy serves. */
+    void reloaded(Post post) {
+        watch.moveTo(post.listService());
+    }
+
     /** Answers at once what has no answer yet: this process is about to end. */
     void abortAll() {
         for (Taken taken : queries.all()) {
@@ -233,6 +241,11 @@
             owed.busy(site.deployment().maxRetryAfterMs() > 0 ? TABLE_FULL_MS : 0);
             return null;
         }
+        if (!openIds.add(command.id())) { // a second one of the name could be given the first one's answer
+            command.release();
+            owed.line("-ERR a query with this id is open");
+            return null;
+        }
         double left = Math.max(1, waits - LAST_HOP_MS);
         Taken taken = new Taken(command, owed, loop.nowMs() + left);
         QueryId id = new QueryId(queries.put(taken));
@@ -242,18 +255,11 @@
         return id;
     }
 
-    /** What {@code d} says, in ms; the statement timeout where it is missing, and -1 where it is no number. */
+    /** What {@code d} says, in ms, up to the statement timeout; -1 where it is missing or no plain number. */
     private double waits(Command command, int grade) {
         String text = command.fact("d");
-        if (text.isEmpty()) {
-            return grade < 0 ? -1 : site.statementTimeoutsMs().get(grade);
-        }
-        try {
-            double waits = Double.parseDouble(text);
-            return waits < 1e7 ? waits : -1;
-        } catch (NumberFormatException e) {
-            return -1;
-        }
+        return grade < 0 || !MS.matcher(text).matches() ? -1
+                : Math.min(Double.parseDouble(text), site.statementTimeoutsMs().get(grade));
     }
 
     private static Key key(String text) {
@@ -283,8 +289,9 @@
         }
     }
 
-    private static void answered(Taken taken) {
+    private void answered(Taken taken) {
         taken.answered = true;
+        openIds.remove(taken.command.id());
         taken.forgotten.callOff();
     }
 
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -18,6 +18,7 @@
 import org.xnio.XnioWorker;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import sun.misc.Signal;
 
 /** Runs one proxy on sockets until it is told to end. */
 @Command(name = "serve", mixinStandardHelpOptions = true, description = "Serve clients on sockets.")
@@ -28,7 +29,7 @@
     /** Descriptors that are no connection: the program's own files and its selectors. */
     private static final int OWN_DESCRIPTORS = 48;
     /** Share of the other descriptors that is kept for caches, origin and list. */
-    private static final double SHARE_FOR_PEERS = 0.4;
+    private static final double SHARE_FOR_PEERS = 0.5;
     /** Times in ms after SIGTERM: until no more connections are accepted, and between looks at who is idle. */
     private static final double ACCEPT_MORE_MS = 450;
     private static final double LOOK_AGAIN_MS = 10;
@@ -85,11 +86,23 @@
         if (check) {
             return 0;
         }
+        Signal.handle(new Signal("HUP"), signal -> reload(worker));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(worker)));
         ended.await();
         return 0;
     }
 
+    /** SIGHUP: reads the file again, on the signal's own thread. Guards service against a bad one: it changes nothing. */
+    private void reload(XnioWorker worker) {
+        try {
+            Post post = new SiteReader().readPost(config);
+            worker.getIoThread().execute(() -> proxy.reloaded(post));
+            LOG.log(Level.INFO, "configuration read again: the list is at {0}", post.listService());
+        } catch (FaultySettingException | IOException e) {
+            LOG.log(Level.WARNING, "configuration not taken: {0}", e.getMessage());
+        }
+    }
+
     /** SIGTERM: goes on for a little, answers all it has taken, and ends with status 0. */
     private void drain(XnioWorker worker) {
         LOG.log(Level.INFO, "told to end: answering what was taken");
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -18,12 +18,15 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.function.Function;
 import org.xnio.StreamConnection;
 
 /** One cache node and this proxy's connections to it, on which commands are answered in order. */
 public final class CacheNode implements Backend {
     /** Bytes of the longest answer: a value and some. */
     private static final int LONGEST_BULK = 65 << 10;
+    /** Bulk strings of an answer: the value, how it went, the load report. */
+    private static final int PARTS = 3;
     /** Time in ms that a connection may owe only answers nobody waits for; then it is taken for dead. */
     private static final double STUCK_MS = 5000;
 
@@ -43,11 +46,11 @@
     public void begin(Execution execution) {
         Connection best = null;
         for (Connection c : open.all()) {
-            if (c.hasRoom() && (best == null || c.load() < best.load())) {
+            if (c.hasRoom() && (best == null || c.load() < best.load()) && c.isClean()) {
                 best = c;
             }
         }
-        if (best == null || best.load() >= limits.commandsWanted() && loop.mayDial()) {
+        if (best == null || best.load() > 0 && loop.mayDial()) {
             best = new Connection();
             best.waiting.add(execution);
             best.dial();
@@ -117,6 +120,15 @@
                     && (sent.isEmpty() || !sent.peekFirst().execution.hasEnded());
         }
 
+        /** Guards the next query against what came behind the last answer, or an end nobody has read yet. */
+        boolean isClean() {
+            if (load() == 0 && link != null && !link.isQuiet()) {
+                close();
+                return false;
+            }
+            return true;
+        }
+
         void dial() {
             loop.dial(endpoint, limits.connectTimeoutMs(), this::up, this::failed);
         }
@@ -134,7 +146,7 @@
 
         private void failed(String cause) {
             open.free(slot);
-            broken(cause);
+            endWaiting(cause);
         }
 
         void send(Execution e) {
@@ -189,7 +201,7 @@
             while (bytes.hasRemaining() && !link.isClosed()) {
                 Progress progress = reader.read(bytes);
                 if (progress == Progress.BAD) {
-                    ended("not RESP");
+                    spoilt("not RESP");
                 } else if (progress == Progress.DONE) {
                     answered(reader.take());
                 }
@@ -200,22 +212,26 @@
         }
 
         private void answered(RespMessage message) {
-            Sent first = sent.poll();
-            if (first == null) {
+            Ending ending = sent.isEmpty() ? null : ending(message);
+            if (ending == null) { // more than was asked for, or no answer a node gives: what follows is as doubtful
                 message.release();
-                close();
+                spoilt("not an answer");
                 return;
             }
-            first.execution.end(ending(message));
+            sent.poll().execution.end(ending);
             message.release();
         }
 
+        /** Null for what is RESP and yet no answer to a command. */
         private static Ending ending(RespMessage message) {
-            if (message.sign == '*') {
+            if (message.sign == '*' && message.bulks.size() == PARTS) {
                 return message.bulk(0) == null ? Ending.of(Outcome.MISS) : Ending.completed(message.takeBulk(0));
             }
-            return message.isError() && message.line.startsWith("BUSY") ? Ending.of(Outcome.FULL)
-                    : Ending.erred(message.line);
+            if (!message.isError()) {
+                return null;
+            }
+            return message.line.equals("BUSY") ? Ending.of(Outcome.FULL)
+                    : message.line.startsWith("ERR ") ? Ending.erred(message.line) : null;
         }
 
         /** Retires a connection that carries nothing, now or before the node would close it. */
@@ -234,7 +250,15 @@
         @Override
         public void ended(String cause) {
             close();
-            broken(cause);
+            broken(whole -> Ending.broken(whole ? Reached.WHOLE : Reached.NOT_WHOLE, cause));
+            endWaiting(cause);
+        }
+
+        /** The node lives, and what was written whole may have run; what follows on the connection is as doubtful. */
+        private void spoilt(String cause) {
+            close();
+            broken(whole -> whole ? Ending.erred(cause) : Ending.broken(Reached.NOT_WHOLE, cause));
+            endWaiting(cause);
         }
 
         void close() {
@@ -244,13 +268,12 @@
             link.close();
         }
 
-        private void broken(String cause) {
+        /** Ends what is out, by whether it was written whole. */
+        private void broken(Function<Boolean, Ending> ending) {
             while (!sent.isEmpty()) {
                 Sent s = sent.poll();
-                boolean whole = link.written() >= s.endsAt;
-                s.execution.end(Ending.broken(whole ? Reached.WHOLE : Reached.NOT_WHOLE, cause));
+                s.execution.end(ending.apply(link.written() >= s.endsAt));
             }
-            endWaiting(cause);
         }
 
         void endWaiting(String cause) {
--- a/src/main/java/dappleseam/wire/HttpReader.java
+++ b/src/main/java/dappleseam/wire/HttpReader.java
@@ -122,8 +122,10 @@
         if (colon < 1) {
             return false;
         }
-        headers.put(text.substring(0, colon).toLowerCase(Locale.ROOT), text.substring(colon + 1).strip());
-        return true;
+        String name = text.substring(0, colon).toLowerCase(Locale.ROOT);
+        String value = text.substring(colon + 1).strip();
+        String before = headers.put(name, value);
+        return before == null || before.equals(value) || !name.equals("content-length"); // two lengths: neither holds
     }
 
     private Progress headDone() {
@@ -141,6 +143,9 @@
             return Progress.MORE;
         }
         String length = header("content-length");
+        if (length.isEmpty() && !header("connection").equalsIgnoreCase("close")) {
+            return Progress.BAD; // without a length or an announced end, part of a value would pass for the whole
+        }
         if (length.isEmpty()) {
             part = Part.TO_THE_END;
             left = longestBody + 1;
--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -97,7 +97,16 @@
         events.drained();
     }
 
-    /** Reads what is there now, without waiting to be told. */
+    /** Whether nothing has come, not even an end, on a connection on which nothing is due; what has, is lost. */
+    public boolean isQuiet() {
+        try {
+            return !closed && source.read(ByteBuffer.allocate(1)) == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Reads what is there now, without waiting to be told; not while another connection's bytes are handled. */
     public void readable() {
         for (int i = 0; i < READS && !closed; i++) {
             int count;
--- a/src/main/java/dappleseam/wire/RespReader.java
+++ b/src/main/java/dappleseam/wire/RespReader.java
@@ -5,7 +5,9 @@
 /** Reads RESP2 as its bytes come: lines, bulk strings, and arrays of bulk strings, all bounded. */
 public final class RespReader {
     private static final int LONGEST_LINE = 512;
-    private static final int LONGEST_ARRAY = 16;
+    private static final int LONGEST_ARRAY = 8;
+    /** Bytes that a message may hold beside its longest bulk string. */
+    private static final int LONGEST_REST = 8 << 10;
 
     private final BufferPool pool;
     private final int longestBulk;
@@ -13,6 +15,8 @@
     private RespMessage message;
     /** Bulk strings of the array still to come. */
     private int bulksLeft;
+    /** Bytes that its bulk strings may still have; guards the buffers against many long ones. */
+    private int room;
     private Chain bulk;
     /** Bytes of the bulk string still to come; -1 and -2 for the line end behind it. */
     private int bulkLeft;
@@ -75,6 +79,7 @@
             return Progress.BAD;
         }
         message = new RespMessage('*', "");
+        room = longestBulk + LONGEST_REST;
         bulksLeft = Math.max(0, length);
         return bulksLeft == 0 ? Progress.DONE : Progress.MORE;
     }
@@ -85,11 +90,16 @@
         }
         if (message == null) {
             message = new RespMessage('$', "");
+            room = longestBulk;
             bulksLeft = 1;
         }
         if (length == -1) {
             return bulkDone(null);
         }
+        room -= length;
+        if (room < 0) {
+            return Progress.BAD;
+        }
         bulk = new Chain(pool);
         bulkLeft = length == 0 ? -1 : length;
         return Progress.MORE;
@@ -130,6 +140,7 @@
 
     /** Gives back what a message cut short holds. */
     public void release() {
+        line.setLength(0);
         if (bulk != null) {
             bulk.release();
             bulk = null;
