Bound memory by the configuration, forget nodes that left, read before judging late

The thread was late (0.5 core, cold code) and EventLoop.fire ran the deadlines of answers that lay unread. A late alarm now lets one pass of reading go first.

The router kept every node it had heard of.

--- a/src/main/java/dappleseam/proxy/EventLoop.java
+++ b/src/main/java/dappleseam/proxy/EventLoop.java
@@ -24,6 +24,9 @@
     private static final Logger LOG = System.getLogger(EventLoop.class.getName());
     private static final OptionMap DIAL = OptionMap.create(Options.TCP_NODELAY, true);
     private static final int SCRATCH = 32 << 10;
+    /** Lateness in ms from which what has come is read before deadlines fall due. */
+    private static final double LATE_MS = 8;
+    private static final long READ_FIRST_MICROS = 500;
 
     private final XnioIoThread thread;
     private final BufferPool pool;
@@ -36,6 +39,7 @@
     private double alarmAt = Double.POSITIVE_INFINITY;
     private XnioExecutor.Key alarm;
     private int dialled;
+    private boolean hasReadFirst;
 
     EventLoop(XnioIoThread thread, BufferPool pool, int mostDialled) {
         this.thread = thread;
@@ -102,9 +106,16 @@
     }
 
     private void fire() {
+        double now = nowMs();
+        if (now > alarmAt + LATE_MS && !hasReadFirst) {
+            // Guards nodes against this thread's own lateness: their answers may be here, unread.
+            hasReadFirst = true;
+            alarm = thread.executeAfter(this::fire, READ_FIRST_MICROS, TimeUnit.MICROSECONDS);
+            return;
+        }
+        hasReadFirst = false;
         alarm = null;
         alarmAt = Double.POSITIVE_INFINITY;
-        double now = nowMs();
         try {
             while (!deadlines.isEmpty() && deadlines.first().whenMs <= now) {
                 Runnable due = deadlines.pollFirst().due;
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -37,9 +37,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import java.util.random.RandomGeneratorFactory;
 import java.util.regex.Pattern;
 
 /** Between the router and the peers: holds the queries taken, and does what the router decides. */
@@ -105,7 +105,7 @@
                 site.connectTimeoutMs(), !together);
         lists = new ListReader(site.machines(), site.zones());
         NodeList known = post.known().isObject() ? lists.read(post.known()) : new NodeList(0, true, List.of());
-        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(post.seed());
+        RandomGenerator random = new SplittableRandom(post.seed()); // its factory would search for all there are
         watch = new ListWatch(loop, post.listService(), lists, known.version(), this::news, this::listFailed);
         router = new Router(site.deployment(), random, this, loop.nowMs());
         learn(known);
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -24,8 +24,9 @@
 @Command(name = "serve", mixinStandardHelpOptions = true, description = "Serve clients on sockets.")
 public final class Serve implements Callable<Integer> {
     private static final Logger LOG = System.getLogger(Serve.class.getName());
-    /** Buffers in all: 40 MB, in a machine of 192 MB of which the heap and the program take 130 at most. */
-    private static final int BUFFERS = 5 << 10;
+    /** Share of the memory for buffers; the launcher's flags leave a quarter for all direct memory. */
+    private static final double SHARE_FOR_BUFFERS = 0.2;
+    private static final int BYTES_PER_MB = 1 << 20;
     /** Descriptors that are no connection: the program's own files and its selectors. */
     private static final int OWN_DESCRIPTORS = 48;
     /** Share of the other descriptors that is kept for caches, origin and list. */
@@ -63,11 +64,12 @@
                 .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.THREAD_DAEMON, true).getMap());
         int forPeers = (int) (SHARE_FOR_PEERS * (post.descriptors() - OWN_DESCRIPTORS));
+        int buffers = (int) (SHARE_FOR_BUFFERS * post.memoryMb() * (BYTES_PER_MB / BufferPool.SIZE));
         CountDownLatch begun = new CountDownLatch(1);
         Exception[] fault = new Exception[1];
         worker.getIoThread().execute(() -> {
             try {
-                loop = new EventLoop(worker.getIoThread(), new BufferPool(BUFFERS), forPeers);
+                loop = new EventLoop(worker.getIoThread(), new BufferPool(buffers), forPeers);
                 proxy = new Proxy(loop, post);
                 front = new ClientFront(loop, proxy, post.descriptors() - OWN_DESCRIPTORS - forPeers);
                 front.listen(worker, post.listen());
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -166,6 +166,7 @@
         followed = true;
         askWait = ASK_AGAIN_MS;
         members.forEach(this::learn);
+        nodes.values().removeIf(n -> n.state == Member.State.GONE); // guards long days: ids are ever new
         ringIsStale = true; // built anew for the next query: a thin proxy sees many changes between two
     }
 
@@ -205,14 +206,12 @@
         double largest = ready.stream().mapToDouble(n -> n.scale).max().orElse(1);
         // A power of two as the unit: tokens change only when the largest machine's class does.
         double unit = Math.pow(2, Math.ceil(Math.log(largest) / Math.log(2) - 1e-9));
-        int total = 0;
         ringScale = 0;
         for (Node n : ready) {
             n.placeTokens((int) Math.max(1, Math.round(TOKENS * n.scale / unit)));
-            total += n.tokens.length;
             ringScale += n.scale;
         }
-        ring = new long[total];
+        ring = new long[ready.stream().mapToInt(n -> n.tokens.length).sum()];
         int at = 0;
         for (int i = 0; i < ready.size(); i++) {
             for (long token : ready.get(i).tokens) {
--- a/src/main/java/dappleseam/site/Post.java
+++ b/src/main/java/dappleseam/site/Post.java
@@ -5,4 +5,4 @@
 
 /** What one proxy is told at its start. {@code known} is the list as it last had it, as it was given. */
 public record Post(String name, InetSocketAddress listen, InetSocketAddress listService, long seed,
-                   int descriptors, JsonNode known, Site site) {}
+                   int descriptors, int memoryMb, JsonNode known, Site site) {}
--- a/src/main/java/dappleseam/site/SiteReader.java
+++ b/src/main/java/dappleseam/site/SiteReader.java
@@ -19,18 +19,27 @@
     /** Default of descriptors where no limit is told: what systems usually allow. */
     private static final int DESCRIPTORS = 1024;
     private static final int LEAST_DESCRIPTORS = 96;
+    /** Default of memory in MB where no limit is told: what the launcher takes then, too. */
+    private static final int MEMORY_MB = 192;
+    private static final int LEAST_MEMORY_MB = 16;
 
     private final ObjectMapper mapper = new ObjectMapper();
 
     /** What a proxy is told, from its file. */
     public Post readPost(Path file) throws IOException {
         JsonNode root = parse(Files.readAllBytes(file), file.getFileName().toString());
-        int descriptors = (int) number(root.path("limits"), "limits.", "sockets", DESCRIPTORS);
-        if (descriptors < LEAST_DESCRIPTORS) {
-            throw new FaultySettingException("limits.sockets", "is under " + LEAST_DESCRIPTORS);
-        }
+        int descriptors = limit(root, "sockets", DESCRIPTORS, LEAST_DESCRIPTORS);
+        int memoryMb = limit(root, "memory_mb", MEMORY_MB, LEAST_MEMORY_MB);
         return new Post(root.path("name").asText("proxy"), address(root, "listen"), address(root, "discovery"),
-                seed(root), descriptors, root.path("known"), site(need(root, "", "settings"), "settings."));
+                seed(root), descriptors, memoryMb, root.path("known"), site(need(root, "", "settings"), "settings."));
+    }
+
+    private static int limit(JsonNode root, String name, int byDefault, int least) {
+        int limit = (int) number(root.path("limits"), "limits.", name, byDefault);
+        if (limit < least) {
+            throw new FaultySettingException("limits." + name, "is under " + least);
+        }
+        return limit;
     }
 
     /** The settings alone, from their JSON text. */
--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -401,6 +401,21 @@
         assertThat(last.answer()).isEqualTo("+PONG");
     }
 
+    /** Guards the memory limit: flags are fixed before the configuration is read, so the launcher works them out. */
+    @Test
+    void theLauncherBoundsMemoryByTheConfiguration() throws Exception {
+        Path tools = Files.createDirectory(folder.resolve("tools"));
+        Path java = Files.writeString(tools.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
+        assertThat(java.toFile().setExecutable(true)).isTrue();
+        Path config = Files.writeString(folder.resolve("config"), "{\"limits\":{\"memory_mb\":128,\"sockets\":256}}");
+        ProcessBuilder launcher = new ProcessBuilder("sh", "deploy/serve.sh");
+        launcher.environment().put("NODE_CONFIG", config.toString());
+        launcher.environment().merge("PATH", tools + ":", (path, first) -> first + path);
+        sockets.program = launcher.start();
+        String flags = new String(sockets.program.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertThat(flags).contains("-Xms32m -Xmx32m").contains("-XX:MaxDirectMemorySize=32m").endsWith("serve\n");
+    }
+
     @Test
     void aFaultySettingIsNamed() throws Exception {
         sockets.start(folder, ",\"mostHeld\":\"many\"");
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -206,6 +206,22 @@
         assertThat(p.last()).isNotEqualTo(owner);
     }
 
+    /** Guards long days: ids are ever new, so what was known of a node that is gone goes with it. */
+    @Test
+    void aNodeThatIsGoneIsForgotten() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(4);
+        p.ask(1000, 1, 42);
+        NodeId owner = p.last();
+        p.ask(1000, 2, 42);
+        p.ended(1001, 1, 0, Outcome.RESET, 1);
+        p.ended(1001, 2, 0, Outcome.RESET, 1);
+        p.router.listChanged(1002, List.of(OneProxy.member(owner.value(), Member.State.GONE, 0)));
+        p.router.listChanged(1003, List.of(OneProxy.ready(owner.value())));
+        p.sentTo.clear();
+        IntStream.range(0, 40).forEach(i -> p.ask(1004, 10 + i, 100 + i));
+        assertThat(p.sentTo).contains(owner);
+    }
+
     @Test
     void aTroubleThatAllShareLeavesTheRingStanding() {
         OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(4);
