--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -7,4 +7,4 @@
 exec java -XX:SharedArchiveFile=target/dappleseam.jsa -Xlog:disable -Xlog:all=error:stderr -XX:+UseSerialGC \
   -XX:TieredStopAtLevel=1 -XX:-UsePerfData -Xss256k "-Xms${quarter}m" "-Xmx${quarter}m" -XX:+AlwaysPreTouch \
   "-XX:MaxDirectMemorySize=${quarter}m" -XX:MaxMetaspaceSize=48m -XX:ReservedCodeCacheSize=24m \
-  -jar target/dappleseam.jar serve
+  -cp target/dappleseam.jar dappleseam.proxy.Serve
--- a/src/main/java/dappleseam/clients/ClientFront.java
+++ b/src/main/java/dappleseam/clients/ClientFront.java
@@ -40,6 +40,10 @@
         server.resumeAccepts();
     }
 
+    public InetSocketAddress address() {
+        return server.getLocalAddress(InetSocketAddress.class);
+    }
+
     private void acceptable(AcceptingChannel<StreamConnection> channel) {
         try {
             StreamConnection connection = channel.accept();
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -42,7 +42,7 @@
             description = "What this proxy is told at its start, as JSON (default: the file that NODE_CONFIG names).")
     private Path config;
 
-    @Option(names = "--check", description = "Start with it, say whether that works, and end.")
+    @Option(names = "--check", description = "Start with it, but on addresses of its own; say whether a query is answered, and end.")
     private boolean check;
 
     private EventLoop loop;
@@ -50,6 +50,13 @@
     private Proxy proxy;
     private final CountDownLatch ended = new CountDownLatch(1);
 
+    /** As the launcher starts it: reading a command line would take a quarter of the time to be ready. */
+    public static void main(String[] args) throws Exception {
+        Serve serve = new Serve();
+        serve.config = Path.of(System.getenv("NODE_CONFIG"));
+        System.exit(serve.call());
+    }
+
     @Override
     public Integer call() throws Exception {
         BackgroundLog.start();
@@ -60,6 +67,23 @@
             System.err.println("dappleseam serve: " + e.getMessage());
             return 1;
         }
+        if (check) {
+            try (SelfTest test = new SelfTest(post)) {
+                return start(test.rehearsed(post)) != null && test.passes(front.address()) ? 0 : 1;
+            }
+        }
+        XnioWorker worker = start(post);
+        if (worker == null) {
+            return 1;
+        }
+        Signal.handle(new Signal("HUP"), signal -> reload(worker));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(worker)));
+        ended.await();
+        return 0;
+    }
+
+    /** Null, with the cause said, where it cannot. */
+    private XnioWorker start(Post post) throws IOException, InterruptedException {
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.THREAD_DAEMON, true).getMap());
@@ -82,16 +106,10 @@
         begun.await();
         if (fault[0] != null) {
             System.err.println("dappleseam serve: cannot start: " + fault[0].getMessage());
-            return 1;
+            return null;
         }
         LOG.log(Level.INFO, "{0} serves on {1}", post.name(), post.listen());
-        if (check) {
-            return 0;
-        }
-        Signal.handle(new Signal("HUP"), signal -> reload(worker));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(worker)));
-        ended.await();
-        return 0;
+        return worker;
     }
 
     /** SIGHUP: reads the file again, on the signal's own thread. Guards service against a bad one: it changes nothing. */
