Rehearse queries before the first client, and wait whole ms for alarms

EventLoop's alarms took microseconds, which XNIO rounds down to whole ms: under one it does not select at all, so that a late alarm still ran first (EventLoopTest) and each alarm ended in a busy wait. An id serves once: one that was open when a second client sent it may be answered by the time it comes.

--- a/src/main/java/dappleseam/clients/ClientFront.java
+++ b/src/main/java/dappleseam/clients/ClientFront.java
@@ -40,10 +40,6 @@
         server.resumeAccepts();
     }
 
-    public InetSocketAddress address() {
-        return server.getLocalAddress(InetSocketAddress.class);
-    }
-
     private void acceptable(AcceptingChannel<StreamConnection> channel) {
         try {
             StreamConnection connection = channel.accept();
@@ -56,7 +52,8 @@
         }
     }
 
-    private void opened(StreamConnection connection) {
+    /** A client has connected. */
+    public void opened(StreamConnection connection) {
         if (connections.isFull(most)) {
             IoUtils.safeClose(connection);
             return;
--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -35,12 +35,16 @@
 
     @Override
     public void begin(Execution execution) {
+        Connection free = null;
         for (Connection c : open.all()) { // always the first that is free, so that the last ones fall idle
-            if (c.current == null && c.isClean()) {
-                c.send(execution);
-                return;
+            if (c.current == null && (free == null || !free.isSettled() && c.isSettled()) && c.isClean()) {
+                free = c;
             }
         }
+        if (free != null) {
+            free.send(execution);
+            return;
+        }
         Connection c = new Connection(execution);
         c.dialling = loop.dial(endpoint, limits.connectTimeoutMs(), c::up, c::failed);
     }
@@ -91,6 +95,7 @@
         private final int slot = open.put(this);
         private Link link;
         private Execution current;
+        private double idleSince;
         private long endsAt;
 
         Connection(Execution first) {
@@ -148,6 +153,11 @@
             }
         }
 
+        /** Guards against an origin that closes right behind an answer: that may be on its way. */
+        boolean isSettled() {
+            return Connections.isSettled(idleSince, loop.nowMs());
+        }
+
         /** Guards the next query against what came behind the last answer, or an end nobody has read yet. */
         boolean isClean() {
             if (link.isQuiet()) {
@@ -168,6 +178,7 @@
             Execution done = current;
             current = null;
             if (staysOpen) {
+                idleSince = loop.nowMs();
                 closing = loop.at(loop.nowMs() + limits.retireMs(), this::close);
             } else {
                 close();
--- a/src/main/java/dappleseam/proxy/EventLoop.java
+++ b/src/main/java/dappleseam/proxy/EventLoop.java
@@ -26,7 +26,8 @@
     private static final int SCRATCH = 32 << 10;
     /** Lateness in ms from which what has come is read before deadlines fall due. */
     private static final double LATE_MS = 8;
-    private static final long READ_FIRST_MICROS = 500;
+    /** Least delay in ms with which the thread selects before it runs what was put off: it counts whole ones. */
+    private static final long READ_FIRST_MS = 1;
 
     private final XnioIoThread thread;
     private final BufferPool pool;
@@ -101,8 +102,8 @@
             alarm.remove();
         }
         alarmAt = deadlines.first().whenMs;
-        long micros = (long) Math.max(0, Math.ceil(1000 * (alarmAt - nowMs())));
-        alarm = thread.executeAfter(this::fire, micros, TimeUnit.MICROSECONDS);
+        long delayMs = (long) Math.max(0, Math.ceil(alarmAt - nowMs())); // less than one would be none: a busy wait
+        alarm = thread.executeAfter(this::fire, delayMs, TimeUnit.MILLISECONDS);
     }
 
     private void fire() {
@@ -110,7 +111,7 @@
         if (now > alarmAt + LATE_MS && !hasReadFirst) {
             // Guards nodes against this thread's own lateness: their answers may be here, unread.
             hasReadFirst = true;
-            alarm = thread.executeAfter(this::fire, READ_FIRST_MICROS, TimeUnit.MICROSECONDS);
+            alarm = thread.executeAfter(this::fire, READ_FIRST_MS, TimeUnit.MILLISECONDS);
             return;
         }
         hasReadFirst = false;
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -34,6 +34,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -47,6 +48,8 @@
     private static final Logger LOG = System.getLogger(Proxy.class.getName());
     /** The answer of an aborted query. */
     private static final String FAILED = "-ERR failed";
+    /** Ids remembered: more than the table of queries holds, and some seconds' worth of a busy proxy. */
+    private static final int IDS = 8 << 10;
     /** A time in ms as clients write it. */
     private static final Pattern MS = Pattern.compile("\\d{1,7}(\\.\\d{1,6})?");
     /** Time in ms by which an answer goes out before the client stops waiting for it. */
@@ -66,8 +69,8 @@
     private final ListWatch watch;
     private final Map<NodeId, Peer> peers = new HashMap<>();
     private final Slots<Taken> queries = new Slots<>();
-    /** The ids of the queries that have no answer yet, as the clients gave them. */
-    private final Set<String> openIds = new HashSet<>();
+    /** The ids of the queries taken last, as the clients gave them, in order: those of all that are open among them. */
+    private final Set<String> ids = new LinkedHashSet<>();
     /** Told to the router one after the other: what it does may bring about the next. */
     private final ArrayDeque<Runnable> toTell = new ArrayDeque<>();
     private boolean telling;
@@ -241,11 +244,14 @@
             owed.busy(site.deployment().maxRetryAfterMs() > 0 ? TABLE_FULL_MS : 0);
             return null;
         }
-        if (!openIds.add(command.id())) { // a second one of the name could be given the first one's answer
+        if (!ids.add(command.id())) { // nodes know a query by its id: another's may be open, or just have been
             command.release();
-            owed.line("-ERR a query with this id is open");
+            owed.line("-ERR this id is in use");
             return null;
         }
+        if (ids.size() > IDS) {
+            ids.remove(ids.iterator().next());
+        }
         double left = Math.max(1, waits - LAST_HOP_MS);
         Taken taken = new Taken(command, owed, loop.nowMs() + left);
         QueryId id = new QueryId(queries.put(taken));
@@ -289,9 +295,8 @@
         }
     }
 
-    private void answered(Taken taken) {
+    private static void answered(Taken taken) {
         taken.answered = true;
-        openIds.remove(taken.command.id());
         taken.forgotten.callOff();
     }
 
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -42,12 +42,13 @@
             description = "What this proxy is told at its start, as JSON (default: the file that NODE_CONFIG names).")
     private Path config;
 
-    @Option(names = "--check", description = "Start with it, but on addresses of its own; say whether a query is answered, and end.")
+    @Option(names = "--check", description = "Rehearse queries with it, say whether they were answered, and end.")
     private boolean check;
 
     private EventLoop loop;
     private ClientFront front;
     private Proxy proxy;
+    private boolean rehearsed;
     private final CountDownLatch ended = new CountDownLatch(1);
 
     /** As the launcher starts it: reading a command line would take a quarter of the time to be ready. */
@@ -67,14 +68,9 @@
             System.err.println("dappleseam serve: " + e.getMessage());
             return 1;
         }
-        if (check) {
-            try (SelfTest test = new SelfTest(post)) {
-                return start(test.rehearsed(post)) != null && test.passes(front.address()) ? 0 : 1;
-            }
-        }
         XnioWorker worker = start(post);
-        if (worker == null) {
-            return 1;
+        if (worker == null || check) {
+            return rehearsed ? 0 : 1;
         }
         Signal.handle(new Signal("HUP"), signal -> reload(worker));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(worker)));
@@ -92,23 +88,27 @@
         CountDownLatch begun = new CountDownLatch(1);
         Exception[] fault = new Exception[1];
         worker.getIoThread().execute(() -> {
-            try {
-                loop = new EventLoop(worker.getIoThread(), new BufferPool(buffers), forPeers);
-                proxy = new Proxy(loop, post);
-                front = new ClientFront(loop, proxy, post.descriptors() - OWN_DESCRIPTORS - forPeers);
-                front.listen(worker, post.listen());
-            } catch (IOException | RuntimeException e) {
-                fault[0] = e;
-            } finally {
-                begun.countDown();
-            }
+            loop = new EventLoop(worker.getIoThread(), new BufferPool(buffers), forPeers);
+            Rehearsal.play(loop, worker.getIoThread(), post, passed -> {
+                rehearsed = passed;
+                try {
+                    proxy = new Proxy(loop, post);
+                    front = new ClientFront(loop, proxy, post.descriptors() - OWN_DESCRIPTORS - forPeers);
+                    front.listen(worker, post.listen());
+                } catch (IOException | RuntimeException e) {
+                    fault[0] = e;
+                } finally {
+                    begun.countDown();
+                }
+            });
         });
         begun.await();
         if (fault[0] != null) {
+            rehearsed = false;
             System.err.println("dappleseam serve: cannot start: " + fault[0].getMessage());
             return null;
         }
-        LOG.log(Level.INFO, "{0} serves on {1}", post.name(), post.listen());
+        LOG.log(Level.INFO, "{0} serves on {1}, rehearsed: {2}", post.name(), post.listen(), rehearsed);
         return worker;
     }
 
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -28,7 +28,7 @@
     /** Bulk strings of an answer: the value, how it went, the load report. */
     private static final int PARTS = 3;
     /** Time in ms that a connection may owe only answers nobody waits for; then it is taken for dead. */
-    private static final double STUCK_MS = 5000;
+    private static final double STUCK_MS = 2500;
 
     private final Loop loop;
     private final InetSocketAddress endpoint;
@@ -46,7 +46,7 @@
     public void begin(Execution execution) {
         Connection best = null;
         for (Connection c : open.all()) {
-            if (c.hasRoom() && (best == null || c.load() < best.load()) && c.isClean()) {
+            if (c.hasRoom() && (best == null || c.cost() < best.cost()) && c.isClean()) {
                 best = c;
             }
         }
@@ -107,6 +107,7 @@
         private final RespReader reader = new RespReader(loop.pool(), LONGEST_BULK);
         private final int slot = open.put(this);
         private Link link;
+        private double idleSince;
         /** Closes the connection unless something happens. */
         private Loop.Deadline closing = () -> { };
 
@@ -114,6 +115,11 @@
             return waiting.size() + sent.size();
         }
 
+        /** What waits ahead; guards against a node that closes right behind an answer: that may be on its way. */
+        double cost() {
+            return load() == 0 && !Connections.isSettled(idleSince, loop.nowMs()) ? 0.5 : load();
+        }
+
         /** Behind an answer that nobody waits for any more, a query would wait for what was too slow. */
         boolean hasRoom() {
             return load() < limits.commandsAtOnce()
@@ -240,6 +246,7 @@
                 return;
             }
             closing.callOff();
+            idleSince = loop.nowMs();
             if (retired) {
                 close();
             } else {
