Cut the origin's limit for a queue, not for answers lost beside quick ones

A probe that logged the limits: up to a half of the origin's executions never answered there, the others as quick as ever (caches: one in ten); each lost one cut the limit to 0.7, in 6 s it fell from 14 to under 0.1 and did not come back, since a lost one took what two good ones gave. At fault: Router.judge, which took any late answer for a queue unless ten good ones and under a fifth late stood beside it.

--- a/src/main/java/dappleseam/router/Node.java
+++ b/src/main/java/dappleseam/router/Node.java
@@ -18,6 +18,8 @@
     /** The last walk of the ring that met this node. */
     int walk;
     int out;
+    /** Of the latest answers on average, in ms. */
+    double took;
     /** Of this proxy's executions. */
     final Share share;
     /** A connection may be open. */
--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -92,5 +92,12 @@
             this.sentAt = sentAt;
             this.mayFetch = mayFetch;
         }
+
+        void end(Outcome outcome) {
+            ended = true;
+            missed = outcome == Outcome.MISS;
+            neverRan = outcome.neverRan;
+            reset = outcome == Outcome.RESET;
+        }
     }
 }
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -68,6 +68,9 @@
     /** Share of slow or missing answers, and the fewest counted, over a time in ms, that tell of overload. */
     private static final double OVERLOAD_SHARE = 0.2;
     private static final double OVERLOAD_CACHES = 0.4;
+    /** Share of the SLO time up to which the latest answers are quick, and share that may be late then. */
+    private static final double QUICK = 0.2;
+    private static final double LOST_SHARE = 0.5;
     private static final int OVERLOAD_LEAST = 10;
     private static final int OVERLOAD_THIN = 4;
     private static final double OVERLOAD_MS = 750;
@@ -322,8 +325,7 @@
             seen++;
             boolean full = !fits(n.out, n.limit, q);
             q.crowded |= full;
-            double mean = outAtCaches / ringScale;
-            if (!full && n.out <= Math.max(SKIP_FLOOR, SKIP_MULTIPLE * mean * n.scale)
+            if (!full && n.out <= Math.max(SKIP_FLOOR, SKIP_MULTIPLE * (outAtCaches / ringScale) * n.scale)
                     && (n.busyUntil <= now || overloaded())) {
                 return n;
             }
@@ -461,10 +463,7 @@
             return;
         }
         Execution e = q.execs.get(execution);
-        e.ended = true;
-        e.missed = outcome == Outcome.MISS;
-        e.neverRan = outcome.neverRan;
-        e.reset = outcome == Outcome.RESET;
+        e.end(outcome);
         q.out--;
         if (outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED) {
             // Guards a node that goes on with work given up on: its place counts as taken for as long again.
@@ -531,10 +530,13 @@
         } else if (outcome == Outcome.TIMED_OUT) {
             pace(e, true);
         }
-        // Guards the origin's limit against its own spread: one late answer among many good ones is no queue.
-        boolean queue = late && !(n.isOrigin && n.tally.count(now, OVERLOAD_MS, Tally.GOOD) >= OVERLOAD_LEAST
-                && n.tally.badShare(now, OVERLOAD_MS, OVERLOAD_LEAST) < OVERLOAD_SHARE);
         boolean answered = outcome == Outcome.COMPLETED || outcome == Outcome.MISS;
+        n.took += answered ? (tookMs - n.took) / OVERLOAD_LEAST : 0;
+        // Guards the origin's limit: what is late beside quick answers got lost on its way, not in a queue.
+        boolean quick = n.took < QUICK * grade.sloMs();
+        double span = quick ? BUCKETS * BUCKET_MS : OVERLOAD_MS;
+        boolean queue = late && !(n.isOrigin && n.tally.count(now, span, Tally.GOOD) >= OVERLOAD_LEAST
+                && n.tally.badShare(now, span, OVERLOAD_LEAST) < (quick ? LOST_SHARE : OVERLOAD_SHARE));
         if (answered || outcome == Outcome.FULL || outcome == Outcome.ERRED) {
             n.heard(now);
         }
@@ -555,7 +557,7 @@
                     n.tally.clear();
                 }
             }
-            case ERRED, RESET -> { // a reset tells of its connection: a process that died fails to connect next
+            case ERRED, RESET -> { // one reset tells of its connection; a dead process fails to connect next
                 n.tally.add(now, Tally.BAD);
                 double share = n.tally.badShare(now, BUCKET_MS * BUCKETS, ERRORS_LEAST);
                 if (n.asideUntil > 0 || share > ERROR_SHARE) {
@@ -610,9 +612,8 @@
     private boolean overloaded() {
         double slow = 0;
         double heard = 0;
-        double since = now - busyMs();
         for (Node n : caches) {
-            heard += n.heardAt > since ? n.scale : 0;
+            heard += n.heardAt > now - busyMs() ? n.scale : 0;
             slow += n.busyUntil > now ? n.scale : 0;
         }
         return slow > OVERLOAD_CACHES * heard;
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -250,6 +250,22 @@
         assertThat(p.sentTo).contains(owner);
     }
 
+    /** litoral churn+long: four in ten of its answers lost, the origin's limit fell to nothing and stayed there. */
+    @Test
+    void anOriginThatMostlyAnswersInTimeKeepsItsLimit() {
+        OneProxy p = new OneProxy(OneProxy.aside(OneProxy.grade(Repeat.NON_IDEMPOTENT, Group.ALL))).listed(4);
+        for (int i = 0; i < 90; i++) {
+            p.write(1000 + 20 * i, i, i);
+            boolean lost = i % 7 < 3;
+            p.ended(1010 + 20 * i, i, 0, lost ? Outcome.TIMED_OUT : Outcome.COMPLETED, lost ? 1990 : 10);
+            double at = 1010 + 20 * i;
+            List.copyOf(p.timers).forEach(timer -> p.router.woken(at, timer)); // what is lost gives its place back
+        }
+        p.done.clear();
+        IntStream.range(100, 102).forEach(i -> p.write(5000, i, i));
+        assertThat(p.done).filteredOn(act -> act.startsWith("execute")).hasSize(2);
+    }
+
     @Test
     void aTroubleThatAllShareLeavesTheRingStanding() {
         OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(4);
