Share connections that have a price until something is spoilt or breaks

Commands share again where open connections have a price, but not for 10 s after a spoilt answer or a broken connection, and an answer that comes sooner after its command than a connection takes to come up, right behind another, is not taken for its own.

--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -105,7 +105,8 @@
         // Where two executions may never be out together, giving one up has to end its connection, and so
         // each has one of its own: a neighbour's would be reset with it.
         boolean together = site.deployment().parallelExecutions();
-        connections = new Connections(together ? site.commandsAtOnce() : 1, site.idleCloseMs(),
+        boolean share = together && site.deployment().openPrice() > 0;
+        connections = new Connections(together ? site.commandsAtOnce() : 1, share, site.idleCloseMs(),
                 site.connectTimeoutMs(), !together, new Reuse());
         lists = new ListReader(site.machines(), site.zones());
         NodeList known = post.known().isObject() ? lists.read(post.known()) : new NodeList(0, true, List.of());
--- a/src/main/java/dappleseam/query/Reuse.java
+++ b/src/main/java/dappleseam/query/Reuse.java
@@ -15,10 +15,13 @@
     private static final double KEPT = 0.95;
     /** Each so many-th is used all the same: the trouble may be over. */
     private static final int TRIED = 16;
+    /** Time in ms for which a spoilt answer or a broken connection tells of more to come. */
+    private static final double TROUBLED_MS = 10_000;
 
     private final double[] all = new double[CLASSES];
     private final double[] broken = new double[CLASSES];
     private int passedOver;
+    private double troubledAt = Double.NEGATIVE_INFINITY;
 
     private static int classOf(double idleMs) {
         int doublings = (int) Math.ceil(Math.log(Math.max(1, idleMs / SHORTEST_MS)) / Math.log(2));
@@ -31,6 +34,16 @@
         return all[c] < LEAST || broken[c] <= BROKEN_SHARE * all[c] || ++passedOver % TRIED == 0;
     }
 
+    /** An answer was spoilt, or a connection broke under a command. */
+    public void troubled(double nowMs) {
+        troubledAt = nowMs;
+    }
+
+    /** Whether commands may share a connection without one's trouble being the others'. */
+    public boolean isCalm(double nowMs) {
+        return nowMs - troubledAt > TROUBLED_MS;
+    }
+
     /** One was used again after so long, and broke before an answer, or did not. */
     public void told(double idleMs, boolean broke) {
         int c = classOf(idleMs);
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -50,7 +50,8 @@
                 best = c;
             }
         }
-        if (best == null || best.load() > 0 && loop.mayDial()) {
+        boolean shared = limits.share() && limits.reuse().isCalm(loop.nowMs());
+        if (best == null || best.load() > 0 && !shared && loop.mayDial()) {
             best = new Connection();
             best.waiting.add(execution);
             best.dial();
@@ -97,7 +98,7 @@
         endWaiting();
     }
 
-    private record Sent(Execution execution, long endsAt) {}
+    private record Sent(Execution execution, long endsAt, double at) {}
 
     private final class Connection implements Link.Events {
         /** Not written yet, as the connection is not up. */
@@ -108,6 +109,9 @@
         private final int slot = open.put(this);
         private Link link;
         private double idleSince;
+        private final double dialledAt = loop.nowMs();
+        private double connectMs;
+        private double answeredAt;
         /** How long it had been idle when the command went out that has no answer yet; under 0 for all others. */
         private double idleMs = -1;
         /** Closes the connection unless something happens. */
@@ -143,6 +147,7 @@
 
         private void up(StreamConnection connection) {
             link = loop.link(connection, this);
+            connectMs = loop.nowMs() - dialledAt;
             link.resume();
             while (!waiting.isEmpty() && !link.isClosed()) {
                 send(waiting.poll());
@@ -166,11 +171,11 @@
             try {
                 write(e.command, Math.max(1, Math.round(e.waitUntil - loop.nowMs())), link.out());
             } catch (RuntimeException fault) { // half a command must not be followed by another
-                sent.add(new Sent(e, Long.MAX_VALUE));
+                sent.add(new Sent(e, Long.MAX_VALUE, loop.nowMs()));
                 ended("fault: " + fault);
                 return;
             }
-            sent.add(new Sent(e, link.queued()));
+            sent.add(new Sent(e, link.queued(), loop.nowMs()));
             link.flush();
         }
 
@@ -220,17 +225,23 @@
         }
 
         private void answered(RespMessage message) {
-            Ending ending = sent.isEmpty() ? null : ending(message);
+            Ending ending = sent.isEmpty() || isTooSoon(sent.peek()) ? null : ending(message);
             if (ending == null) { // more than was asked for, or no answer a node gives: what follows is as doubtful
                 message.release();
                 spoilt("not an answer");
                 return;
             }
             toldOfReuse(false);
+            answeredAt = loop.nowMs();
             sent.poll().execution.end(ending);
             message.release();
         }
 
+        /** Guards a command sent before the last answer came against a copy of that answer, right behind it. */
+        private boolean isTooSoon(Sent next) {
+            return next.at <= answeredAt && loop.nowMs() - next.at < connectMs;
+        }
+
         /** Null for what is RESP and yet no answer to a command. */
         private static Ending ending(RespMessage message) {
             if (message.sign == '*' && message.bulks.size() == PARTS) {
@@ -267,6 +278,7 @@
         @Override
         public void ended(String cause) {
             if (!sent.isEmpty()) {
+                limits.reuse().troubled(loop.nowMs());
                 toldOfReuse(true);
             }
             close();
@@ -276,6 +288,7 @@
 
         /** The node lives, and what was written whole may have run; what follows on the connection is as doubtful. */
         private void spoilt(String cause) {
+            limits.reuse().troubled(loop.nowMs());
             close();
             broken(whole -> whole ? Ending.erred(cause) : Ending.broken(Reached.NOT_WHOLE, cause));
             endWaiting(cause);
--- a/src/test/java/dappleseam/query/ReuseTest.java
+++ b/src/test/java/dappleseam/query/ReuseTest.java
@@ -5,6 +5,16 @@
 import org.junit.jupiter.api.Test;
 
 class ReuseTest {
+    /** Guards commands against sharing a connection with one whose answer is spoilt. */
+    @Test
+    void troubleEndsSharingForAWhile() {
+        Reuse reuse = new Reuse();
+        assertThat(reuse.isCalm(1000)).isTrue();
+        reuse.troubled(1000);
+        assertThat(reuse.isCalm(2000)).isFalse();
+        assertThat(reuse.isCalm(12_000)).isTrue();
+    }
+
     /** litoral wide+reset+stale: four in ten connections idle for over 0.1 s broke at the next command. */
     @Test
     void connectionsIdleForTooLongAreSeldomUsedAgain() {
