Let a new client's first command come before its connection makes way

At fault: ClientConnection.BY_USE, which closed silent clients first at the limit, so that each new client was closed by the next before its first command had come. The test fails without the change. Ruled out: the module's limits, the table of queries, idle clients kept for 5 s.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -34,10 +34,11 @@
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._~:-]{1,128}");
     private static final Pattern FACTS = Pattern.compile("[!-+\\--~]+(,[!-+\\--~]+)*");
     private static final int LONGEST_FACTS = 1024;
-    /** Which to keep rather, the later ones: silent, idle, in the middle of a command; then by time. */
+    /** Time in ms for which a new client's first command may be on its way. */
+    private static final double NEW_MS = 1000;
+    /** Which to keep rather, the later ones: silent, idle, in the middle of a command, new; then by time. */
     static final Comparator<ClientConnection> BY_USE =
-            Comparator.comparing(ClientConnection::isIdle).reversed().thenComparing(c -> c.hasAsked)
-                    .thenComparingDouble(c -> c.quietSince);
+            Comparator.comparingInt(ClientConnection::use).thenComparingDouble(c -> c.quietSince);
 
     private final Loop loop;
     private final Queries queries;
@@ -178,6 +179,11 @@
         return owesNothing() && reader.isBetweenMessages();
     }
 
+    private int use() {
+        boolean isNew = !hasAsked && loop.nowMs() - quietSince < NEW_MS;
+        return isNew ? 3 : !isIdle() ? 2 : hasAsked ? 1 : 0;
+    }
+
     /** Ends the connection, where nothing is owed on it, for one that is more likely to be of use. */
     void makeWay() {
         link.readable();
--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -213,6 +213,25 @@
         }
     }
 
+    /** litoral r6ef771: at the limit each new client made way for the next before its first command had come. */
+    @Test
+    void aNewClientDoesNotMakeWayForTheNext() throws Exception {
+        sockets.sockets = 96;
+        sockets.start(folder, "").client().socket.close();
+        for (int i = 0; i < 30; i++) {
+            Sockets.Client once = sockets.client();
+            once.send("C.GET", "00000000000000aa", "id" + i, "c=read,d=20000");
+            sockets.cache.next().answer(hit("value"));
+            assertThat(once.answer()).isEqualTo("value");
+        }
+        Sockets.Client fresh = sockets.client();
+        Sockets.Client next = sockets.client();
+        next.send("PING");
+        assertThat(next.answer()).isEqualTo("+PONG");
+        fresh.send("PING");
+        assertThat(fresh.answer()).isEqualTo("+PONG");
+    }
+
     /** Guards buffers and descriptors against half a command that never ends. */
     @Test
     void halfACommandIsEndedWithAnError() throws Exception {
