--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -531,7 +531,7 @@
             pace(e, true);
         }
         boolean answered = outcome == Outcome.COMPLETED || outcome == Outcome.MISS;
-        n.took += answered ? (tookMs - n.took) / OVERLOAD_LEAST : 0;
+        n.took += answered ? (tookMs - n.took) / MEMORY : 0;
         // Guards the origin's limit: what is late beside quick answers got lost on its way, not in a queue.
         boolean quick = n.took < QUICK * grade.sloMs();
         double span = quick ? BUCKETS * BUCKET_MS : OVERLOAD_MS;
