--- a/src/main/java/dappleseam/query/Connections.java
+++ b/src/main/java/dappleseam/query/Connections.java
@@ -2,11 +2,12 @@
 
 /**
  * What a deployment allows of connections: commands on one at once, whether it is to be shared before
- * another is opened, as where open ones have a price, the time after which the node closes an idle one, the time in which one comes up, and whether giving up must end the connection, as where two
- * executions of a query may never be out together; and what has been seen of connections used again.
+ * another is opened, as where open ones have a price, the time after which the node closes an idle one,
+ * the time in which one comes up, and whether giving up must end the connection, as where two executions
+ * of a query may never be out together; and what has been seen of connections used again.
  */
-public record Connections(int commandsAtOnce, boolean share, double idleCloseMs, double connectTimeoutMs, boolean closeToGiveUp,
-                          Reuse reuse) {
+public record Connections(int commandsAtOnce, boolean share, double idleCloseMs, double connectTimeoutMs,
+                          boolean closeToGiveUp, Reuse reuse) {
     /** Share of the node's own idle time after which a connection is closed, before the node does. */
     private static final double IDLE_SHARE = 0.7;
 
