Let idle clients make way before clients hold all connections they may

Counted at the front each 250 ms: 128 connections had asked, 2 were owed an answer, none was accepted for 0.5 s. 128 is a third of the descriptors, the most that clients hold for queries; ask-once clients kept them all. Ruled out: limits of the module that have not grown (a probe of its rejections by cause: 6 of 300), the accept queue (accepting all the time), the table of queries. At fault: ClientFront.makeRoom, which acted only when the whole table was nearly full.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -42,7 +42,7 @@
 
     private final Loop loop;
     private final Queries queries;
-    private final Runnable whenClosed;
+    private final ClientFront front;
     private final RespReader reader;
     private final Link link;
     private final ArrayDeque<Owed> owed = new ArrayDeque<>();
@@ -53,20 +53,23 @@
     /** When the command began that is not whole yet. */
     private double begunAt;
     private boolean hasAsked;
+    private int slot;
     private boolean paused;
     /** Nothing more is taken; the connection ends once what is owed is written. */
     private boolean last;
 
-    ClientConnection(Loop loop, StreamConnection connection, Queries queries, Runnable whenClosed) {
+    ClientConnection(Loop loop, StreamConnection connection, Queries queries, ClientFront front) {
         this.loop = loop;
         this.queries = queries;
-        this.whenClosed = whenClosed;
+        this.front = front;
         reader = new RespReader(loop.pool(), LONGEST_BULK);
         link = loop.link(connection, this);
         quietSince = loop.nowMs();
     }
 
-    void open() {
+    /** Begins to read; {@code slot} is its number at the front. */
+    void open(int slot) {
+        this.slot = slot;
         link.resume();
         link.readable();
         watchForSilence();
@@ -156,7 +159,10 @@
             one.line("-ERR malformed list of names and values");
         } else {
             Command command = new Command(key, id, facts, parts == 5 ? message.takeBulk(4) : null);
-            hasAsked = true;
+            if (!hasAsked) {
+                hasAsked = true;
+                front.asked();
+            }
             QueryId query = queries.take(command, one);
             one.belongsTo(query);
         }
@@ -179,6 +185,10 @@
         return owesNothing() && reader.isBetweenMessages();
     }
 
+    boolean hasAskedAndIsIdle() {
+        return hasAsked && isIdle();
+    }
+
     private int use() {
         boolean isNew = !hasAsked && loop.nowMs() - quietSince < NEW_MS;
         return isNew ? 3 : !isIdle() ? 2 : hasAsked ? 1 : 0;
@@ -208,6 +218,9 @@
             quietSince = loop.nowMs();
             link.flush();
             watchForStall();
+            if (hasAskedAndIsIdle()) {
+                front.fellIdle();
+            }
         }
     }
 
@@ -292,6 +305,6 @@
             }
         }
         owed.clear();
-        whenClosed.run();
+        front.closed(slot, hasAsked);
     }
 }
--- a/src/main/java/dappleseam/clients/ClientFront.java
+++ b/src/main/java/dappleseam/clients/ClientFront.java
@@ -19,18 +19,24 @@
     private static final int BACKLOG = 512;
     /** Connections kept free, where nothing is owed on some, for those that come next. */
     private static final int KEPT_FREE = 8;
+    /** Share of the clients' own limit that those with nothing owed may take; the rest is for a burst. */
+    private static final double IDLE_SHARE = 0.75;
 
     private final Loop loop;
     private final Queries queries;
     private final int most;
+    private final int roomToAsk;
+    private int asking;
+    private boolean makingRoom;
     private final Slots<ClientConnection> connections = new Slots<>();
     private AcceptingChannel<StreamConnection> server;
 
-    /** Takes {@code most} connections at once; more wait to be accepted. */
-    public ClientFront(Loop loop, Queries queries, int most) {
+    /** Takes {@code most} connections at once, more wait to be accepted; clients open {@code mostAsking} for queries. */
+    public ClientFront(Loop loop, Queries queries, int most, int mostAsking) {
         this.loop = loop;
         this.queries = queries;
         this.most = most;
+        roomToAsk = (int) (IDLE_SHARE * mostAsking);
     }
 
     public void listen(XnioWorker worker, InetSocketAddress address) throws IOException {
@@ -59,11 +65,8 @@
             return;
         }
         makeRoom();
-        int[] slot = new int[1];
-        ClientConnection client =
-                new ClientConnection(loop, connection, queries, () -> connections.free(slot[0]));
-        slot[0] = connections.put(client);
-        client.open();
+        ClientConnection client = new ClientConnection(loop, connection, queries, this);
+        client.open(connections.put(client));
     }
 
     /** Guards honest clients against hundreds that connect and say nothing. */
@@ -74,6 +77,33 @@
         }
     }
 
+    /** A client has sent its first query. */
+    void asked() {
+        asking++;
+    }
+
+    void closed(int slot, boolean hadAsked) {
+        asking -= hadAsked && connections.get(slot) != null ? 1 : 0;
+        connections.free(slot);
+    }
+
+    /**
+     * A client is owed nothing any more. Guards clients against those that ask once and keep their connection:
+     * they hold so many at most, and with all of them idle here no other could be opened. Not before other
+     * connections' bytes are done with: each is looked at once more before it is closed.
+     */
+    void fellIdle() {
+        if (asking > roomToAsk && !makingRoom) {
+            makingRoom = true;
+            loop.at(loop.nowMs(), () -> {
+                makingRoom = false;
+                connections.all().stream().filter(ClientConnection::hasAskedAndIsIdle)
+                        .sorted(ClientConnection.BY_USE).limit(Math.max(0, asking - roomToAsk))
+                        .forEach(ClientConnection::closeIfIdle);
+            });
+        }
+    }
+
     /** Accepts no more. */
     public void stopListening() {
         IoUtils.safeClose(server);
--- a/src/main/java/dappleseam/proxy/Rehearsal.java
+++ b/src/main/java/dappleseam/proxy/Rehearsal.java
@@ -73,7 +73,7 @@
     }
 
     private void begin(Post post) throws IOException {
-        ClientFront front = new ClientFront(this, new Proxy(this, withStandIns(post)), 2 * AT_ONCE);
+        ClientFront front = new ClientFront(this, new Proxy(this, withStandIns(post)), 2 * AT_ONCE, 2 * AT_ONCE);
         loop.at(loop.nowMs() + LONGEST_MS, this::end);
         ChannelPipe<StreamConnection, StreamConnection> pipe = thread.createFullDuplexPipeConnection();
         front.opened(pipe.getRightSide());
--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -232,6 +232,26 @@
         assertThat(fresh.answer()).isEqualTo("+PONG");
     }
 
+    /** litoral r6ef771: clients that ask once and stay held all that clients may hold, and no other could connect. */
+    @Test
+    void clientsThatAskOnceLeaveRoomForOthersToAsk() throws Exception {
+        sockets.sockets = 96; // a third for clients' queries, a quarter of that to spare: the 24 latest may stay
+        List<Sockets.Client> clients = new ArrayList<>();
+        sockets.start(folder, "").client().socket.close();
+        for (int i = 0; i < 26; i++) {
+            clients.add(sockets.client());
+            clients.get(i).send("C.GET", "00000000000000aa", "id" + i, "c=read,d=20000");
+            sockets.cache.next().answer(hit("value"));
+            assertThat(clients.get(i).answer()).isEqualTo("value");
+        }
+        for (int i = 0; i < 2; i++) { // well before the time idle after which any client is closed
+            clients.get(i).socket.setSoTimeout(3500);
+            assertThat(clients.get(i).isAtEnd()).isTrue();
+        }
+        clients.get(25).send("PING");
+        assertThat(clients.get(25).answer()).isEqualTo("+PONG");
+    }
+
     /** Guards buffers and descriptors against half a command that never ends. */
     @Test
     void halfACommandIsEndedWithAnError() throws Exception {
