--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -235,10 +235,10 @@
     /** litoral r6ef771: clients that ask once and stay held all that clients may hold, and no other could connect. */
     @Test
     void clientsThatAskOnceLeaveRoomForOthersToAsk() throws Exception {
-        sockets.sockets = 96; // a third for clients' queries, a quarter of that to spare: the 24 latest may stay
+        sockets.sockets = 192; // 64 for clients' queries, a quarter of that to spare: the 48 latest may stay
         List<Sockets.Client> clients = new ArrayList<>();
         sockets.start(folder, "").client().socket.close();
-        for (int i = 0; i < 26; i++) {
+        for (int i = 0; i < 50; i++) {
             clients.add(sockets.client());
             clients.get(i).send("C.GET", "00000000000000aa", "id" + i, "c=read,d=20000");
             sockets.cache.next().answer(hit("value"));
@@ -248,8 +248,8 @@
             clients.get(i).socket.setSoTimeout(3500);
             assertThat(clients.get(i).isAtEnd()).isTrue();
         }
-        clients.get(25).send("PING");
-        assertThat(clients.get(25).answer()).isEqualTo("+PONG");
+        clients.get(49).send("PING");
+        assertThat(clients.get(49).answer()).isEqualTo("+PONG");
     }
 
     /** Guards buffers and descriptors against half a command that never ends. */
