Leave the limit of an origin that answers alone when a connection to it breaks

A probe of each node's outcomes: half of them for want of room at the origin, whose limit stood at 8 to 15 while 2% of its connections broke before a query was written and the rest answered in 95 ms. Each break cut the limit to 0.7; with one more for a full round of answers that holds it near 12. At fault: Router.judge, the cut on CONNECT_FAILED.

--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -15,8 +15,7 @@
 /**
  * Every decision of one proxy. Call one method for each thing that happens, with the clock in ms; it acts
  * through the {@link Host} before it returns. One thread; nothing is shared between routers. What a
- * deployment allows is in {@link Deployment}, what the router can do in {@link Host}; docs/design.md
- * says why it decides as it does.
+ * deployment allows is in {@link Deployment}; docs/design.md says why it decides as it does.
  */
 public final class Router {
     /** Tokens of the largest cache: the spread of ring shares falls with their root. */
@@ -540,7 +539,8 @@
         if (answered || outcome == Outcome.FULL || outcome == Outcome.ERRED) {
             n.heard(now);
         }
-        if (queue || outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED) {
+        boolean alive = n.isOrigin && n.heardAt > now - grade.sloMs(); // a broken connection tells of itself
+        if (queue || outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED && !alive) {
             cut(n.limit, e.sentAt);
         } else if (answered) {
             grow(n.limit, n.out);
