Serve connected clients until shortly before the kill, and abort before a short one

Found while reading: the abort at 3.3 s lies past the kill where the longest statement timeout is 1.1 s, which the protocol allows 1.8 s after SIGTERM. At fault: Serve.drain and its fixed times. SIGHUP: two signals at once could be heard in the wrong order; reload is synchronized now.

--- a/src/main/java/dappleseam/clients/ClientFront.java
+++ b/src/main/java/dappleseam/clients/ClientFront.java
@@ -109,9 +109,12 @@
         IoUtils.safeClose(server);
     }
 
-    /** Ends the connections on which nothing is owed, and says whether any are left. */
-    public boolean closeIdle() {
+    /** Ends the connections on which nothing is owed. */
+    public void closeIdle() {
         connections.all().forEach(ClientConnection::closeIfIdle);
+    }
+
+    public boolean hasClients() {
         return connections.used() > 0;
     }
 }
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -9,6 +9,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.file.Path;
+import java.util.Collections;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -36,9 +37,13 @@
     /** Times in ms after SIGTERM: until no more connections are accepted, and between looks at who is idle. */
     private static final double ACCEPT_MORE_MS = 450;
     private static final double LOOK_AGAIN_MS = 10;
-    /** Time in ms after SIGTERM at which what is left is aborted: the platform kills 3.7 s after it. */
-    private static final double ABORT_MS = 3300;
-    private static final long END_MS = 3500;
+    /** The platform kills no sooner than the longest statement timeout, up to so many ms, and so many more after it. */
+    private static final double LONGEST_WAIT_MS = 3000;
+    private static final double KILL_MORE_MS = 700;
+    /** Times in ms before the kill: idle clients are closed, what is left is aborted, the program ends. */
+    private static final double CLOSE_LEAD_MS = 600;
+    private static final double ABORT_LEAD_MS = 300;
+    private static final double END_LEAD_MS = 150;
 
     @Option(names = "--config", defaultValue = "${env:NODE_CONFIG}", required = true,
             description = "What this proxy is told at its start, as JSON (default: the file that NODE_CONFIG names).")
@@ -50,6 +55,7 @@
     private EventLoop loop;
     private ClientFront front;
     private Proxy proxy;
+    private double killAfterMs;
     private boolean rehearsed;
     private final CountDownLatch ended = new CountDownLatch(1);
 
@@ -71,6 +77,7 @@
             return 1;
         }
         XnioWorker worker = start(post);
+        killAfterMs = Math.min(LONGEST_WAIT_MS, Collections.max(post.site().statementTimeoutsMs())) + KILL_MORE_MS;
         if (worker == null || check) {
             return rehearsed ? 0 : 1;
         }
@@ -115,8 +122,11 @@
         return worker;
     }
 
-    /** SIGHUP: reads the file again, on the signal's own thread. Guards service against a bad one: it changes nothing. */
-    private void reload(XnioWorker worker) {
+    /**
+     * SIGHUP: reads the file again, on the signal's own thread. Guards service against a bad one, which changes nothing,
+     * and against an older one: of two signals at once, the last to read is the last to be heard.
+     */
+    private synchronized void reload(XnioWorker worker) {
         try {
             Post post = new SiteReader().readPost(config);
             worker.getIoThread().execute(() -> proxy.reloaded(post));
@@ -126,19 +136,23 @@
         }
     }
 
-    /** SIGTERM: goes on for a little, answers all it has taken, and ends with status 0. */
+    /**
+     * SIGTERM: answers all it has taken, and ends with status 0. Guards clients against the time until the next start:
+     * those that are connected are served until shortly before the platform would kill.
+     */
     private void drain(XnioWorker worker) {
         LOG.log(Level.INFO, "told to end: answering what was taken");
         CountDownLatch done = new CountDownLatch(1);
         worker.getIoThread().execute(() -> {
-            loop.at(loop.nowMs() + ACCEPT_MORE_MS, () -> {
+            double now = loop.nowMs();
+            loop.at(now + ACCEPT_MORE_MS, () -> {
                 front.stopListening();
-                closeIdle(done);
+                endClients(now + killAfterMs - CLOSE_LEAD_MS, done);
             });
-            loop.at(loop.nowMs() + ABORT_MS, proxy::abortAll);
+            loop.at(now + killAfterMs - ABORT_LEAD_MS, proxy::abortAll);
         });
         try {
-            done.await(END_MS, TimeUnit.MILLISECONDS);
+            done.await((long) (killAfterMs - END_LEAD_MS), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -146,9 +160,13 @@
         Runtime.getRuntime().halt(0); // a plain end after SIGTERM would have status 143
     }
 
-    private void closeIdle(CountDownLatch done) {
-        if (front.closeIdle()) {
-            loop.at(loop.nowMs() + LOOK_AGAIN_MS, () -> closeIdle(done));
+    /** Closes clients as they fall idle from that time on; all is done once none is left. */
+    private void endClients(double closeFromMs, CountDownLatch done) {
+        if (loop.nowMs() >= closeFromMs) {
+            front.closeIdle();
+        }
+        if (front.hasClients()) {
+            loop.at(loop.nowMs() + LOOK_AGAIN_MS, () -> endClients(closeFromMs, done));
         } else {
             done.countDown();
         }
--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -353,6 +353,20 @@
 
     /** Guards rule 1 at a planned restart: what nobody answers is aborted before the platform kills. */
     @Test
+    void aConnectedClientIsServedUntilShortlyBeforeTheKill() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("PING");
+        assertThat(client.answer()).isEqualTo("+PONG");
+        sockets.program.destroy();
+        Thread.sleep(1200); // no more connections are accepted by now, and the kill is 2.5 s away
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000");
+        sockets.cache.next().answer(hit("value"));
+        assertThat(client.answer()).isEqualTo("value");
+        assertThat(client.isAtEnd()).isTrue();
+    }
+
+    /** Guards rule 1 at the end: what would be killed unanswered is aborted. */
+    @Test
     void whatCannotEndIsAbortedBeforeTheKill() throws Exception {
         Sockets.Client client = sockets.start(folder, "").client();
         client.send("C.GET", "00000000000000aa", "id1", "c=read,d=19000");
