Take no good answer for spoilt because its connection was slow to come up

A probe of connect times and of answers behind one another: connections come up in 0.3 ms, the first ones in 12 to 41 ms as the proxy is cold, and good answers that came after 11 to 34 ms behind another were sooner than that. At fault: CacheNode.isTooSoon; the connect time counts as the way's only up to 2 ms now.

--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -29,6 +29,8 @@
     private static final int PARTS = 3;
     /** Time in ms that a connection may owe only answers nobody waits for; then it is taken for dead. */
     private static final double STUCK_MS = 2500;
+    /** Longest way there and back in ms: a connection that took longer to come up was kept waiting here. */
+    private static final double FAR_MS = 2;
 
     private final Loop loop;
     private final InetSocketAddress endpoint;
@@ -98,6 +100,14 @@
         endWaiting();
     }
 
+    /**
+     * Guards a command sent before the last answer came against a copy of that answer, right behind it: none comes back
+     * in less time than the way takes, of which the connection's coming up tells unless this thread was late itself.
+     */
+    static boolean isTooSoon(double sentAt, double lastAnsweredAt, double connectMs, double now) {
+        return sentAt <= lastAnsweredAt && now - sentAt < Math.min(connectMs, FAR_MS);
+    }
+
     private record Sent(Execution execution, long endsAt, double at) {}
 
     private final class Connection implements Link.Events {
@@ -225,7 +235,7 @@
         }
 
         private void answered(RespMessage message) {
-            Ending ending = sent.isEmpty() || isTooSoon(sent.peek()) ? null : ending(message);
+            Ending ending = sent.isEmpty() || isTooSoon(sent.peek().at, answeredAt, connectMs, loop.nowMs()) ? null : ending(message);
             if (ending == null) { // more than was asked for, or no answer a node gives: what follows is as doubtful
                 message.release();
                 spoilt("not an answer");
@@ -237,11 +247,6 @@
             message.release();
         }
 
-        /** Guards a command sent before the last answer came against a copy of that answer, right behind it. */
-        private boolean isTooSoon(Sent next) {
-            return next.at <= answeredAt && loop.nowMs() - next.at < connectMs;
-        }
-
         /** Null for what is RESP and yet no answer to a command. */
         private static Ending ending(RespMessage message) {
             if (message.sign == '*' && message.bulks.size() == PARTS) {
--- /dev/null
+++ b/src/test/java/dappleseam/servers/CacheNodeTest.java
@@ -0,0 +1,20 @@
+package dappleseam.servers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class CacheNodeTest {
+    @Test
+    void anAnswerInLessTimeThanTheWayTakesIsTooSoon() {
+        assertThat(CacheNode.isTooSoon(1000, 1000.2, 0.4, 1000.3)).isTrue();
+        assertThat(CacheNode.isTooSoon(1000, 1000.2, 0.4, 1000.5)).isFalse();
+        assertThat(CacheNode.isTooSoon(1000.25, 1000.2, 0.4, 1000.3)).isFalse();
+    }
+
+    /** Any day's first second: connections that came up slowly as the proxy was cold made good answers spoilt ones. */
+    @Test
+    void aSlowStartOfAConnectionDoesNotMakeAnswersTooSoon() {
+        assertThat(CacheNode.isTooSoon(1000, 1010, 41, 1034)).isFalse();
+    }
+}
