--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -41,9 +41,9 @@
     private static final double LONGEST_WAIT_MS = 3000;
     private static final double KILL_MORE_MS = 700;
     /** Times in ms before the kill: idle clients are closed, what is left is aborted, the program ends. */
-    private static final double CLOSE_LEAD_MS = 600;
-    private static final double ABORT_LEAD_MS = 300;
-    private static final double END_LEAD_MS = 150;
+    private static final double CLOSE_LEAD_MS = 350;
+    private static final double ABORT_LEAD_MS = 200;
+    private static final double END_LEAD_MS = 100;
 
     @Option(names = "--config", defaultValue = "${env:NODE_CONFIG}", required = true,
             description = "What this proxy is told at its start, as JSON (default: the file that NODE_CONFIG names).")
