--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -235,14 +235,16 @@
         }
 
         private void answered(RespMessage message) {
-            Ending ending = sent.isEmpty() || isTooSoon(sent.peek().at, answeredAt, connectMs, loop.nowMs()) ? null : ending(message);
+            double now = loop.nowMs();
+            boolean isOwed = !sent.isEmpty() && !isTooSoon(sent.peek().at, answeredAt, connectMs, now);
+            Ending ending = isOwed ? ending(message) : null;
             if (ending == null) { // more than was asked for, or no answer a node gives: what follows is as doubtful
                 message.release();
                 spoilt("not an answer");
                 return;
             }
             toldOfReuse(false);
-            answeredAt = loop.nowMs();
+            answeredAt = now;
             sent.poll().execution.end(ending);
             message.release();
         }
--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -351,7 +351,7 @@
         assertThat(sockets.program.exitValue()).isZero();
     }
 
-    /** Guards rule 1 at a planned restart: what nobody answers is aborted before the platform kills. */
+    /** litoral r6ef771: clients closed soon after SIGTERM found nobody until the next start. */
     @Test
     void aConnectedClientIsServedUntilShortlyBeforeTheKill() throws Exception {
         Sockets.Client client = sockets.start(folder, "").client();
@@ -365,7 +365,7 @@
         assertThat(client.isAtEnd()).isTrue();
     }
 
-    /** Guards rule 1 at the end: what would be killed unanswered is aborted. */
+    /** Guards rule 1 at a planned restart: what nobody answers is aborted before the platform kills. */
     @Test
     void whatCannotEndIsAbortedBeforeTheKill() throws Exception {
         Sockets.Client client = sockets.start(folder, "").client();
