Take an answer that never comes for trouble of the connection that commands share

Checked and ruled out: idle time, age and number of commands on the connection (losses at any of them), the node (it answers on the next connection), the origin's limit, retries, CPU. At fault: CacheNode.Connection.giveUp, which told Reuse nothing, so that commands went on sharing. Now: an execution given up at the head of its connection with nothing heard since counts as trouble; each command has its own for 10 s.

--- a/src/main/java/dappleseam/query/Reuse.java
+++ b/src/main/java/dappleseam/query/Reuse.java
@@ -15,7 +15,7 @@
     private static final double KEPT = 0.95;
     /** Each so many-th is used all the same: the trouble may be over. */
     private static final int TRIED = 16;
-    /** Time in ms for which a spoilt answer or a broken connection tells of more to come. */
+    /** Time in ms for which an answer spoilt or missing, or a broken connection, tells of more to come. */
     private static final double TROUBLED_MS = 10_000;
 
     private final double[] all = new double[CLASSES];
@@ -34,7 +34,7 @@
         return all[c] < LEAST || broken[c] <= BROKEN_SHARE * all[c] || ++passedOver % TRIED == 0;
     }
 
-    /** An answer was spoilt, or a connection broke under a command. */
+    /** An answer was spoilt or never came, or a connection broke under a command. */
     public void troubled(double nowMs) {
         troubledAt = nowMs;
     }
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -208,6 +208,10 @@
                 close();
                 return reached;
             }
+            if (sent.peek() == given && answeredAt <= given.at) {
+                // Guards the next ones against an answer that never comes: all behind it on the connection are lost.
+                limits.reuse().troubled(loop.nowMs());
+            }
             closing.callOff();
             closing = loop.at(loop.nowMs() + STUCK_MS, this::closeIfForgotten);
             return Reached.WHOLE; // what is not written yet goes out still
--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -160,6 +160,18 @@
         assertThat(sockets.cache.next().from()).isNotSameAs(sockets.cache.next().from());
     }
 
+    /** Guards what would wait behind an answer that never comes, on a connection that stays open. */
+    @Test
+    void afterAnAnswerThatNeverCameTwoCommandsHaveAConnectionEach() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("C.GET", "00000000000000aa", "id0", "c=read,d=600");
+        sockets.cache.next();
+        assertThat(client.answer()).startsWith("-BUSY");
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=20000");
+        client.send("C.GET", "00000000000000bb", "id2", "c=read,d=20000");
+        assertThat(sockets.cache.next().from()).isNotSameAs(sockets.cache.next().from());
+    }
+
     /** Guards rule 1: a cache that says nothing costs the query no answer. */
     @Test
     void aSilentCacheIsGivenUpBeforeTheStatementTimeout() throws Exception {
