Ask a quick origin that owes an answer once more

Checked and ruled out: limits (54 at the origin with 20 in flight), extras (20 saved), the caches (4% lost, copied in time). At fault: Router.send, which gave only the first execution, at a cache, a second copy. Now also one at an origin whose latest answers take under a fifth of the SLO time on average, so that a slow one gets no more.

--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -132,11 +132,9 @@
     private boolean followed;
     private int askTurn;
     private double askWait = ASK_AGAIN_MS;
-    /** Queries taken so far. */
-    private long turn;
+    private long turn; // queries taken so far
     private final double bornAt;
-    /** Time of a timely answer from a cache, in ms. */
-    private double usualTook = 100;
+    private double usualTook = 100; // of a timely answer from a cache, in ms
     /** Share of the idle connections worth their price that the caches have room for, as failed ones tell. */
     private double hold = 1;
     /** Where this proxy stands among all, from 0 to 1; spreads hot keys. */
@@ -389,8 +387,7 @@
         Execution first = q.firstThatMayHaveRun();
         return first == null || q.grade.repeat() == Repeat.IDEMPOTENT
                 || q.grade.repeat() == Repeat.DEDUPLICATED
-                && now < first.sentAt + q.grade.windowMs() - 2 * site.tickMs()
-                && switch (q.grade.group()) {
+                && now < first.sentAt + q.grade.windowMs() - 2 * site.tickMs() && switch (q.grade.group()) {
                     case ALL -> true;
                     case ZONE -> n.zone == first.node.zone;
                     case CELL -> n.cell == first.node.cell;
@@ -401,8 +398,8 @@
         double left = q.usefulUntil - now;
         double timeout = q.usefulUntil < q.quitAt ? left : 0;
         boolean repeatable = q.grade.repeat() == Repeat.IDEMPOTENT && q.execsLeft(site) > 1
-                && caches.size() > 1 && !n.isOrigin && !q.grade.stream();
-        if (repeatable && !site.parallelExecutions()) {
+                && caches.size() > 1 && !q.grade.stream();
+        if (repeatable && !n.isOrigin && !site.parallelExecutions()) {
             // Guards against a silent cache: leaves a successor time to answer within the SLO time.
             timeout = Math.min(left, Math.max(PATIENCE * left, TOO_LATE * q.grade.sloMs()));
         }
@@ -419,21 +416,23 @@
             fleet.add(now, Tally.SENT);
         }
         host.execute(q.id, n.id, timeout);
-        if (repeatable && site.parallelExecutions() && q.execs.size() == 1) {
+        if (repeatable && site.parallelExecutions() && (n.isOrigin || q.execs.size() == 1)) {
             timers.after(SECOND_COPY * q.grade.sloMs(), () -> secondCopy(q, e));
         }
     }
 
-    /** Guards against one slow or silent cache: the successor gets a copy while it could still answer. */
+    /** Guards against one slow or silent node: another gets a copy while it could still answer. */
     private void secondCopy(Query q, Execution first) {
         if (q.answered || first.ended || q.streaming) {
             return;
         }
         first.pinned = true; // a place pinned by one slow cache tells nothing of the fleet
-        outAtCaches--;
+        boolean atOrigin = first.node.isOrigin; // late beside quick answers there: lost on its way
+        outAtCaches -= atOrigin ? 0 : 1;
         suspect(first);
-        boolean spare = q.out == 1 && extras >= 1 && q.execsLeft(site) >= (site.originModel() >= 0 ? 2 : 1);
-        Node n = spare ? originFits(q) ? origin : choose(q) : null;
+        boolean spare = q.out == 1 && extras >= 1 && (!atOrigin || first.node.took < QUICK * q.grade.sloMs())
+                && q.execsLeft(site) >= (site.originModel() >= 0 && !atOrigin ? 2 : 1);
+        Node n = spare ? originFits(q) ? origin : atOrigin ? null : choose(q) : null;
         if (n != null) {
             extras--;
             send(q, n);
--- a/src/test/java/dappleseam/router/OneProxy.java
+++ b/src/test/java/dappleseam/router/OneProxy.java
@@ -37,6 +37,10 @@
         return site(READ, -1, true, 0);
     }
 
+    static Deployment asideInParallel() {
+        return site(READ, ORIGIN_MODEL, true, 0);
+    }
+
     static Deployment onRequest() {
         return site(READ, -1, false, 8000);
     }
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -292,6 +292,24 @@
         assertThat(new HashSet<>(p.sentTo)).hasSize(2);
     }
 
+    /** Guards against answers of the origin that get lost; not where all of it is slow. */
+    @Test
+    void aQuickOriginThatOwesAnAnswerIsAskedOnceMore() {
+        for (double usual : new double[] {30, 500}) {
+            OneProxy p = new OneProxy(OneProxy.asideInParallel()).listed(4);
+            for (int i = 2; i < 60; i++) {
+                p.write(1000, i, i);
+                p.ended(1000, i, 0, Outcome.COMPLETED, usual);
+            }
+            p.ask(1000, 1, 42);
+            p.ended(1010, 1, 0, Outcome.MISS, 10);
+            int sent = p.sentTo.size();
+            p.router.woken(1370, p.timers.get(p.timers.size() - 1));
+            assertThat(p.sentTo.subList(sent, p.sentTo.size())).hasSize(usual < 100 ? 1 : 0)
+                    .allMatch(OneProxy.ORIGIN::equals);
+        }
+    }
+
     @Test
     void theCopyThatLosesIsCalledOff() {
         OneProxy p = new OneProxy(OneProxy.parallel()).listed(4);
