--- a/src/main/java/dappleseam/clients/ClientFront.java
+++ b/src/main/java/dappleseam/clients/ClientFront.java
@@ -104,6 +104,10 @@
         }
     }
 
+    public InetSocketAddress address() {
+        return server.getLocalAddress(InetSocketAddress.class);
+    }
+
     /** Accepts no more. */
     public void stopListening() {
         IoUtils.safeClose(server);
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -5,12 +5,17 @@
 import dappleseam.site.Post;
 import dappleseam.site.SiteReader;
 import dappleseam.wire.BufferPool;
+import dappleseam.wire.Link;
+import dappleseam.wire.RespWriter;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Collections;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.xnio.OptionMap;
@@ -44,6 +49,8 @@
     private static final double CLOSE_LEAD_MS = 350;
     private static final double ABORT_LEAD_MS = 200;
     private static final double END_LEAD_MS = 100;
+    /** Time in ms in which a connection to itself comes up. */
+    private static final double SELF_MS = 1000;
 
     @Option(names = "--config", defaultValue = "${env:NODE_CONFIG}", required = true,
             description = "What this proxy is told at its start, as JSON (default: the file that NODE_CONFIG names).")
@@ -78,10 +85,13 @@
         }
         XnioWorker worker = start(post);
         killAfterMs = Math.min(LONGEST_WAIT_MS, Collections.max(post.site().statementTimeoutsMs())) + KILL_MORE_MS;
-        if (worker == null || check) {
-            return rehearsed ? 0 : 1;
+        if (worker == null) {
+            return 1;
         }
         Signal.handle(new Signal("HUP"), signal -> reload(worker));
+        if (check) {
+            return rehearsed && answersItself(worker) ? 0 : 1;
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(worker)));
         ended.await();
         return 0;
@@ -122,6 +132,30 @@
         return worker;
     }
 
+    /** Whether a PING through a socket of its own comes back; the archive of classes is to hold what sockets need, too. */
+    private boolean answersItself(XnioWorker worker) {
+        CompletableFuture<Boolean> ponged = new CompletableFuture<>();
+        worker.getIoThread().execute(proxy::followList); // whatever comes of it
+        worker.getIoThread().execute(() -> loop.dial(front.address(), SELF_MS, connection -> {
+            Link self = loop.link(connection, new Link.Events() {
+                @Override
+                public void received(ByteBuffer bytes) {
+                    ponged.complete(StandardCharsets.US_ASCII.decode(bytes).toString().startsWith("+PONG"));
+                }
+
+                @Override
+                public void ended(String cause) {
+                    ponged.complete(false);
+                }
+            });
+            self.resume();
+            RespWriter.array(self.out(), 1);
+            RespWriter.bulk(self.out(), "PING");
+            self.flush();
+        }, cause -> ponged.complete(false)));
+        return ponged.join();
+    }
+
     /**
      * SIGHUP: reads the file again, on the signal's own thread. Guards service against a bad one, which changes nothing,
      * and against an older one: of two signals at once, the last to read is the last to be heard.
--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -495,6 +495,16 @@
         assertThat(sockets.origin.told).isEmpty();
     }
 
+    /** Guards the start: the archive of classes is made by a check, and holds what that has used. */
+    @Test
+    void aCheckUsesSockets() throws Exception {
+        sockets.command = "serve --check";
+        sockets.start(folder, "");
+        assertThat(sockets.list.next().words().get(0)).startsWith("GET /registry/instances");
+        assertThat(sockets.program.waitFor(Sockets.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(sockets.program.exitValue()).isZero();
+    }
+
     @Test
     void aFaultySettingIsNamed() throws Exception {
         sockets.start(folder, ",\"mostHeld\":\"many\"");
@@ -513,6 +523,7 @@
         Process program;
         int port;
         int sockets = 1024;
+        String command = "serve";
 
         /** A stand-in: commands or heads that came in, and the connections on which the test answers them. */
         static final class Peer implements AutoCloseable {
@@ -642,8 +653,9 @@
                     .formatted(port, list.endpoint(), sockets, entry("s-1", cache, "m", "ready"),
                             entry("s-0", origin, "origin", "ready"), more));
             ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "dappleseam.Main", "serve",
-                    "--config", config.toString());
+                    "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "dappleseam.Main");
+            builder.command().addAll(List.of(command.split(" ")));
+            builder.command().addAll(List.of("--config", config.toString()));
             program = builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
             return this;
         }
