Let the time-outs of clients that wait for less than a slow answer cut no limit

A probe of outcomes and rejections each half second: queries with 50 to 100 ms left time out at the origin, which answers in 70 ms; its limit falls from 31 to 1.5 and the fleet's from 51 to 17, and half of all that miss are turned away for want of room, whoever asks. Checked and ruled out: lost answers (the earlier guess; the others are answered in time throughout), the caches, CPU (0.5 of a second at most). At fault: Router.judge, which took every time-out for late, however short the wait.

--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -18,6 +18,8 @@
     double passOver;
     double quitAt;
     double usefulUntil;
+    /** Guards all limits against clients that wait for less than a slow answer takes: their time-outs tell nothing. */
+    boolean impatient;
     int out;
     boolean answered;
     boolean streaming;
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -235,6 +235,7 @@
         Query q = new Query(id, site.grades().get(grade), key, write);
         q.hash = Hash.mix(key.equals(Key.NONE) ? id.value() : key.value());
         q.quitAt = now + leftMs;
+        q.impatient = leftMs < SLOW_ANSWER * q.grade.sloMs();
         // Past its SLO time an answer that earns nothing is given up, and its node freed.
         boolean toTheEnd = q.grade.tardyShare() > 0 || q.grade.repeat() == Repeat.NON_IDEMPOTENT;
         double sloLeft = q.grade.sloMs() - 2 * site.tickMs() - LAST_HOP_MS;
@@ -470,7 +471,7 @@
             release(e);
         }
         q.asked.told(outcome, e.node, now);
-        judge(e, outcome, tookMs, q.grade);
+        judge(q, e, outcome, tookMs);
         if (finished && !q.answered) {
             settle(q);
         }
@@ -519,26 +520,27 @@
     }
 
     /** What an outcome tells of the node. */
-    private void judge(Execution e, Outcome outcome, double tookMs, ServiceGrade grade) {
+    private void judge(Query q, Execution e, Outcome outcome, double tookMs) {
         Node n = e.node;
-        boolean slow = tookMs > (n.isOrigin ? SLOW_ORIGIN : SLOW_ANSWER) * grade.sloMs();
-        boolean late = slow || outcome == Outcome.TIMED_OUT;
+        boolean slow = tookMs > (n.isOrigin ? SLOW_ORIGIN : SLOW_ANSWER) * q.grade.sloMs();
+        boolean late = slow || outcome == Outcome.TIMED_OUT && !q.impatient;
         if (n.isOrigin) {
             n.tally.add(now, late ? Tally.BAD : Tally.GOOD);
-        } else if (outcome == Outcome.TIMED_OUT) {
+        } else if (outcome == Outcome.TIMED_OUT && late) {
             pace(e, true);
+            suspect(e);
         }
         boolean answered = outcome == Outcome.COMPLETED || outcome == Outcome.MISS;
         n.took += answered ? (tookMs - n.took) / MEMORY : 0;
         // Guards the origin's limit: what is late beside quick answers got lost on its way, not in a queue.
-        boolean quick = n.took < QUICK * grade.sloMs();
+        boolean quick = n.took < QUICK * q.grade.sloMs();
         double span = quick ? BUCKETS * BUCKET_MS : OVERLOAD_MS;
         boolean queue = late && !(n.isOrigin && n.tally.count(now, span, Tally.GOOD) >= OVERLOAD_LEAST
                 && n.tally.badShare(now, span, OVERLOAD_LEAST) < (quick ? LOST_SHARE : OVERLOAD_SHARE));
         if (answered || outcome == Outcome.FULL || outcome == Outcome.ERRED) {
             n.heard(now);
         }
-        boolean alive = n.isOrigin && n.heardAt > now - grade.sloMs(); // a broken connection tells of itself
+        boolean alive = n.isOrigin && n.heardAt > now - q.grade.sloMs(); // a break tells of its connection
         if (queue || outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED && !alive) {
             cut(n.limit, e.sentAt);
         } else if (answered) {
@@ -564,7 +566,6 @@
                 }
             }
             case FULL -> passOver(n);
-            case TIMED_OUT -> suspect(e);
             case CONNECT_FAILED -> {
                 hold *= HOLD_KEPT;
                 strike(n, outcome.toString());
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -310,6 +310,24 @@
         }
     }
 
+    /** Guards everybody against clients that wait for less time than an answer takes. */
+    @Test
+    void impatientClientsCutNoLimit() {
+        for (boolean write : new boolean[] {true, false}) {
+            OneProxy p = new OneProxy(OneProxy.aside(OneProxy.READ)).listed(4);
+            for (int i = 0; i < 60; i++) {
+                p.router.query(1000 + 100 * i, new QueryId(i), 0, new Key(i + 1), 60, write);
+                p.ended(1050 + 100 * i, i, 0, Outcome.TIMED_OUT, 50);
+                p.router.woken(1099 + 100 * i, p.timers.get(p.timers.size() - 1)); // its place is free again
+            }
+            p.done.clear();
+            for (int i = 100; i < 110; i++) {
+                p.router.query(9000, new QueryId(i), 0, new Key(i), 2000, write);
+            }
+            assertThat(p.done).filteredOn(done -> done.startsWith("execute")).hasSize(10);
+        }
+    }
+
     @Test
     void theCopyThatLosesIsCalledOff() {
         OneProxy p = new OneProxy(OneProxy.parallel()).listed(4);
