Let only clients that have been idle for 250 ms make way for others

At fault: ClientFront.fellIdle, which closed at each answer whoever was idle, though it asked again at once; and no descriptors were kept for those closed and not yet deregistered (Serve.start).

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -28,6 +28,8 @@
     private static final double SILENT_MS = 2200;
     /** Time in ms without a query open after which a client that has asked before is closed. */
     private static final double IDLE_MS = 5000;
+    /** Time in ms without a query open after which a client is not likely to ask again soon. */
+    private static final double SETTLED_MS = 250;
     /** Time in ms after which buffers are looked for again. */
     private static final double BUFFERS_AGAIN_MS = 20;
     /** What may go on into a path or a header. */
@@ -189,6 +191,11 @@
         return hasAsked && isIdle();
     }
 
+    /** Idle for so long that its client is not about to ask again. */
+    boolean hasSettled() {
+        return hasAskedAndIsIdle() && loop.nowMs() - quietSince > SETTLED_MS;
+    }
+
     private int use() {
         boolean isNew = !hasAsked && loop.nowMs() - quietSince < NEW_MS;
         return isNew ? 3 : !isIdle() ? 2 : hasAsked ? 1 : 0;
--- a/src/main/java/dappleseam/clients/ClientFront.java
+++ b/src/main/java/dappleseam/clients/ClientFront.java
@@ -21,6 +21,8 @@
     private static final int KEPT_FREE = 8;
     /** Share of the clients' own limit that those with nothing owed may take; the rest is for a burst. */
     private static final double IDLE_SHARE = 0.75;
+    /** Time in ms between looks at who is idle while they have more: a few clients connect in that time. */
+    private static final double LOOK_AGAIN_MS = 50;
 
     private final Loop loop;
     private final Queries queries;
@@ -89,17 +91,18 @@
 
     /**
      * A client is owed nothing any more. Guards clients against those that ask once and keep their connection:
-     * they hold so many at most, and with all of them idle here no other could be opened. Not before other
-     * connections' bytes are done with: each is looked at once more before it is closed.
+     * they hold so many at most, and with all of them idle here no other could be opened. Those that ask again and
+     * again are left alone: what is closed under load only has to be accepted again.
      */
     void fellIdle() {
         if (asking > roomToAsk && !makingRoom) {
             makingRoom = true;
-            loop.at(loop.nowMs(), () -> {
+            loop.at(loop.nowMs() + LOOK_AGAIN_MS, () -> {
                 makingRoom = false;
-                connections.all().stream().filter(ClientConnection::hasAskedAndIsIdle)
+                connections.all().stream().filter(ClientConnection::hasSettled)
                         .sorted(ClientConnection.BY_USE).limit(Math.max(0, asking - roomToAsk))
                         .forEach(ClientConnection::closeIfIdle);
+                fellIdle();
             });
         }
     }
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -37,6 +37,8 @@
     private static final int OWN_DESCRIPTORS = 48;
     /** Share of the other descriptors that is kept for caches, origin and list. */
     private static final double SHARE_FOR_PEERS = 0.5;
+    /** Share of the clients' descriptors for connections that are closed already, and held until the next select. */
+    private static final double SHARE_FOR_CLOSED = 0.125;
     /** Descriptors for each connection that clients may hold for queries: they have a third of them at most. */
     private static final int DESCRIPTORS_A_CLIENT = 3;
     /** Times in ms after SIGTERM: until no more connections are accepted, and between looks at who is idle. */
@@ -112,7 +114,8 @@
                 rehearsed = passed;
                 try {
                     proxy = new Proxy(loop, post);
-                    front = new ClientFront(loop, proxy, post.descriptors() - OWN_DESCRIPTORS - forPeers,
+                    int forClients = post.descriptors() - OWN_DESCRIPTORS - forPeers;
+                    front = new ClientFront(loop, proxy, (int) (forClients * (1 - SHARE_FOR_CLOSED)),
                             post.descriptors() / DESCRIPTORS_A_CLIENT);
                     front.listen(worker, post.listen());
                 } catch (IOException | RuntimeException e) {
