Leave caches that are set aside out of what tells of an overload of the fleet

Seen (sockets, wide+reset+stale, probe of rejections): five of twelve caches age and up to five are set aside; the others answer in 50 ms and 1,264 of 2,010 rejections are for the fleet's limit, which stands at 20 to 35 with 17 to 30 in flight, once 51. Checked and ruled out: limits of single caches (0 to 3 full), the origin's (45 with 10 to 40 in flight), further executions (20 saved up). At fault: Router.overloaded, which counted the caches set aside among the slow ones, so that they cut what the others are given.

--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -608,13 +608,13 @@
         return tally.badShare(now, busy ? OVERLOAD_MS : BUCKETS * BUCKET_MS, OVERLOAD_THIN) > OVERLOAD_SHARE;
     }
 
-    /** Counts caches, not answers: a few slow ones are no overload, however much they hold. */
+    /** Counts caches in use, not answers: a few slow ones are no overload, those set aside none. */
     private boolean overloaded() {
         double slow = 0;
         double heard = 0;
         for (Node n : caches) {
-            heard += n.heardAt > now - busyMs() ? n.scale : 0;
-            slow += n.busyUntil > now ? n.scale : 0;
+            heard += n.heardAt > now - busyMs() && n.asideUntil <= now ? n.scale : 0;
+            slow += n.busyUntil > now && n.asideUntil <= now ? n.scale : 0;
         }
         return slow > OVERLOAD_CACHES * heard;
     }
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -5,8 +5,10 @@
 
 import dappleseam.router.ServiceGrade.Group;
 import dappleseam.router.ServiceGrade.Repeat;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -283,6 +285,30 @@
         assertThat(p.done).filteredOn(act -> act.startsWith("execute")).isNotEmpty();
     }
 
+    /** litoral wide+reset+stale: caches that were set aside as sick cut what the others were given. */
+    @Test
+    void cachesSetAsideAreNoOverloadOfTheOthers() {
+        OneProxy p = new OneProxy(OneProxy.aside(OneProxy.READ)).listed(10);
+        Map<NodeId, Integer> keys = new HashMap<>();
+        for (int key = 1; key <= 200; key++) {
+            p.ask(1000, key, key);
+            keys.put(p.last(), key);
+            p.ended(1001, key, 0, Outcome.COMPLETED, 1);
+        }
+        List<Integer> sick = keys.values().stream().limit(5).toList(); // four are silent twice, the fifth is late once
+        for (int i = 0; i < 9; i++) {
+            p.ask(1100, 1000 + i, sick.get(i / 2));
+        }
+        for (int i = 0; i < 9; i++) {
+            p.ended(1700, 1000 + i, 0, Outcome.TIMED_OUT, 600);
+        }
+        p.done.clear();
+        for (int i = 2000; i < 2100; i++) {
+            p.ask(1750, i, i);
+        }
+        assertThat(p.done).filteredOn(done -> done.startsWith("execute")).hasSizeGreaterThan(45);
+    }
+
     /** litoral i14f780: caches that merely had a queue stood set aside for silence. */
     @Test
     void aSilentCacheGetsASecondCopyElsewhere() {
