--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -147,6 +147,12 @@
         assertThat(sockets.origin.told).isEmpty();
     }
 
+    private void assertTwoReadsHaveAConnectionEach(Sockets.Client client) throws Exception {
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=20000");
+        client.send("C.GET", "00000000000000bb", "id2", "c=read,d=20000");
+        assertThat(sockets.cache.next().from()).isNotSameAs(sockets.cache.next().from());
+    }
+
     /** Guards quick queries against waiting behind slow ones, and against what is spoilt before them. */
     @Test
     void afterTroubleTwoCommandsHaveAConnectionEach() throws Exception {
@@ -155,9 +161,7 @@
         sockets.cache.next().answer("noise\r\n");
         sockets.origin.next().answer(ok("value"));
         assertThat(client.answer()).isEqualTo("value");
-        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=20000");
-        client.send("C.GET", "00000000000000bb", "id2", "c=read,d=20000");
-        assertThat(sockets.cache.next().from()).isNotSameAs(sockets.cache.next().from());
+        assertTwoReadsHaveAConnectionEach(client);
     }
 
     /** Guards what would wait behind an answer that never comes, on a connection that stays open. */
@@ -167,9 +171,7 @@
         client.send("C.GET", "00000000000000aa", "id0", "c=read,d=600");
         sockets.cache.next();
         assertThat(client.answer()).startsWith("-BUSY");
-        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=20000");
-        client.send("C.GET", "00000000000000bb", "id2", "c=read,d=20000");
-        assertThat(sockets.cache.next().from()).isNotSameAs(sockets.cache.next().from());
+        assertTwoReadsHaveAConnectionEach(client);
     }
 
     /** Guards rule 1: a cache that says nothing costs the query no answer. */
