A door for operators with figures, drains, and two processes on one address

Seen before: the second process of an upgrade exited with 1 (address in use: XNIO sets no SO_REUSEPORT), and nothing answered at control. Change: dappleseam.control (door, figures), org.xnio.nio.SharedPort, Seats (who else is on the address, from file locks), out of service and back, descriptors shared while two are there, clients' listener drained and closed in one turn.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -138,7 +138,7 @@
         switch (verb) {
             case "C.GET" -> query(message, 4, one);
             case "C.SET" -> query(message, 5, one);
-            case "PING" -> one.line("+PONG");
+            case "PING" -> one.line(front.sendsAway() ? "-ERR out of service" : "+PONG");
             case "CLIENT", "SELECT" -> one.line("+OK");
             case "QUIT" -> {
                 last = true;
@@ -253,6 +253,8 @@
     public void drained() {
         if (last && owed.isEmpty()) {
             close();
+        } else if (front.closesIdle() && isIdle()) {
+            loop.at(loop.nowMs(), this::closeIfIdle); // not now: bytes of this connection may be in hand
         } else if (paused && !isFull()) {
             resume();
         }
@@ -293,7 +295,8 @@
             link.readable(); // what is read now is answered; a close with it unread would lose it
         }
         if (!link.isClosed() && isIdle()) {
-            close();
+            link.closeAtOnce();
+            gone();
         }
     }
 
--- a/src/main/java/dappleseam/clients/ClientFront.java
+++ b/src/main/java/dappleseam/clients/ClientFront.java
@@ -12,6 +12,7 @@
 import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
+import org.xnio.nio.SharedPort;
 
 /** Where clients connect. */
 public final class ClientFront {
@@ -23,15 +24,20 @@
     private static final double IDLE_SHARE = 0.75;
     /** Time in ms between looks at who is idle while they have more: a few clients connect in that time. */
     private static final double LOOK_AGAIN_MS = 50;
+    /** Time in ms for which clients go on being sent here once a PING is answered no. */
+    private static final double SENT_MORE_MS = 400;
 
     private final Loop loop;
     private final Queries queries;
-    private final int most;
+    private int most;
     private final int roomToAsk;
     private int asking;
     private boolean makingRoom;
     private final Slots<ClientConnection> connections = new Slots<>();
     private AcceptingChannel<StreamConnection> server;
+    private boolean sendsAway;
+    /** When clients are to be closed as they fall idle. */
+    private double closesFrom = Double.POSITIVE_INFINITY;
 
     /** Takes {@code most} connections at once, more wait to be accepted; clients open {@code mostAsking} for queries. */
     public ClientFront(Loop loop, Queries queries, int most, int mostAsking) {
@@ -41,8 +47,26 @@
         roomToAsk = (int) (IDLE_SHARE * mostAsking);
     }
 
+    /** Takes so many connections at once from now on; those it has beyond that stay. */
+    public void limit(int newMost) throws IOException {
+        most = newMost;
+        if (server != null) {
+            server.setOption(Options.CONNECTION_LOW_WATER, Math.min(most, lowWater()));
+            server.setOption(Options.CONNECTION_HIGH_WATER, most);
+            server.setOption(Options.CONNECTION_LOW_WATER, most - 1);
+        }
+    }
+
+    private int lowWater() throws IOException {
+        return server.getOption(Options.CONNECTION_LOW_WATER);
+    }
+
+    public boolean isListening() {
+        return server != null && server.isOpen();
+    }
+
     public void listen(XnioWorker worker, InetSocketAddress address) throws IOException {
-        server = worker.createStreamConnectionServer(address, this::acceptable, OptionMap.builder()
+        server = SharedPort.open(worker, address, this::acceptable, OptionMap.builder()
                 .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG)
                 .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most - 1).getMap());
         server.resumeAccepts();
@@ -111,11 +135,54 @@
         return server.getLocalAddress(InetSocketAddress.class);
     }
 
-    /** Accepts no more. */
+    /** Accepts no more, and closes clients as they fall idle: another process takes them. */
+    public void handOver() {
+        stopListening();
+        closesFrom = loop.nowMs();
+    }
+
+    /** Accepts no more, but for what has connected already: what is queued at a listener that closes is reset. */
     public void stopListening() {
+        try {
+            server.setOption(Options.CONNECTION_HIGH_WATER, Integer.MAX_VALUE);
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "some clients may be reset: {0}", e.getMessage());
+        }
+        acceptable(server);
         IoUtils.safeClose(server);
     }
 
+    /** Sends clients away from now on: a PING is answered no, and connections close as they fall idle. */
+    public void outOfService() {
+        if (!sendsAway) {
+            sendsAway = true;
+            closesFrom = loop.nowMs() + SENT_MORE_MS;
+            loop.at(closesFrom, this::closeIdleWhileAway);
+        }
+    }
+
+    /** Takes clients again. */
+    public void inService() {
+        sendsAway = false;
+        closesFrom = Double.POSITIVE_INFINITY;
+    }
+
+    public boolean sendsAway() {
+        return sendsAway;
+    }
+
+    /** Whether a client is closed as soon as nothing is owed to it. */
+    boolean closesIdle() {
+        return loop.nowMs() >= closesFrom;
+    }
+
+    private void closeIdleWhileAway() {
+        if (closesIdle()) {
+            closeIdle();
+            loop.at(loop.nowMs() + LOOK_AGAIN_MS, this::closeIdleWhileAway);
+        }
+    }
+
     /** Ends the connections on which nothing is owed. */
     public void closeIdle() {
         connections.all().forEach(ClientConnection::closeIfIdle);
--- /dev/null
+++ b/src/main/java/dappleseam/control/Door.java
@@ -0,0 +1,201 @@
+package dappleseam.control;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Where operators call, on a thread of its own: what it reads is published, what it asks for is posted, so it answers
+ * however busy the proxy is. One call to a connection.
+ */
+public final class Door {
+    private static final Logger LOG = System.getLogger(Door.class.getName());
+    /** Callers at once; the descriptors kept for them, with the listener's and the selector's own two. */
+    private static final int MOST_CALLERS = 12;
+    public static final int DESCRIPTORS = MOST_CALLERS + 4;
+    private static final int BACKLOG = 64;
+    /** Time in ms for a call to come, to be answered and to be taken: more than a caller waits. */
+    private static final long CALLER_MS = 3000;
+    /** Time in ms between looks at who has been here too long, and at the other process. */
+    private static final long LOOK_MS = 100;
+    private static final int BUFFER = 8 << 10;
+
+    private final Staff staff;
+    private final Figures figures;
+    private final Runnable look;
+    private final Selector selector;
+    private final ServerSocketChannel server;
+    private final ByteBuffer scratch = ByteBuffer.allocate(BUFFER);
+    private final List<Caller> callers = new ArrayList<>();
+
+    private static final class Caller {
+        final SocketChannel channel;
+        final CallReader call = new CallReader();
+        final long sinceNanos = System.nanoTime();
+        ByteBuffer answer;
+        SelectionKey key;
+
+        Caller(SocketChannel channel) {
+            this.channel = channel;
+        }
+
+        boolean isLate() {
+            return System.nanoTime() - sinceNanos > CALLER_MS * 1_000_000;
+        }
+    }
+
+    /** Listens from now on; {@code look} is called every so often, on the door's thread. */
+    public Door(InetSocketAddress address, Staff staff, Figures figures, Runnable look) throws IOException {
+        this.staff = staff;
+        this.figures = figures;
+        this.look = look;
+        selector = Selector.open();
+        server = ServerSocketChannel.open();
+        try {
+            server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            server.configureBlocking(false);
+            server.bind(address, BACKLOG);
+            server.register(selector, SelectionKey.OP_ACCEPT);
+        } catch (IOException e) {
+            server.close();
+            selector.close();
+            throw e;
+        }
+        Thread thread = new Thread(this::serve, "door");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void serve() {
+        long lookedAt = System.nanoTime();
+        while (true) {
+            try {
+                selector.select(LOOK_MS);
+                for (SelectionKey key : selector.selectedKeys()) {
+                    if (key.isValid() && key.isAcceptable()) {
+                        accept();
+                    } else if (key.isValid()) {
+                        ready((Caller) key.attachment());
+                    }
+                }
+                selector.selectedKeys().clear();
+                if (System.nanoTime() - lookedAt > LOOK_MS * 1_000_000) {
+                    lookedAt = System.nanoTime();
+                    List.copyOf(callers).stream().filter(Caller::isLate).forEach(this::end);
+                    look.run();
+                }
+            } catch (IOException | RuntimeException e) { // one fault does not shut the door
+                LOG.log(Level.WARNING, "door: {0}", e.toString());
+                pauseAfterFault();
+            }
+        }
+    }
+
+    /** Guards the core against a fault that comes back at once, as where no descriptor is left. */
+    private static void pauseAfterFault() {
+        try {
+            Thread.sleep(LOOK_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void accept() throws IOException {
+        for (SocketChannel channel = server.accept(); channel != null; channel = server.accept()) {
+            if (callers.size() >= MOST_CALLERS) { // guards the others against callers that finish no call
+                callers.stream().min(Comparator.comparingLong(c -> c.sinceNanos)).ifPresent(this::end);
+            }
+            Caller caller = new Caller(channel);
+            callers.add(caller);
+            try {
+                channel.configureBlocking(false);
+                caller.key = channel.register(selector, SelectionKey.OP_READ, caller);
+                ready(caller);
+            } catch (IOException e) {
+                end(caller);
+            }
+        }
+    }
+
+    private void ready(Caller caller) {
+        try {
+            if (caller.answer != null && caller.answer.hasRemaining()) {
+                write(caller);
+            } else {
+                read(caller);
+            }
+        } catch (IOException e) { // the caller has gone
+            end(caller);
+        }
+    }
+
+    private void read(Caller caller) throws IOException {
+        scratch.clear();
+        int count = caller.channel.read(scratch);
+        if (count < 0) {
+            end(caller);
+        } else if (caller.answer == null && caller.call.read(scratch.flip())) {
+            caller.answer = ByteBuffer.wrap(answer(caller.call));
+            write(caller);
+        }
+    }
+
+    /** Once all is written, the connection ends when the caller has closed it, too: a close at once may cut the answer. */
+    private void write(Caller caller) throws IOException {
+        caller.channel.write(caller.answer);
+        if (caller.answer.hasRemaining()) {
+            caller.key.interestOps(SelectionKey.OP_WRITE);
+        } else {
+            caller.key.interestOps(SelectionKey.OP_READ);
+            caller.channel.shutdownOutput();
+        }
+    }
+
+    private void end(Caller caller) {
+        callers.remove(caller);
+        try {
+            caller.channel.close();
+        } catch (IOException e) {
+            LOG.log(Level.DEBUG, "door: {0}", e.toString());
+        }
+    }
+
+    private byte[] answer(CallReader call) {
+        if (call.fault() != 0) {
+            return CallReader.answer(call.fault(), "malformed call\n");
+        }
+        String needed = switch (call.path()) {
+            case "/control/ready", "/control/counters" -> "GET";
+            case "/control/out-of-service", "/control/in-service" -> "POST";
+            default -> null;
+        };
+        if (needed == null) {
+            return CallReader.answer(404, "no such call\n");
+        }
+        if (!call.method().equals(needed)) {
+            return CallReader.answer(405, "use " + needed + "\n");
+        }
+        switch (call.path()) {
+            case "/control/ready" -> {
+                boolean ready = staff.isReady();
+                return CallReader.answer(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+            }
+            case "/control/counters" -> {
+                return CallReader.answer(200, figures.text());
+            }
+            case "/control/out-of-service" -> staff.outOfService();
+            default -> staff.inService();
+        }
+        return CallReader.answer(200, "done\n");
+    }
+}
--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -134,6 +134,13 @@
             }
         }
 
+        @Override
+        public void drained() {
+            if (current != null && reached() == Reached.WHOLE) {
+                current.written();
+            }
+        }
+
         Reached reached() {
             return link != null && link.written() >= endsAt ? Reached.WHOLE : Reached.NOT_WHOLE;
         }
--- a/src/main/java/dappleseam/proxy/EventLoop.java
+++ b/src/main/java/dappleseam/proxy/EventLoop.java
@@ -31,7 +31,7 @@
 
     private final XnioIoThread thread;
     private final BufferPool pool;
-    private final int mostDialled;
+    private int mostDialled;
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH);
     private final TreeSet<At> deadlines = new TreeSet<>();
     private final double bornMs = System.currentTimeMillis();
@@ -48,6 +48,11 @@
         this.mostDialled = mostDialled;
     }
 
+    /** Holds so many connections to peers at most from now on; those it has beyond that stay. */
+    void limitDialled(int most) {
+        mostDialled = most;
+    }
+
     @Override
     public double nowMs() {
         return bornMs + (System.nanoTime() - bornNanos) / 1e6;
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -2,6 +2,7 @@
 
 import dappleseam.clients.Owed;
 import dappleseam.clients.Queries;
+import dappleseam.control.Figures;
 import dappleseam.list.ListReader;
 import dappleseam.list.ListWatch;
 import dappleseam.list.Listed;
@@ -64,6 +65,7 @@
 
     private final Loop loop;
     private final Site site;
+    private final Figures figures;
     private final Connections connections;
     private final Router router;
     private final ListReader lists;
@@ -75,6 +77,7 @@
     /** Told to the router one after the other: what it does may bring about the next. */
     private final ArrayDeque<Runnable> toTell = new ArrayDeque<>();
     private boolean telling;
+    private boolean hasHeardList;
     private double errorLoggedAt;
 
     /** A listed node and where it is dialled. */
@@ -84,24 +87,28 @@
     private static final class Taken {
         final Command command;
         final Owed owed;
+        final String grade;
         final double quitAt;
         final List<Sent> execs = new ArrayList<>(3);
         Loop.Deadline forgotten;
         boolean answered;
         int out;
 
-        Taken(Command command, Owed owed, double quitAt) {
+        Taken(Command command, Owed owed, String grade, double quitAt) {
             this.command = command;
             this.owed = owed;
+            this.grade = grade;
             this.quitAt = quitAt;
         }
     }
 
     private record Sent(Execution execution, Backend backend, Loop.Deadline deadline) {}
 
-    Proxy(Loop loop, Post post) throws IOException {
+    Proxy(Loop loop, Post post, Figures figures) throws IOException {
         this.loop = loop;
+        this.figures = figures;
         site = post.site();
+        figures.grades(site.gradeNames());
         // Where two executions may never be out together, giving one up has to end its connection, and so
         // each has one of its own: a neighbour's would be reset with it.
         boolean together = site.deployment().parallelExecutions();
@@ -130,11 +137,22 @@
         watch.moveTo(post.listService());
     }
 
+    /** Whether the list service has told of the list since the start. */
+    boolean hasHeardList() {
+        return hasHeardList;
+    }
+
+    /** Tells the figures what takes a walk to count. */
+    void publish() {
+        figures.list((int) peers.values().stream().filter(p -> p.state != Member.State.GONE).count(),
+                router.avoided(loop.nowMs()));
+    }
+
     /** Answers at once what has no answer yet: this process is about to end. */
     void abortAll() {
         for (Taken taken : queries.all()) {
             if (!taken.answered) {
-                answered(taken);
+                answered(taken, Figures.End.FAILED);
                 taken.owed.line(FAILED);
             }
         }
@@ -160,6 +178,7 @@
     }
 
     private void news(NodeList list) {
+        hasHeardList = true;
         learn(list);
         List<Member> members = members(list);
         if (list.whole()) {
@@ -234,20 +253,24 @@
 
     @Override
     public QueryId take(Command command, Owed owed) {
-        int grade = site.gradeNames().indexOf(command.fact("c"));
+        String named = command.fact("c");
+        int grade = site.gradeNames().indexOf(named);
         double waits = waits(command, grade);
         if (grade < 0 || waits <= 0) {
             command.release();
+            figures.turnedAway(named, Figures.End.FAILED);
             owed.line("-ERR malformed list of names and values");
             return null;
         }
         if (queries.isFull(site.mostHeld())) {
             command.release();
+            figures.turnedAway(named, Figures.End.REJECTED);
             owed.busy(site.deployment().maxRetryAfterMs() > 0 ? TABLE_FULL_MS : 0);
             return null;
         }
         if (!ids.add(command.id())) { // nodes know a query by its id: another's may be open, or just have been
             command.release();
+            figures.turnedAway(named, Figures.End.FAILED);
             owed.line("-ERR this id is in use");
             return null;
         }
@@ -255,7 +278,8 @@
             ids.remove(ids.iterator().next());
         }
         double left = Math.max(1, waits - LAST_HOP_MS);
-        Taken taken = new Taken(command, owed, loop.nowMs() + left);
+        Taken taken = new Taken(command, owed, named, loop.nowMs() + left);
+        figures.taken();
         QueryId id = new QueryId(queries.put(taken));
         taken.forgotten = loop.at(taken.quitAt + FORGOTTEN_MS, () -> forgotten(id));
         tell(() -> router.query(loop.nowMs(), id, grade, key(command.key()), taken.quitAt - loop.nowMs(),
@@ -291,13 +315,14 @@
     public void clientLeft(QueryId id) {
         Taken taken = queries.get(id.value());
         if (taken != null && !taken.answered) {
-            answered(taken);
+            answered(taken, Figures.End.FAILED);
             tell(() -> router.clientLeft(loop.nowMs(), id));
             tell(() -> freeIfOver(id, taken));
         }
     }
 
-    private static void answered(Taken taken) {
+    private void answered(Taken taken, Figures.End how) {
+        figures.ended(taken.grade, how);
         taken.answered = true;
         taken.forgotten.callOff();
     }
@@ -318,7 +343,8 @@
         }
         double now = loop.nowMs();
         double until = timeoutMs == 0 ? taken.quitAt : Math.min(taken.quitAt, now + timeoutMs);
-        Execution execution = new Execution(id, taken.execs.size(), taken.command, now, until, this::ended);
+        Execution execution = new Execution(id, taken.execs.size(), taken.command, now, until,
+                figures::executed, this::ended);
         Peer peer = peers.get(node);
         taken.out++;
         if (taken.answered || peer == null || taken.execs.size() >= site.deployment().mostExecutions()) {
@@ -354,7 +380,7 @@
             if (taken.answered) {
                 ending.value().release();
             } else {
-                answered(taken);
+                answered(taken, Figures.End.COMPLETED);
                 taken.owed.value(ending.value());
             }
         } else if (ending.outcome() == Outcome.ERRED && loop.nowMs() > errorLoggedAt + ERRORS_APART_MS) {
@@ -371,18 +397,18 @@
 
     @Override
     public void reject(QueryId id, double retryAfterMs) {
-        answer(id, owed -> owed.busy(retryAfterMs));
+        answer(id, Figures.End.REJECTED, owed -> owed.busy(retryAfterMs));
     }
 
     @Override
     public void abort(QueryId id) {
-        answer(id, owed -> owed.line(FAILED));
+        answer(id, Figures.End.FAILED, owed -> owed.line(FAILED));
     }
 
-    private void answer(QueryId id, Consumer<Owed> last) {
+    private void answer(QueryId id, Figures.End how, Consumer<Owed> last) {
         Taken taken = queries.get(id.value());
         if (taken != null && !taken.answered) {
-            answered(taken);
+            answered(taken, how);
             last.accept(taken.owed);
             tell(() -> freeIfOver(id, taken));
         }
--- a/src/main/java/dappleseam/proxy/Rehearsal.java
+++ b/src/main/java/dappleseam/proxy/Rehearsal.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dappleseam.clients.ClientFront;
+import dappleseam.control.Figures;
 import dappleseam.site.Post;
 import dappleseam.wire.BufferPool;
 import dappleseam.wire.Link;
@@ -73,7 +74,7 @@
     }
 
     private void begin(Post post) throws IOException {
-        ClientFront front = new ClientFront(this, new Proxy(this, withStandIns(post)), 2 * AT_ONCE, 2 * AT_ONCE);
+        ClientFront front = new ClientFront(this, new Proxy(this, withStandIns(post), new Figures()), 2 * AT_ONCE, 2 * AT_ONCE);
         loop.at(loop.nowMs() + LONGEST_MS, this::end);
         ChannelPipe<StreamConnection, StreamConnection> pipe = thread.createFullDuplexPipeConnection();
         front.opened(pipe.getRightSide());
@@ -93,7 +94,7 @@
             targets.addObject().put("uid", "rehearsed-origin").put("state", "ready").put("endpoint", "127.0.0.1:2")
                     .put("model", post.site().machines().get(originModel));
         }
-        return new Post(post.name(), post.listen(), post.listService(), post.seed(), post.descriptors(),
+        return new Post(post.name(), post.listen(), null, post.listService(), post.seed(), post.descriptors(),
                 post.memoryMb(), known, post.site());
     }
 
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -1,6 +1,9 @@
 package dappleseam.proxy;
 
 import dappleseam.clients.ClientFront;
+import dappleseam.control.Door;
+import dappleseam.control.Figures;
+import dappleseam.control.Staff;
 import dappleseam.site.FaultySettingException;
 import dappleseam.site.Post;
 import dappleseam.site.SiteReader;
@@ -44,6 +47,8 @@
     /** Times in ms after SIGTERM: until no more connections are accepted, and between looks at who is idle. */
     private static final double ACCEPT_MORE_MS = 450;
     private static final double LOOK_AGAIN_MS = 10;
+    /** Connections that each process has room for, however few descriptors there are. */
+    private static final int LEAST_CONNECTIONS = 24;
     /** The platform kills no sooner than the longest statement timeout, up to so many ms, and so many more after it. */
     private static final double LONGEST_WAIT_MS = 3000;
     private static final double KILL_MORE_MS = 700;
@@ -53,6 +58,11 @@
     private static final double END_LEAD_MS = 100;
     /** Time in ms in which a connection to itself comes up. */
     private static final double SELF_MS = 1000;
+    /** Time in ms between publishings of the figures that take a walk. */
+    private static final double PUBLISH_MS = 200;
+    /** Beside another process: each may dial so large a share of what both have; longest wait for the list, in ms. */
+    private static final double SHARE_FOR_PEERS_EACH = 0.25;
+    private static final double LIST_WAIT_MS = 2500;
 
     @Option(names = "--config", defaultValue = "${env:NODE_CONFIG}", required = true,
             description = "What this proxy is told at its start, as JSON (default: the file that NODE_CONFIG names).")
@@ -64,6 +74,9 @@
     private EventLoop loop;
     private ClientFront front;
     private Proxy proxy;
+    private final Figures figures = new Figures();
+    private Seats seats;
+    private volatile boolean ready;
     private double killAfterMs;
     private boolean rehearsed;
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -85,8 +98,8 @@
             System.err.println("dappleseam serve: " + e.getMessage());
             return 1;
         }
-        XnioWorker worker = start(post);
         killAfterMs = Math.min(LONGEST_WAIT_MS, Collections.max(post.site().statementTimeoutsMs())) + KILL_MORE_MS;
+        XnioWorker worker = start(post);
         if (worker == null) {
             return 1;
         }
@@ -104,7 +117,10 @@
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.THREAD_DAEMON, true).getMap());
-        int forPeers = (int) (SHARE_FOR_PEERS * (post.descriptors() - OWN_DESCRIPTORS));
+        if (post.control() != null && !openDoor(worker, post)) {
+            return null;
+        }
+        int forPeers = (int) (SHARE_FOR_PEERS * descriptors(post, 1));
         int buffers = (int) (SHARE_FOR_BUFFERS * post.memoryMb() * (BYTES_PER_MB / BufferPool.SIZE));
         CountDownLatch begun = new CountDownLatch(1);
         Exception[] fault = new Exception[1];
@@ -113,14 +129,15 @@
             Rehearsal.play(loop, worker.getIoThread(), post, passed -> {
                 rehearsed = passed;
                 try {
-                    proxy = new Proxy(loop, post);
-                    int forClients = post.descriptors() - OWN_DESCRIPTORS - forPeers;
+                    proxy = new Proxy(loop, post, figures);
+                    int forClients = descriptors(post, 1) - forPeers;
                     front = new ClientFront(loop, proxy, (int) (forClients * (1 - SHARE_FOR_CLOSED)),
                             post.descriptors() / DESCRIPTORS_A_CLIENT);
-                    front.listen(worker, post.listen());
+                    publish();
+                    shareLimits(post);
+                    listen(worker, post, loop.nowMs() + LIST_WAIT_MS, fault, begun);
                 } catch (IOException | RuntimeException e) {
                     fault[0] = e;
-                } finally {
                     begun.countDown();
                 }
             });
@@ -135,6 +152,108 @@
         return worker;
     }
 
+    /** Descriptors for connections where so many processes hold those of one. */
+    private static int descriptors(Post post, int processes) {
+        int own = OWN_DESCRIPTORS + (post.control() == null ? 0 : Door.DESCRIPTORS + Seats.DESCRIPTORS);
+        return Math.max(processes * LEAST_CONNECTIONS, post.descriptors() - processes * own);
+    }
+
+    /**
+     * Listens at once where this process is alone. Beside another, which serves meanwhile, it waits for the list: that one
+     * may have been told of drains that this one's file does not know yet.
+     */
+    private void listen(XnioWorker worker, Post post, double untilMs, Exception[] fault, CountDownLatch begun) {
+        if (seats != null && seats.areShared() && !proxy.hasHeardList() && loop.nowMs() < untilMs) {
+            loop.at(loop.nowMs() + LOOK_AGAIN_MS, () -> listen(worker, post, untilMs, fault, begun));
+            return;
+        }
+        try {
+            front.listen(worker, post.listen());
+            if (seats != null) {
+                seats.listens();
+            }
+            ready = true;
+        } catch (IOException | RuntimeException e) {
+            fault[0] = e;
+        } finally {
+            begun.countDown();
+        }
+    }
+
+    /** The one that may be written to. */
+    private static Path folder() {
+        String told = System.getenv("TMPDIR");
+        return Path.of(told == null || told.isEmpty() ? System.getProperty("java.io.tmpdir") : told);
+    }
+
+    private void publish() {
+        proxy.publish();
+        loop.at(loop.nowMs() + PUBLISH_MS, this::publish);
+    }
+
+    private boolean openDoor(XnioWorker worker, Post post) {
+        seats = Seats.take(folder(), post.listen());
+        boolean[] shared = {seats.areShared()};
+        try {
+            new Door(post.control(), new Staff() {
+                @Override
+                public boolean isReady() {
+                    return ready;
+                }
+
+                @Override
+                public void outOfService() {
+                    ready = false;
+                    worker.getIoThread().execute(() -> {
+                        if (front != null) {
+                            front.outOfService();
+                        }
+                    });
+                    LOG.log(Level.INFO, "out of service: clients are sent away");
+                }
+
+                @Override
+                public void inService() {
+                    worker.getIoThread().execute(() -> {
+                        if (front != null && front.isListening()) {
+                            front.inService();
+                            ready = true;
+                        }
+                    });
+                    LOG.log(Level.INFO, "in service: clients are taken");
+                }
+            }, figures, () -> {
+                seats.look();
+                if (seats.areShared() != shared[0]) {
+                    shared[0] = !shared[0];
+                    LOG.log(Level.INFO, "{0}", shared[0] ? "another process serves this address, too"
+                            : "alone on this address");
+                    worker.getIoThread().execute(() -> shareLimits(post));
+                }
+            });
+            return true;
+        } catch (IOException | RuntimeException e) {
+            System.err.println("dappleseam serve: control: cannot listen on " + post.control() + ": " + e.getMessage());
+            return false;
+        }
+    }
+
+    /** Guards the limits on descriptors, which hold for two processes on one address together. */
+    private void shareLimits(Post post) {
+        if (front == null || seats == null) {
+            return;
+        }
+        boolean shared = seats.areShared();
+        int all = descriptors(post, shared ? 2 : 1);
+        int forPeers = (int) ((shared ? SHARE_FOR_PEERS_EACH : SHARE_FOR_PEERS) * all);
+        try {
+            loop.limitDialled(forPeers);
+            front.limit((int) ((all - (shared ? 2 : 1) * forPeers) * (1 - SHARE_FOR_CLOSED)));
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "limits are not shared: {0}", e.getMessage());
+        }
+    }
+
     /** Whether a PING through a socket of its own comes back; the archive of classes is to hold what sockets need, too. */
     private boolean answersItself(XnioWorker worker) {
         CompletableFuture<Boolean> ponged = new CompletableFuture<>();
@@ -167,8 +286,10 @@
         try {
             Post post = new SiteReader().readPost(config);
             worker.getIoThread().execute(() -> proxy.reloaded(post));
+            figures.reloaded(true);
             LOG.log(Level.INFO, "configuration read again: the list is at {0}", post.listService());
         } catch (FaultySettingException | IOException e) {
+            figures.reloaded(false);
             LOG.log(Level.WARNING, "configuration not taken: {0}", e.getMessage());
         }
     }
@@ -178,14 +299,22 @@
      * those that are connected are served until shortly before the platform would kill.
      */
     private void drain(XnioWorker worker) {
-        LOG.log(Level.INFO, "told to end: answering what was taken");
+        ready = false;
+        boolean handOver = seats != null && seats.otherListens();
+        LOG.log(Level.INFO, "told to end: answering what was taken, {0}",
+                handOver ? "another process takes the clients" : "no other process is here");
         CountDownLatch done = new CountDownLatch(1);
         worker.getIoThread().execute(() -> {
             double now = loop.nowMs();
-            loop.at(now + ACCEPT_MORE_MS, () -> {
-                front.stopListening();
-                endClients(now + killAfterMs - CLOSE_LEAD_MS, done);
-            });
+            if (handOver) {
+                front.handOver();
+                endClients(now, done);
+            } else {
+                loop.at(now + ACCEPT_MORE_MS, () -> {
+                    front.stopListening();
+                    endClients(now + killAfterMs - CLOSE_LEAD_MS, done);
+                });
+            }
             loop.at(now + killAfterMs - ABORT_LEAD_MS, proxy::abortAll);
         });
         try {
--- a/src/main/java/dappleseam/query/Execution.java
+++ b/src/main/java/dappleseam/query/Execution.java
@@ -11,18 +11,29 @@
     public final double sentAt;
     public final double waitUntil;
     private final BiConsumer<Execution, Ending> whenEnded;
+    private final Runnable whenWritten;
     private boolean ended;
+    private boolean written;
 
     public Execution(QueryId query, int number, Command command, double sentAt, double waitUntil,
-                     BiConsumer<Execution, Ending> whenEnded) {
+                     Runnable whenWritten, BiConsumer<Execution, Ending> whenEnded) {
         this.query = query;
         this.number = number;
         this.command = command;
         this.sentAt = sentAt;
         this.waitUntil = waitUntil;
+        this.whenWritten = whenWritten;
         this.whenEnded = whenEnded;
     }
 
+    /** Its last byte has gone to the node. */
+    public void written() {
+        if (!written) {
+            written = true;
+            whenWritten.run();
+        }
+    }
+
     public boolean hasEnded() {
         return ended;
     }
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -644,6 +644,12 @@
         n.asideUntil = now + ASIDE_MS + ASIDE_RANDOM_MS * random.nextDouble();
     }
 
+    /** How many of the listed nodes are avoided now. */
+    public int avoided(double nowMs) {
+        return (int) nodes.values().stream()
+                .filter(n -> n.state != Member.State.READY || n.asideUntil > nowMs).count();
+    }
+
     /** Answers at once, unless an execution is still out that may yet answer. */
     private void giveUp(Query q) {
         if (q.out > 0) {
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -115,6 +115,8 @@
         final ArrayDeque<Execution> waiting = new ArrayDeque<>();
         /** Written and not answered, in order. */
         final ArrayDeque<Sent> sent = new ArrayDeque<>();
+        /** Put out, and not known yet to be written whole, in order. */
+        private final ArrayDeque<Sent> unwritten = new ArrayDeque<>();
         private final RespReader reader = new RespReader(loop.pool(), LONGEST_BULK);
         private final int slot = open.put(this);
         private Link link;
@@ -185,10 +187,23 @@
                 ended("fault: " + fault);
                 return;
             }
-            sent.add(new Sent(e, link.queued(), loop.nowMs()));
+            Sent one = new Sent(e, link.queued(), loop.nowMs());
+            sent.add(one);
+            unwritten.add(one);
             link.flush();
         }
 
+        @Override
+        public void drained() {
+            tellWritten();
+        }
+
+        private void tellWritten() {
+            while (!unwritten.isEmpty() && unwritten.peek().endsAt <= link.written()) {
+                unwritten.poll().execution.written();
+            }
+        }
+
         private static void write(Command command, long waitMs, Chain to) {
             RespWriter.array(to, command.isWrite() ? 5 : 4);
             RespWriter.bulk(to, command.isWrite() ? "C.SET" : "C.GET");
@@ -306,6 +321,7 @@
         }
 
         void close() {
+            tellWritten();
             closing.callOff();
             reader.release();
             open.free(slot);
--- a/src/main/java/dappleseam/site/Post.java
+++ b/src/main/java/dappleseam/site/Post.java
@@ -3,6 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
 
-/** What one proxy is told at its start. {@code known} is the list as it last had it, as it was given. */
-public record Post(String name, InetSocketAddress listen, InetSocketAddress listService, long seed,
+/**
+ * What one proxy is told at its start. {@code known} is the list as it last had it, as it was given; {@code control} is
+ * null where operators have no door.
+ */
+public record Post(String name, InetSocketAddress listen, InetSocketAddress control, InetSocketAddress listService, long seed,
                    int descriptors, int memoryMb, JsonNode known, Site site) {}
--- a/src/main/java/dappleseam/site/SiteReader.java
+++ b/src/main/java/dappleseam/site/SiteReader.java
@@ -28,8 +28,8 @@
         JsonNode root = parse(Files.readAllBytes(file), file.getFileName().toString());
         int descriptors = limit(root, "sockets", DESCRIPTORS, LEAST_DESCRIPTORS);
         int memoryMb = limit(root, "memory_mb", MEMORY_MB, LEAST_MEMORY_MB);
-        return new Post(root.path("name").asText("proxy"), address(root, "listen"), address(root, "discovery"),
-                seed(root), descriptors, memoryMb, root.path("known"), site(need(root, "", "settings"), "settings."));
+        return new Post(root.path("name").asText("proxy"), address(root, "listen"), control(root),
+                address(root, "discovery"), seed(root), descriptors, memoryMb, root.path("known"), site(need(root, "", "settings"), "settings."));
     }
 
     private static int limit(JsonNode root, String name, int byDefault, int least) {
@@ -145,7 +145,10 @@
     }
 
     private static InetSocketAddress address(JsonNode root, String name) {
-        String text = need(root, "", name).asText();
+        return address(name, need(root, "", name).asText());
+    }
+
+    private static InetSocketAddress address(String name, String text) {
         try {
             return Address.parse(text);
         } catch (IllegalArgumentException e) {
@@ -153,6 +156,15 @@
         }
     }
 
+    /** The file's, or where it says nothing the environment's; null for no door. */
+    private static InetSocketAddress control(JsonNode root) {
+        String told = System.getenv("NODE_CONTROL");
+        if (!root.path("control").isMissingNode() && !root.path("control").isNull()) {
+            return address(root, "control");
+        }
+        return told == null || told.isEmpty() ? null : address("control", told);
+    }
+
     private static long seed(JsonNode root) {
         String digits = root.path("seed").asText("0");
         try {
--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -140,6 +140,15 @@
         }
     }
 
+    /** Closes here and now, for the I/O thread: nothing can come between a last look at what has come and this. */
+    public void closeAtOnce() {
+        if (!closed) {
+            closed = true;
+            out.release();
+            IoUtils.safeClose(connection);
+        }
+    }
+
     public void close() {
         if (!closed) {
             closed = true;
--- /dev/null
+++ b/src/test/java/dappleseam/proxy/OperatingTest.java
@@ -0,0 +1,181 @@
+package dappleseam.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Starts the program and runs it as operators do: door, drain and upgrade. */
+class OperatingTest {
+    private static final String HIT = "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n";
+
+    @TempDir
+    Path folder;
+    private Sockets sockets;
+    private Process second;
+
+    @BeforeEach
+    void prepare() throws Exception {
+        sockets = new Sockets();
+        sockets.control = Sockets.freePort();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        if (second != null) {
+            second.destroyForcibly().waitFor();
+        }
+        sockets.close();
+    }
+
+    private static void read(Sockets.Client client, String id) throws IOException {
+        client.send("C.GET", "00000000000000aa", id, "c=read,d=9000");
+    }
+
+    private void awaitFigures(String part) throws Exception {
+        Sockets.awaitAnswer(sockets.control, "GET /control/counters", part);
+    }
+
+    @Test
+    void theFiguresAreWhatPassed() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        for (int i = 0; i < 3; i++) {
+            read(client, "id" + i);
+            sockets.cache.next().answer(HIT);
+            assertThat(client.answer()).isEqualTo("value");
+        }
+        client.send("C.SET", "00000000000000aa", "w1", "c=put,d=9000", "v");
+        sockets.origin.next().from().close();
+        assertThat(client.answer()).startsWith("-ERR");
+        read(client, "open");
+        sockets.cache.next();
+        awaitFigures("app_pending 1\n");
+        assertThat(sockets.call("GET /control/counters")).contains("app_completed_total{lane=\"read\"} 3\n",
+                "app_failed_total{lane=\"put\"} 1\n", "app_rejected_total{lane=\"read\"} 0\n",
+                "app_upstream_requests_total 5\n", "app_members 2\n", "app_members_unavailable 0\n",
+                "app_config_reloads_total 0\n", "app_config_reload_errors_total 0\n");
+    }
+
+    /** Guards staff against callers that hold every place with half a call. */
+    @Test
+    void theDoorAnswersWhileOthersFinishNoCall() throws Exception {
+        sockets.start(folder, "").client();
+        List<Socket> halves = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            Socket half = new Socket("127.0.0.1", sockets.control);
+            half.getOutputStream().write("GET /control/rea".getBytes(StandardCharsets.US_ASCII));
+            halves.add(half);
+        }
+        Sockets.awaitAnswer(sockets.control, "GET /control/ready", "HTTP/1.1 200 OK");
+        for (Socket half : halves) {
+            half.setSoTimeout(10_000);
+            assertThat(half.getInputStream().read()).isNegative(); // each is closed in time
+            half.close();
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET /control/nothing HTTP/1.1, 404", "POST /control/ready HTTP/1.1, 405",
+        "GET /control/out-of-service HTTP/1.1, 405", "nonsense, 400", "'GET /control/ready HTTP/1.1\r\nbroken', 400",
+        "'GET /control/ready HTTP/1.1\r\nTransfer-Encoding: chunked', 400",
+        "'POST /control/in-service HTTP/1.1\r\nContent-Length: 99999', 413", "long, 431"})
+    void whatIsNoCallIsRefused(String head, String status) throws Exception {
+        sockets.start(folder, "").client();
+        String sent = head.equals("long") ? "GET /control/ready HTTP/1.1\r\nX: " + "x".repeat(6000) : head;
+        assertThat(Sockets.call(sockets.control, sent)).startsWith("HTTP/1.1 " + status);
+    }
+
+    @Test
+    void aDoorThatCannotOpenIsNamed() throws Exception {
+        sockets.control = sockets.list.server.getLocalPort();
+        sockets.start(folder, "");
+        assertThat(sockets.program.waitFor(Sockets.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(sockets.program.exitValue()).isEqualTo(1);
+        assertThat(Files.readString(folder.resolve("log"))).contains("dappleseam serve: control: ");
+    }
+
+    /** Guards rule 1 in a drain: what is under way is answered, then the connection ends; nobody is held idle. */
+    @Test
+    void aDrainSendsClientsAwayAndEnds() throws Exception {
+        Sockets.Client busy = sockets.start(folder, "").client();
+        Sockets.Client idle = sockets.client();
+        idle.send("PING");
+        assertThat(idle.answer()).isEqualTo("+PONG");
+        read(busy, "id1");
+        Sockets.Told asked = sockets.cache.next();
+        assertThat(sockets.call("POST /control/out-of-service")).startsWith("HTTP/1.1 200");
+        assertThat(sockets.call("GET /control/ready")).startsWith("HTTP/1.1 503");
+        Sockets.Client late = sockets.client();
+        late.send("PING");
+        assertThat(late.answer()).startsWith("-ERR");
+        assertThat(idle.isAtEnd()).isTrue();
+        assertThat(late.isAtEnd()).isTrue();
+        asked.answer(HIT);
+        assertThat(busy.answer()).isEqualTo("value");
+        assertThat(busy.isAtEnd()).isTrue();
+        assertThat(sockets.call("POST /control/in-service")).startsWith("HTTP/1.1 200");
+        Sockets.awaitAnswer(sockets.control, "GET /control/ready", "HTTP/1.1 200");
+        Sockets.Client again = sockets.client();
+        again.send("PING");
+        assertThat(again.answer()).isEqualTo("+PONG");
+    }
+
+    private int startBeside() throws Exception {
+        int first = sockets.control;
+        sockets.control = Sockets.freePort();
+        second = sockets.launch(folder, sockets.config(folder, ""));
+        Sockets.awaitAnswer(sockets.control, "GET /control/ready", "HTTP/1.1 200");
+        return first;
+    }
+
+    /** Guards rules 1 and 2 in an upgrade: the write under way at the old process runs once and is answered there. */
+    @Test
+    void aNewProcessTakesOverUnderLoad() throws Exception {
+        Sockets.Client writer = sockets.start(folder, "").client();
+        writer.send("C.SET", "00000000000000aa", "w1", "c=put,d=9000", "v");
+        Sockets.Told asked = sockets.origin.next();
+        startBeside();
+        sockets.program.destroy(); // SIGTERM
+        sockets.awaitLog(folder, "another process takes the clients");
+        for (int i = 0; i < 200; i++) { // all of them come to the new one: none is refused, reset or left unread
+            Sockets.Client client = new Sockets.Client(new Socket("127.0.0.1", sockets.port));
+            client.send("PING");
+            assertThat(client.answer()).isEqualTo("+PONG");
+            client.socket.close();
+        }
+        asked.answer("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nreceipt");
+        assertThat(writer.answer()).isEqualTo("receipt");
+        assertThat(writer.isAtEnd()).isTrue();
+        assertThat(sockets.program.waitFor(2, TimeUnit.SECONDS)).isTrue();
+        assertThat(sockets.origin.told.stream().filter(t -> t.words().get(0).startsWith("PUT"))).isEmpty();
+        assertThat(second.isAlive()).isTrue();
+    }
+
+    /** Guards service against a new version that dies: the old process goes on, and a later SIGTERM finds it alone. */
+    @Test
+    void theOldProcessServesOnWhereTheNewOneDies() throws Exception {
+        sockets.start(folder, "").client();
+        int door = startBeside();
+        second.destroyForcibly().waitFor();
+        sockets.awaitLog(folder, "alone on this address");
+        Sockets.Client client = sockets.client();
+        read(client, "id1");
+        sockets.cache.next().answer(HIT);
+        assertThat(client.answer()).isEqualTo("value");
+        assertThat(Sockets.call(door, "GET /control/ready HTTP/1.1")).startsWith("HTTP/1.1 200");
+        sockets.program.destroy();
+        sockets.awaitLog(folder, "no other process is here");
+    }
+}
--- /dev/null
+++ b/src/test/java/dappleseam/proxy/Sockets.java
@@ -0,0 +1,273 @@
+package dappleseam.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** The program, started with small stand-ins for its peers, and a client to speak to it. */
+final class Sockets {
+    static final long PATIENCE_S = 20;
+
+    final Peer cache = new Peer();
+    final Peer origin = new Peer();
+    final Peer list = new Peer();
+    Process program;
+    int port;
+    int sockets = 1024;
+    String command = "serve";
+    /** Port of the operators' door; 0 for none. */
+    int control;
+    String grades = """
+            {"name":"read","semantics":"read_like","sloTimeS":20,"statementTimeoutS":30},
+            {"name":"put","semantics":"non_idempotent","sloTimeS":20,"statementTimeoutS":30}""";
+
+    /** A stand-in: commands or heads that came in, and the connections on which the test answers them. */
+    static final class Peer implements AutoCloseable {
+        final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        final BlockingQueue<Told> told = new LinkedBlockingQueue<>();
+
+        Peer() throws IOException {
+            Thread accept = new Thread(() -> {
+                try {
+                    while (true) {
+                        Socket socket = server.accept();
+                        Thread reader = new Thread(() -> read(socket));
+                        reader.setDaemon(true);
+                        reader.start();
+                    }
+                } catch (IOException e) {
+                    // the test is over
+                }
+            });
+            accept.setDaemon(true);
+            accept.start();
+        }
+
+        private void read(Socket socket) {
+            try {
+                InputStream in = new BufferedInputStream(socket.getInputStream());
+                while (true) {
+                    told.add(new Told(message(in), socket));
+                }
+            } catch (IOException e) {
+                told.add(new Told(List.of("closed"), socket));
+            }
+        }
+
+        /** What came next, other than a connection's end. */
+        Told next() throws InterruptedException {
+            Told next = told.poll(PATIENCE_S, TimeUnit.SECONDS);
+            if (next == null) {
+                throw new AssertionError("nothing came");
+            }
+            return next.words.get(0).equals("closed") ? next() : next;
+        }
+
+        String endpoint() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    record Told(List<String> words, Socket from) {
+        void answer(String bytes) throws IOException {
+            from.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        }
+    }
+
+    /** One RESP message's words, or one HTTP head's lines. */
+    static List<String> message(InputStream in) throws IOException {
+        String line = line(in);
+        List<String> words = new ArrayList<>();
+        if (line.startsWith("*")) {
+            int count = Integer.parseInt(line.substring(1));
+            for (int i = 0; i < count; i++) {
+                words.add(bulk(in, line(in)));
+            }
+        } else if (line.startsWith("$")) {
+            words.add(bulk(in, line));
+        } else {
+            words.add(line);
+            if (line.contains(" HTTP/1.1")) {
+                while (!line.isEmpty()) {
+                    line = line(in);
+                    words.add(line);
+                }
+            }
+        }
+        return words;
+    }
+
+    private static String bulk(InputStream in, String head) throws IOException {
+        byte[] bytes = in.readNBytes(Integer.parseInt(head.substring(1)));
+        line(in);
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        int c = in.read();
+        for (; c >= 0 && c != '\n'; c = in.read()) {
+            line.write(c);
+        }
+        if (c < 0) {
+            throw new IOException("ended");
+        }
+        return line.toString(StandardCharsets.ISO_8859_1).stripTrailing();
+    }
+
+    Sockets() throws IOException {}
+
+    static String entry(String uid, Peer peer, String model, String state) {
+        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + peer.endpoint() + "\",\"az\":\"a\",\"model\":\"" + model
+                + "\",\"pod_group\":0,\"state\":\"" + state + "\",\"capacity_hint\":1,\"boot_ms\":0}";
+    }
+
+    /** Starts the program with one cache and the origin known; {@code more} adds to the ceilings. */
+    Sockets start(Path folder, String more) throws IOException {
+        port = freePort();
+        program = launch(folder, config(folder, more));
+        return this;
+    }
+
+    static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return free.getLocalPort();
+        }
+    }
+
+    /** Writes the configuration as it is now. */
+    Path config(Path folder, String more) throws IOException {
+        Path config = folder.resolve("config.json");
+        return Files.writeString(config, """
+                {"name":"p","listen":"127.0.0.1:%d",%s"discovery":"%s","seed":"1",
+                 "limits":{"cores":1,"memory_mb":192,"sockets":%d},
+                 "known":{"rev":1,"all":true,"targets":[%s,%s]},
+                 "settings":{"balancers":1,"flavors":["m","origin"],"dcs":["a"],
+                  "membershipMode":"on_request","extra":{"mode":"aside","originKind":1},
+                  "penalties":{"connection":0.1,"handshake":10},
+                  "ceilings":{"mostExecutions":3,"parallelTries":true,"mayCancel":true,"retryAfter":true,
+                              "maxRetryAfterS":1,"streamsPerConn":8,"idleCloseS":60,"connectTimeoutS":2%s},
+                  "rules":{"askEveryS":10,"coldFrom":0.5,"warmAfterS":5},
+                  "serviceGrades":[%s]}}"""
+                .formatted(port, control == 0 ? "" : "\"control\":\"127.0.0.1:" + control + "\",", list.endpoint(), sockets, entry("s-1", cache, "m", "ready"),
+                        entry("s-0", origin, "origin", "ready"), more, grades));
+    }
+
+    Process launch(Path folder, Path config) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "dappleseam.Main");
+        builder.command().addAll(List.of(command.split(" ")));
+        builder.command().addAll(List.of("--config", config.toString()));
+        builder.environment().put("TMPDIR", folder.toString());
+        return builder.redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile())).start();
+    }
+
+    /** A connection to the program, once it is ready. */
+    Sockets.Client client() throws IOException, InterruptedException {
+        for (int i = 0; i < PATIENCE_S * 100 && program.isAlive(); i++) {
+            try {
+                return new Client(new Socket("127.0.0.1", port));
+            } catch (IOException e) {
+                Thread.sleep(10);
+            }
+        }
+        throw new AssertionError("the program does not serve");
+    }
+
+    /** What the door answers to one call: the status line, the head and the body. */
+    static String call(int door, String head) throws IOException {
+        try (Socket caller = new Socket("127.0.0.1", door)) {
+            caller.setSoTimeout(1000); // an operator waits no longer
+            caller.getOutputStream().write((head + "\r\nHost: p\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            return new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    String call(String head) throws IOException {
+        return call(control, head + " HTTP/1.1");
+    }
+
+    /** Waits until a call to that door is answered so. */
+    static void awaitAnswer(int door, String head, String part) throws IOException, InterruptedException {
+        String last = "";
+        for (int i = 0; i < PATIENCE_S * 100 && !last.contains(part); i++) {
+            try {
+                last = call(door, head + " HTTP/1.1");
+            } catch (java.net.ConnectException e) {
+                last = e.toString(); // not there yet
+            }
+            Thread.sleep(10);
+        }
+        assertThat(last).contains(part);
+    }
+
+    void hangUp() throws Exception {
+        new ProcessBuilder("kill", "-HUP", Long.toString(program.pid())).start().waitFor();
+    }
+
+    void awaitLog(Path folder, String text) throws IOException, InterruptedException {
+        for (int i = 0; i < PATIENCE_S * 100 && !Files.readString(folder.resolve("log")).contains(text); i++) {
+            Thread.sleep(10);
+        }
+        assertThat(Files.readString(folder.resolve("log"))).contains(text);
+    }
+
+    static final class Client {
+        final Socket socket;
+        private final InputStream in;
+
+        Client(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout((int) (1000 * PATIENCE_S));
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        void send(String... words) throws IOException {
+            StringBuilder command = new StringBuilder("*" + words.length + "\r\n");
+            for (String word : words) {
+                command.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+            }
+            raw(command.toString());
+        }
+
+        void raw(String bytes) throws IOException {
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        String answer() throws IOException {
+            return message(in).get(0);
+        }
+
+        boolean isAtEnd() throws IOException {
+            return in.read() < 0;
+        }
+    }
+
+    void close() throws Exception {
+        program.destroyForcibly();
+        program.waitFor();
+        cache.close();
+        origin.close();
+        list.close();
+    }
+}
