--- a/src/main/java/dappleseam/list/ListWatch.java
+++ b/src/main/java/dappleseam/list/ListWatch.java
@@ -25,7 +25,7 @@
 
     private final Loop loop;
     private InetSocketAddress service;
-    private final ListReader lists;
+    private ListReader lists;
     private final Consumer<NodeList> news;
     private final Consumer<String> failed;
     private long version;
@@ -68,6 +68,16 @@
         }
     }
 
+    /** Asks for the whole list again, to read it in another way. */
+    public void readAnew(ListReader otherLists) {
+        lists = otherLists;
+        version = 0;
+        if (call != null) {
+            call.end();
+            follow();
+        }
+    }
+
     private void begin(long holdMs) {
         call = new Call(holdMs);
         call.dial();
--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -23,7 +23,7 @@
 
     private final Loop loop;
     private final InetSocketAddress endpoint;
-    private final Connections limits;
+    private Connections limits;
     private final Slots<Connection> open = new Slots<>();
     private boolean retired;
 
@@ -58,6 +58,11 @@
         return Reached.NOT_WHOLE;
     }
 
+    @Override
+    public void limit(Connections newLimits) {
+        limits = newLimits;
+    }
+
     @Override
     public void closeIdle() {
         for (Connection c : open.all()) {
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -64,11 +64,11 @@
     private static final double TABLE_FULL_MS = 250;
 
     private final Loop loop;
-    private final Site site;
+    private Site site;
     private final Figures figures;
-    private final Connections connections;
+    private Connections connections;
     private final Router router;
-    private final ListReader lists;
+    private ListReader lists;
     private final ListWatch watch;
     private final Map<NodeId, Peer> peers = new HashMap<>();
     private final Slots<Taken> queries = new Slots<>();
@@ -88,16 +88,19 @@
         final Command command;
         final Owed owed;
         final String grade;
+        /** By the rules it was taken under. */
+        final int mostExecutions;
         final double quitAt;
         final List<Sent> execs = new ArrayList<>(3);
         Loop.Deadline forgotten;
         boolean answered;
         int out;
 
-        Taken(Command command, Owed owed, String grade, double quitAt) {
+        Taken(Command command, Owed owed, String grade, int mostExecutions, double quitAt) {
             this.command = command;
             this.owed = owed;
             this.grade = grade;
+            this.mostExecutions = mostExecutions;
             this.quitAt = quitAt;
         }
     }
@@ -109,12 +112,7 @@
         this.figures = figures;
         site = post.site();
         figures.grades(site.gradeNames());
-        // Where two executions may never be out together, giving one up has to end its connection, and so
-        // each has one of its own: a neighbour's would be reset with it.
-        boolean together = site.deployment().parallelExecutions();
-        boolean share = together && site.deployment().openPrice() > 0;
-        connections = new Connections(together ? site.commandsAtOnce() : 1, share, site.idleCloseMs(),
-                site.connectTimeoutMs(), !together, new Reuse());
+        connections = connections(site, new Reuse());
         lists = new ListReader(site.machines(), site.zones());
         NodeList known = post.known().isObject() ? lists.read(post.known()) : new NodeList(0, true, List.of());
         RandomGenerator random = new SplittableRandom(post.seed()); // its factory would search for all there are
@@ -127,14 +125,36 @@
         }
     }
 
+    private static Connections connections(Site site, Reuse reuse) {
+        // Where two executions may never be out together, giving one up has to end its connection, and so
+        // each has one of its own: a neighbour's would be reset with it.
+        boolean together = site.deployment().parallelExecutions();
+        boolean share = together && site.deployment().openPrice() > 0;
+        return new Connections(together ? site.commandsAtOnce() : 1, share, site.idleCloseMs(),
+                site.connectTimeoutMs(), !together, reuse);
+    }
+
     /** The router asks for the list only where it has to; what is pushed there, is watched for here. */
     private boolean isPushed() {
         return site.deployment().askEveryMs() == 0;
     }
 
-    /** A new configuration: of all it says, only the list's address may change while the proxy serves. */
+    /** A new configuration: its settings hold for queries to come, and the list may be at another address. */
     void reloaded(Post post) {
+        Site before = site;
+        site = post.site();
+        figures.grades(site.gradeNames());
+        connections = connections(site, connections.reuse());
+        peers.values().forEach(peer -> peer.backend.limit(connections));
+        tell(() -> router.settingsChanged(loop.nowMs(), site.deployment()));
+        if (!before.machines().equals(site.machines()) || !before.zones().equals(site.zones())) {
+            lists = new ListReader(site.machines(), site.zones());
+            watch.readAnew(lists);
+        }
         watch.moveTo(post.listService());
+        if (isPushed()) {
+            watch.followAlways();
+        }
     }
 
     /** Whether the list service has told of the list since the start. */
@@ -278,7 +298,8 @@
             ids.remove(ids.iterator().next());
         }
         double left = Math.max(1, waits - LAST_HOP_MS);
-        Taken taken = new Taken(command, owed, named, loop.nowMs() + left);
+        Taken taken = new Taken(command, owed, named, site.deployment().mostExecutions(),
+                loop.nowMs() + left);
         figures.taken();
         QueryId id = new QueryId(queries.put(taken));
         taken.forgotten = loop.at(taken.quitAt + FORGOTTEN_MS, () -> forgotten(id));
@@ -347,7 +368,7 @@
                 figures::executed, this::ended);
         Peer peer = peers.get(node);
         taken.out++;
-        if (taken.answered || peer == null || taken.execs.size() >= site.deployment().mostExecutions()) {
+        if (taken.answered || peer == null || taken.execs.size() >= taken.mostExecutions) {
             taken.execs.add(new Sent(execution, null, () -> { }));
             execution.end(Ending.of(Outcome.UNSENT));
             return;
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -77,7 +77,8 @@
     private final Figures figures = new Figures();
     private Seats seats;
     private volatile boolean ready;
-    private double killAfterMs;
+    private volatile double killAfterMs;
+    private final SiteReader reader = new SiteReader();
     private boolean rehearsed;
     private final CountDownLatch ended = new CountDownLatch(1);
 
@@ -93,17 +94,24 @@
         BackgroundLog.start();
         Post post;
         try {
-            post = new SiteReader().readPost(config);
+            post = reader.readPost(config);
         } catch (FaultySettingException | IOException e) {
             System.err.println("dappleseam serve: " + e.getMessage());
             return 1;
         }
-        killAfterMs = Math.min(LONGEST_WAIT_MS, Collections.max(post.site().statementTimeoutsMs())) + KILL_MORE_MS;
+        killAfterMs = killAfterMs(post);
+        CountDownLatch started = new CountDownLatch(1);
+        XnioWorker[] serving = new XnioWorker[1];
+        Signal.handle(new Signal("HUP"), signal -> { // each on a thread of its own; one that comes early waits
+            awaitStart(started);
+            reload(serving[0]);
+        });
         XnioWorker worker = start(post);
         if (worker == null) {
             return 1;
         }
-        Signal.handle(new Signal("HUP"), signal -> reload(worker));
+        serving[0] = worker;
+        started.countDown();
         if (check) {
             return rehearsed && answersItself(worker) ? 0 : 1;
         }
@@ -112,6 +120,18 @@
         return 0;
     }
 
+    private static void awaitStart(CountDownLatch started) {
+        try {
+            started.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static double killAfterMs(Post post) {
+        return Math.min(LONGEST_WAIT_MS, Collections.max(post.site().statementTimeoutsMs())) + KILL_MORE_MS;
+    }
+
     /** Null, with the cause said, where it cannot. */
     private XnioWorker start(Post post) throws IOException, InterruptedException {
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
@@ -284,7 +304,8 @@
      */
     private synchronized void reload(XnioWorker worker) {
         try {
-            Post post = new SiteReader().readPost(config);
+            Post post = reader.readPost(config);
+            killAfterMs = killAfterMs(post);
             worker.getIoThread().execute(() -> proxy.reloaded(post));
             figures.reloaded(true);
             LOG.log(Level.INFO, "configuration read again: the list is at {0}", post.listService());
--- a/src/main/java/dappleseam/query/Backend.java
+++ b/src/main/java/dappleseam/query/Backend.java
@@ -7,6 +7,9 @@
     /** Waits no longer; says how far the execution had come. */
     Reached giveUp(Execution execution);
 
+    /** What is allowed of connections from now on. */
+    void limit(Connections limits);
+
     /** Closes the connections that carry nothing. */
     void closeIdle();
 
--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -6,6 +6,8 @@
 /** A query that the router has taken, until it is answered and its last execution has ended. */
 final class Query {
     final QueryId id;
+    /** What the deployment allowed when the query was taken. */
+    final Deployment site;
     final ServiceGrade grade;
     final Key key;
     final boolean write;
@@ -26,14 +28,15 @@
     /** The last walk of the ring met a cache whose limit was reached. */
     boolean crowded;
 
-    Query(QueryId id, ServiceGrade grade, Key key, boolean write) {
+    Query(QueryId id, Deployment site, ServiceGrade grade, Key key, boolean write) {
         this.id = id;
+        this.site = site;
         this.grade = grade;
         this.key = key;
         this.write = write;
     }
 
-    int execsLeft(Deployment site) {
+    int execsLeft() {
         return site.mostExecutions() - execs.size();
     }
 
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -107,10 +107,10 @@
     /** Time kept for the answer's way to the client, in ms, on top of two ticks. */
     private static final double LAST_HOP_MS = 2;
 
-    private final Deployment site;
+    private Deployment site;
     private final RandomGenerator random;
     private final Host host;
-    private final double highestImportance;
+    private double highestImportance;
     private final Map<NodeId, Node> nodes = new LinkedHashMap<>();
     private final Map<QueryId, Query> queries = new HashMap<>();
     private final Timers timers;
@@ -148,8 +148,15 @@
         now = nowMs;
         bornAt = nowMs;
         place = random.nextDouble();
+        settingsChanged(nowMs, site);
+    }
+
+    /** Queries that are open keep the grade and the rules they were taken under. */
+    public void settingsChanged(double nowMs, Deployment newSite) {
+        now = nowMs;
+        site = newSite;
         highestImportance = site.grades().stream().mapToDouble(ServiceGrade::importance).max().orElse(1);
-        if (site.askEveryMs() > 0) {
+        if (site.askEveryMs() > 0 && !followed) {
             askAfter(random.nextDouble() * ASK_AGAIN_MS);
         }
     }
@@ -232,7 +239,7 @@
         if (ringIsStale) {
             rebuildRing();
         }
-        Query q = new Query(id, site.grades().get(grade), key, write);
+        Query q = new Query(id, site, site.grades().get(grade), key, write);
         q.hash = Hash.mix(key.equals(Key.NONE) ? id.value() : key.value());
         q.quitAt = now + leftMs;
         q.impatient = leftMs < SLOW_ANSWER * q.grade.sloMs();
@@ -278,7 +285,7 @@
 
     private void route(Query q) {
         boolean aside = site.originModel() >= 0;
-        if (aside && (q.write || q.execsLeft(site) == 1 || q.firstMissedAt() != null)) {
+        if (aside && (q.write || q.execsLeft() == 1 || q.firstMissedAt() != null)) {
             toOrigin(q);
             return;
         }
@@ -388,7 +395,7 @@
         Execution first = q.firstThatMayHaveRun();
         return first == null || q.grade.repeat() == Repeat.IDEMPOTENT
                 || q.grade.repeat() == Repeat.DEDUPLICATED
-                && now < first.sentAt + q.grade.windowMs() - 2 * site.tickMs() && switch (q.grade.group()) {
+                && now < first.sentAt + q.grade.windowMs() - 2 * q.site.tickMs() && switch (q.grade.group()) {
                     case ALL -> true;
                     case ZONE -> n.zone == first.node.zone;
                     case CELL -> n.cell == first.node.cell;
@@ -398,9 +405,9 @@
     private void send(Query q, Node n) {
         double left = q.usefulUntil - now;
         double timeout = q.usefulUntil < q.quitAt ? left : 0;
-        boolean repeatable = q.grade.repeat() == Repeat.IDEMPOTENT && q.execsLeft(site) > 1
+        boolean repeatable = q.grade.repeat() == Repeat.IDEMPOTENT && q.execsLeft() > 1
                 && caches.size() > 1 && !q.grade.stream();
-        if (repeatable && !n.isOrigin && !site.parallelExecutions()) {
+        if (repeatable && !n.isOrigin && !q.site.parallelExecutions()) {
             // Guards against a silent cache: leaves a successor time to answer within the SLO time.
             timeout = Math.min(left, Math.max(PATIENCE * left, TOO_LATE * q.grade.sloMs()));
         }
@@ -417,7 +424,7 @@
             fleet.add(now, Tally.SENT);
         }
         host.execute(q.id, n.id, timeout);
-        if (repeatable && site.parallelExecutions() && (n.isOrigin || q.execs.size() == 1)) {
+        if (repeatable && q.site.parallelExecutions() && (n.isOrigin || q.execs.size() == 1)) {
             timers.after(SECOND_COPY * q.grade.sloMs(), () -> secondCopy(q, e));
         }
     }
@@ -432,7 +439,7 @@
         outAtCaches -= atOrigin ? 0 : 1;
         suspect(first);
         boolean spare = q.out == 1 && extras >= 1 && (!atOrigin || first.node.took < QUICK * q.grade.sloMs())
-                && q.execsLeft(site) >= (site.originModel() >= 0 && !atOrigin ? 2 : 1);
+                && q.execsLeft() >= (site.originModel() >= 0 && !atOrigin ? 2 : 1);
         Node n = spare ? originFits(q) ? origin : atOrigin ? null : choose(q) : null;
         if (n != null) {
             extras--;
@@ -447,7 +454,7 @@
 
     private void toOrigin(Query q) {
         // Guards the origin: what is in flight there is limited, and the last of it is kept for importance.
-        if (q.execsLeft(site) > 0 && originFits(q)) {
+        if (q.execsLeft() > 0 && originFits(q)) {
             send(q, origin);
         } else {
             giveUp(q);
@@ -506,7 +513,7 @@
         }
         boolean repeatable = q.firstThatMayHaveRun() == null || q.grade.repeat() != Repeat.NON_IDEMPOTENT;
         boolean timeLeft = q.usefulUntil - now > TOO_LATE * q.grade.sloMs();
-        if (q.out > 0 || !repeatable || !timeLeft || q.execsLeft(site) == 0 || extras < 1
+        if (q.out > 0 || !repeatable || !timeLeft || q.execsLeft() == 0 || extras < 1
                 || outcome == Outcome.UNSENT) {
             giveUp(q);
             return;
@@ -657,7 +664,7 @@
         }
         if (q.grade.repeat() == Repeat.IDEMPOTENT || q.firstThatMayHaveRun() == null) {
             double comeBack = COME_BACK * (1 + random.nextDouble()) * q.grade.sloMs();
-            host.reject(q.id, Math.min(site.maxRetryAfterMs(), comeBack));
+            host.reject(q.id, Math.min(q.site.maxRetryAfterMs(), comeBack));
         } else {
             host.abort(q.id);
         }
@@ -667,7 +674,7 @@
     /** The query has its answer: nothing more goes out for it, and what is out is called off. */
     private void settle(Query q) {
         q.answered = true;
-        for (int i = 0; i < q.execs.size() && site.mayCancel() && !q.streaming; i++) {
+        for (int i = 0; i < q.execs.size() && q.site.mayCancel() && !q.streaming; i++) {
             if (!q.execs.get(i).ended) {
                 host.cancel(q.id, i);
             }
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -34,7 +34,7 @@
 
     private final Loop loop;
     private final InetSocketAddress endpoint;
-    private final Connections limits;
+    private Connections limits;
     private final Slots<Connection> open = new Slots<>();
     private boolean retired;
 
@@ -77,6 +77,11 @@
         return Reached.NOT_WHOLE;
     }
 
+    @Override
+    public void limit(Connections newLimits) {
+        limits = newLimits;
+    }
+
     @Override
     public void closeIdle() {
         for (Connection c : open.all()) {
--- a/src/main/java/dappleseam/site/SiteReader.java
+++ b/src/main/java/dappleseam/site/SiteReader.java
@@ -23,9 +23,31 @@
     private static final int MEMORY_MB = 192;
     private static final int LEAST_MEMORY_MB = 16;
 
-    /** What a proxy is told, from its file. */
-    public Post readPost(Path file) throws IOException {
+    /** The file last taken; null before the first. */
+    private JsonNode inForce;
+
+    /** What a proxy is told, from its file; a file read again may lack nothing that the one before it had. */
+    public synchronized Post readPost(Path file) throws IOException {
         JsonNode root = parse(Files.readAllBytes(file), file.getFileName().toString());
+        Post post = post(root);
+        if (inForce != null) {
+            needAll(inForce, root, "");
+        }
+        inForce = root;
+        return post;
+    }
+
+    /** Guards a proxy in service against a file that lost some of its keys on its way and is still JSON. */
+    private static void needAll(JsonNode before, JsonNode now, String at) {
+        before.fields().forEachRemaining(field -> {
+            JsonNode found = need(now, at, field.getKey());
+            if (field.getValue().isObject() && !field.getKey().equals("known")) {
+                needAll(field.getValue(), found, at + field.getKey() + ".");
+            }
+        });
+    }
+
+    private static Post post(JsonNode root) {
         int descriptors = limit(root, "sockets", DESCRIPTORS, LEAST_DESCRIPTORS);
         int memoryMb = limit(root, "memory_mb", MEMORY_MB, LEAST_MEMORY_MB);
         return new Post(root.path("name").asText("proxy"), address(root, "listen"), control(root),
@@ -47,7 +69,11 @@
 
     private static JsonNode parse(byte[] json, String what) {
         try {
-            return Json.read(json);
+            JsonNode root = Json.read(json);
+            if (!root.isObject()) {
+                throw new FaultySettingException(what, "is no JSON object");
+            }
+            return root;
         } catch (JsonProcessingException e) {
             throw new FaultySettingException(what, "is not JSON: " + e.getOriginalMessage());
         } catch (IOException e) {
@@ -67,8 +93,12 @@
         for (JsonNode grade : need(root, at, "serviceGrades")) {
             String inGrade = at + "serviceGrades[" + grades.size() + "].";
             grades.add(grade(grade, inGrade));
-            names.add(grade.path("name").asText());
-            timeouts.add(MS_PER_S * number(grade, inGrade, "statementTimeoutS", 60));
+            String name = need(grade, inGrade, "name").asText();
+            if (name.isEmpty() || names.contains(name)) {
+                throw new FaultySettingException(inGrade + "name", name.isEmpty() ? "is empty" : "is used twice: " + name);
+            }
+            names.add(name);
+            timeouts.add(MS_PER_S * positive(grade, inGrade, "statementTimeoutS"));
         }
         if (grades.isEmpty()) {
             throw new FaultySettingException(at + "serviceGrades", "is empty");
@@ -82,7 +112,7 @@
                 extra.path("mode").asText().equals("aside") ? extra.path("originKind").asInt(-1) : -1,
                 scale.equals("nominal") || scale.equals("rough"),
                 MS_PER_S * number(root, at, "tickS", 0),
-                (int) number(ceilings, inCeilings, "mostExecutions"),
+                (int) Math.ceil(positive(ceilings, inCeilings, "mostExecutions")),
                 ceilings.path("parallelTries").asBoolean(),
                 ceilings.path("mayCancel").asBoolean(),
                 retryAfter ? MS_PER_S * number(ceilings, inCeilings, "maxRetryAfterS", 0) : 0,
@@ -104,7 +134,9 @@
                 switch (need(grade, at, "semantics").asText()) {
                     case "read_like" -> ServiceGrade.Repeat.IDEMPOTENT;
                     case "idempotency_key" -> ServiceGrade.Repeat.DEDUPLICATED;
-                    default -> ServiceGrade.Repeat.NON_IDEMPOTENT;
+                    case "non_idempotent" -> ServiceGrade.Repeat.NON_IDEMPOTENT;
+                    default -> throw new FaultySettingException(at + "semantics", "is none of read_like, idempotency_key"
+                            + " and non_idempotent");
                 },
                 switch (grade.path("group").asText()) {
                     case "all" -> ServiceGrade.Group.ALL;
@@ -112,7 +144,7 @@
                     default -> ServiceGrade.Group.CELL;
                 },
                 MS_PER_S * number(grade, at, "windowS", 0),
-                MS_PER_S * number(grade, at, "sloTimeS"),
+                MS_PER_S * positive(grade, at, "sloTimeS"),
                 number(grade, at, "importance", 1),
                 number(grade, at, "tardyImportance", 0),
                 grade.path("stream").asBoolean());
@@ -140,6 +172,14 @@
         return found.asDouble();
     }
 
+    private static double positive(JsonNode node, String at, String name) {
+        double number = number(node, at, name);
+        if (number <= 0) {
+            throw new FaultySettingException(at + name, "is not over 0");
+        }
+        return number;
+    }
+
     private static double number(JsonNode node, String at, String name, double byDefault) {
         return node.path(name).isMissingNode() || node.path(name).isNull() ? byDefault : number(node, at, name);
     }
--- a/src/test/java/dappleseam/drill/DrillTest.java
+++ b/src/test/java/dappleseam/drill/DrillTest.java
@@ -15,7 +15,7 @@
     private static final String SETTINGS = """
             {"ceilings": {"mostExecutions": 2}, "somethingNew": [1],
              "rules": {"coldFrom": 0.2, "warmAfterS": 10, "fallS": 1.5},
-             "serviceGrades": [{"semantics": "read_like", "sloTimeS": 0.5, "statementTimeoutS": 1}]}""";
+             "serviceGrades": [{"name": "read", "semantics": "read_like", "sloTimeS": 0.5, "statementTimeoutS": 1}]}""";
 
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
 
--- a/src/test/java/dappleseam/proxy/OperatingTest.java
+++ b/src/test/java/dappleseam/proxy/OperatingTest.java
@@ -132,6 +132,58 @@
         assertThat(again.answer()).isEqualTo("+PONG");
     }
 
+    private static final String OLD_GRADES = """
+            {"name":"read","semantics":"read_like","sloTimeS":20,"statementTimeoutS":30},
+            {"name":"put","semantics":"read_like","sloTimeS":20,"statementTimeoutS":30}""";
+
+    /** Guards rule 2 over new settings: what was taken as repeatable goes on so, what comes later is not repeated. */
+    @Test
+    void openQueriesKeepTheirRulesOverNewSettings() throws Exception {
+        sockets.grades = OLD_GRADES;
+        Sockets.Client before = sockets.start(folder, "").client();
+        before.send("C.SET", "00000000000000aa", "w1", "c=put,d=9000", "v");
+        Sockets.Told first = sockets.origin.next();
+        sockets.grades = OLD_GRADES.replace("\"put\",\"semantics\":\"read_like\"", "\"put\",\"semantics\":\"non_idempotent\"")
+                .replace("\"read\"", "\"fresh\"");
+        sockets.config(folder, "");
+        sockets.hangUp();
+        awaitFigures("app_config_reloads_total 1\n");
+        Sockets.Client after = sockets.client();
+        after.send("C.SET", "00000000000000ab", "w2", "c=put,d=9000", "v");
+        Sockets.Told second = sockets.origin.next();
+        first.from().close();
+        assertThat(sockets.origin.next().words()).contains("X-Correlation-Id: w1"); // once more, as it was promised
+        second.from().close();
+        assertThat(after.answer()).startsWith("-ERR");
+        after.send("C.GET", "00000000000000aa", "r1", "c=fresh,d=9000");
+        sockets.cache.next().answer(HIT);
+        assertThat(after.answer()).isEqualTo("value");
+        after.send("C.GET", "00000000000000aa", "r2", "c=read,d=9000");
+        assertThat(after.answer()).startsWith("-ERR");
+        assertThat(sockets.call("GET /control/counters")).contains("app_completed_total{lane=\"fresh\"} 1\n",
+                "app_completed_total{lane=\"read\"} 0\n", "app_failed_total{lane=\"put\"} 1\n");
+    }
+
+    /** Guards service against a broken file: the old settings stay, whole, and it is counted. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"empty | . | config.json", "cut | . | config.json", "\"retryAfter\":true, | '' | settings.ceilings.retryAfter",
+        "\"mostExecutions\":3 | \"mostExecutions\":0 | settings.ceilings.mostExecutions",
+        "\"statementTimeoutS\":30} | \"statementTimeoutS\":0} | settings.serviceGrades[0].statementTimeoutS"})
+    void aBrokenFileChangesNothing(String sound, String faulty, String key) throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        sockets.grades = sockets.grades.replace("\"read\"", "\"fresh\"");
+        String text = Files.readString(sockets.config(folder, ""));
+        Files.writeString(folder.resolve("config.json"), sound.equals("empty") ? ""
+                : sound.equals("cut") ? text.substring(0, text.length() / 2) : text.replace(sound, faulty));
+        sockets.hangUp();
+        awaitFigures("app_config_reload_errors_total 1\n");
+        sockets.awaitLog(folder, "configuration not taken: " + key);
+        read(client, "id1");
+        sockets.cache.next().answer(HIT);
+        assertThat(client.answer()).isEqualTo("value");
+        assertThat(sockets.call("GET /control/counters")).contains("app_config_reloads_total 0\n").doesNotContain("fresh");
+    }
+
     private int startBeside() throws Exception {
         int first = sockets.control;
         sockets.control = Sockets.freePort();
--- a/src/test/java/dappleseam/site/SiteReaderTest.java
+++ b/src/test/java/dappleseam/site/SiteReaderTest.java
@@ -11,7 +11,7 @@
 class SiteReaderTest {
     private static final String SITE = """
             {"ceilings":{"mostExecutions":2},"rules":{"coldFrom":0.2,"warmAfterS":10},
-             "serviceGrades":[{"name":"read","semantics":"read_like","sloTimeS":0.5}]}""";
+             "serviceGrades":[{"name":"read","semantics":"read_like","sloTimeS":0.5,"statementTimeoutS":1}]}""";
 
     private static Site read(String json) {
         return new SiteReader().readSite(json.getBytes(StandardCharsets.UTF_8));
@@ -32,8 +32,12 @@
         "\"mostExecutions\":2 | \"mostExecutions\":\"two\" | ceilings.mostExecutions: is not a number from 0",
         "\"coldFrom\":0.2 | \"coldFrom\":-1 | rules.coldFrom: is not a number from 0",
         "\"sloTimeS\":0.5 | \"slo\":1 | serviceGrades[0].sloTimeS: is missing",
+        "\"mostExecutions\":2 | \"mostExecutions\":0 | ceilings.mostExecutions: is not over 0",
+        "\"statementTimeoutS\":1 | \"statementTimeoutS\":0 | serviceGrades[0].statementTimeoutS: is not over 0",
+        "\"statementTimeoutS\":1 | \"x\":1 | serviceGrades[0].statementTimeoutS: is missing",
+        "\"name\":\"read\" | \"x\":1 | serviceGrades[0].name: is missing",
         "\"rules\" | \"rule\" | rules: is missing",
-        "{\"name\":\"read\",\"semantics\":\"read_like\",\"sloTimeS\":0.5} | '' | serviceGrades: is empty"})
+        "{\"name\":\"read\",\"semantics\":\"read_like\",\"sloTimeS\":0.5,\"statementTimeoutS\":1} | '' | serviceGrades: is empty"})
     void aFaultNamesItsKey(String sound, String faulty, String message) {
         assertThat(SITE).contains(sound);
         assertThatThrownBy(() -> read(SITE.replace(sound, faulty)))
