Stream values up to 4 MiB through bounded buffers, both ways

Need: values over 64 KiB, more at once than memory holds, slow peers. Change: Large and Transfer; CacheNode and Origin pass a long value on from its first bytes, with 64 KiB held at most; Owed and ClientConnection write it as the client takes it; long writes get room by their declared length and go out in pieces.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -3,6 +3,7 @@
 import dappleseam.query.Command;
 import dappleseam.router.QueryId;
 import dappleseam.wire.Chain;
+import dappleseam.wire.Large;
 import dappleseam.wire.Link;
 import dappleseam.wire.Loop;
 import dappleseam.wire.Progress;
@@ -17,15 +18,15 @@
 
 /** One client's connection: commands in, answers out in the order of the commands. */
 final class ClientConnection implements Link.Events {
-    /** Bytes of the longest value. */
-    private static final int LONGEST_BULK = 64 << 10;
     /** Commands owed an answer, and bytes the client has not taken, at which nothing more is read from it. */
     private static final int MOST_OWED = 128;
     private static final long MOST_UNREAD = 128 << 10;
     /** Time in ms without a byte taken after which a client has gone: well past any statement timeout. */
     private static final double STALL_MS = 20_000;
-    /** Time in ms for the first command, and for the rest of one that has begun: no honest client takes as long. */
+    /** Time in ms for the first command, and between two parts of one: no honest client takes as long. */
     private static final double SILENT_MS = 2200;
+    /** Time in ms for one command in all, in parts of any size. */
+    private static final double LONGEST_COMMAND_MS = 20_000;
     /** Time in ms without a query open after which a client that has asked before is closed. */
     private static final double IDLE_MS = 5000;
     /** Time in ms without a query open after which a client is not likely to ask again soon. */
@@ -52,8 +53,11 @@
     private Loop.Deadline silence = () -> { };
     /** When the last answer was written, at first when the connection came. */
     private double quietSince;
-    /** When the command began that is not whole yet. */
+    /** When the command began that is not whole yet, and when its last part came. */
     private double begunAt;
+    private double heardAt;
+    /** Bytes of buffers granted for the long value that comes. */
+    private long granted;
     private boolean hasAsked;
     private int slot;
     private boolean paused;
@@ -64,7 +68,7 @@
         this.loop = loop;
         this.queries = queries;
         this.front = front;
-        reader = new RespReader(loop.pool(), LONGEST_BULK);
+        reader = new RespReader(loop.pool(), Large.LONGEST);
         link = loop.link(connection, this);
         quietSince = loop.nowMs();
     }
@@ -92,7 +96,7 @@
     }
 
     private double silentAt() {
-        return !reader.isBetweenMessages() ? begunAt + SILENT_MS
+        return !reader.isBetweenMessages() ? Math.min(heardAt + SILENT_MS, begunAt + LONGEST_COMMAND_MS)
                 : !owesNothing() ? Double.POSITIVE_INFINITY : quietSince + (hasAsked ? IDLE_MS : SILENT_MS);
     }
 
@@ -114,17 +118,34 @@
     @Override
     public void received(ByteBuffer bytes) {
         while (bytes.hasRemaining() && !last && !link.isClosed()) {
-            begunAt = reader.isBetweenMessages() ? loop.nowMs() : begunAt;
+            heardAt = loop.nowMs();
+            begunAt = reader.isBetweenMessages() ? heardAt : begunAt;
             Progress progress = reader.read(bytes);
             if (progress == Progress.BAD) {
                 refuse("-ERR Protocol error");
             } else if (progress == Progress.DONE) {
                 command(reader.take());
+                giveGrantBack();
             }
         }
         pauseIfFull();
     }
 
+    /** Guards the buffers against more long values than they can hold: who has no grant is not read. */
+    private boolean lacksGrant() {
+        if (granted == 0 && reader.bulkLeft() >= Large.FROM) {
+            granted = front.grant(reader.bulkLeft());
+            begunAt = loop.nowMs();
+            heardAt = begunAt; // it is not the client that keeps us waiting
+        }
+        return granted == 0 && reader.bulkLeft() >= Large.FROM;
+    }
+
+    private void giveGrantBack() {
+        front.giveBack(granted);
+        granted = 0;
+    }
+
     private Owed oweOne() {
         Owed one = new Owed(this);
         owed.add(one);
@@ -211,16 +232,31 @@
 
     /** Writes the answers whose turn has come. */
     void flushAnswers() {
+        if (link.isClosed()) {
+            return;
+        }
         boolean any = false;
+        long before = link.out().size();
         try {
             while (!owed.isEmpty() && owed.peekFirst().isAnswered()) {
-                owed.pollFirst().writeTo(link.out());
+                if (owed.peekFirst().isBroken()) { // the client can tell only by the end that this is not the whole value
+                    close();
+                    return;
+                }
+                if (!owed.peekFirst().writeTo(link.out())) {
+                    break;
+                }
+                owed.pollFirst();
                 any = true;
             }
         } catch (RuntimeException e) { // half an answer cannot be followed by another
             close();
             return;
         }
+        if (!any && link.out().size() > before) {
+            link.flush();
+            watchForStall();
+        }
         if (any) {
             quietSince = loop.nowMs();
             link.flush();
@@ -251,6 +287,12 @@
 
     @Override
     public void drained() {
+        if (!owed.isEmpty() && owed.peekFirst().isAnswered()) {
+            flushAnswers(); // the next part of a long value
+        }
+        if (link.isClosed()) {
+            return;
+        }
         if (last && owed.isEmpty()) {
             close();
         } else if (front.closesIdle() && isIdle()) {
@@ -261,7 +303,8 @@
     }
 
     private boolean isFull() {
-        return owed.size() >= MOST_OWED || link.out().size() >= MOST_UNREAD || loop.pool().isScarce();
+        return owed.size() >= MOST_OWED || link.out().size() >= MOST_UNREAD || lacksGrant()
+                || granted == 0 && loop.pool().isScarce();
     }
 
     /** Guards the buffers against a client that sends and does not read, or sends more than can be held. */
@@ -308,6 +351,7 @@
     private void gone() {
         silence.callOff();
         reader.release();
+        giveGrantBack();
         for (Owed one : owed) {
             one.release();
             if (!one.isAnswered() && one.query() != null) {
--- a/src/main/java/dappleseam/clients/ClientFront.java
+++ b/src/main/java/dappleseam/clients/ClientFront.java
@@ -18,6 +18,8 @@
 public final class ClientFront {
     private static final Logger LOG = System.getLogger(ClientFront.class.getName());
     private static final int BACKLOG = 512;
+    /** Share of the buffers for long values on their way in. */
+    private static final double SHARE_FOR_LONG = 0.3;
     /** Connections kept free, where nothing is owed on some, for those that come next. */
     private static final int KEPT_FREE = 8;
     /** Share of the clients' own limit that those with nothing owed may take; the rest is for a burst. */
@@ -33,6 +35,8 @@
     private final int roomToAsk;
     private int asking;
     private boolean makingRoom;
+    /** Bytes of buffers that long values may take which have begun to come. */
+    private long granted;
     private final Slots<ClientConnection> connections = new Slots<>();
     private AcceptingChannel<StreamConnection> server;
     private boolean sendsAway;
@@ -103,6 +107,21 @@
         }
     }
 
+    /** Room for a long value of so many bytes: the same again, or 0 while there is none. */
+    long grant(long bytes) {
+        long room = (long) (SHARE_FOR_LONG * loop.pool().all()) - granted;
+        boolean onlyOne = granted == 0 && loop.pool().free() >= bytes;
+        if (bytes > room && !onlyOne || loop.pool().free() - granted < bytes) {
+            return 0;
+        }
+        granted += bytes;
+        return bytes;
+    }
+
+    void giveBack(long bytes) {
+        granted -= bytes;
+    }
+
     /** A client has sent its first query. */
     void asked() {
         asking++;
--- a/src/main/java/dappleseam/clients/Owed.java
+++ b/src/main/java/dappleseam/clients/Owed.java
@@ -1,15 +1,21 @@
 package dappleseam.clients;
 
+import dappleseam.query.Transfer;
 import dappleseam.router.QueryId;
 import dappleseam.wire.Chain;
 import dappleseam.wire.RespWriter;
 
 /** The answer that one command is owed; it goes out once those before it on the connection have. */
 public final class Owed {
+    /** Bytes of a long value put out at once; the next when the client has taken them. */
+    private static final int MOST_PUT_OUT = 64 << 10;
+
     private final ClientConnection connection;
-    /** One of the two, once the answer is there. */
+    /** One of the three, once the answer is there. */
     private Chain value;
     private String line;
+    private Transfer transfer;
+    private boolean headWritten;
     /** Null for a command that is no query. */
     private QueryId query;
 
@@ -26,7 +32,7 @@
     }
 
     boolean isAnswered() {
-        return value != null || line != null;
+        return value != null || line != null || transfer != null;
     }
 
     /** Answers with the value, and takes it over. */
@@ -39,6 +45,23 @@
         connection.flushAnswers();
     }
 
+    /** Answers with a long value as it comes. */
+    public void begun(Transfer onItsWay) {
+        if (isAnswered() || connection.isClosed()) {
+            onItsWay.abandon();
+            return;
+        }
+        transfer = onItsWay;
+        connection.flushAnswers();
+    }
+
+    /** There is more of the long value that it is answered with. */
+    public void more() {
+        if (!connection.isClosed()) {
+            connection.flushAnswers();
+        }
+    }
+
     /** Trying again is harmless, after so many ms where that is over 0. */
     public void busy(double comeBackMs) {
         line(comeBackMs > 0 ? "-BUSY " + (long) Math.ceil(comeBackMs) : "-BUSY");
@@ -52,17 +75,44 @@
         }
     }
 
-    void writeTo(Chain out) {
+    /** Puts out what there is, within bounds; says whether that was all of it. */
+    boolean writeTo(Chain out) {
+        if (transfer != null) {
+            return writePartTo(out);
+        }
         if (line != null) {
             RespWriter.line(out, line);
         } else {
             RespWriter.bulkMoved(out, value);
         }
+        return true;
+    }
+
+    private boolean writePartTo(Chain out) {
+        if (!headWritten) {
+            headWritten = true;
+            out.put("$" + transfer.length + "\r\n");
+        }
+        transfer.takeTo(out, Math.max(0, MOST_PUT_OUT - out.size()));
+        if (!transfer.isDone()) {
+            return false;
+        }
+        out.put("\r\n");
+        transfer.delivered();
+        return true;
+    }
+
+    /** What has gone out of a long value cannot be followed by the rest. */
+    boolean isBroken() {
+        return transfer != null && transfer.isBroken();
     }
 
     void release() {
         if (value != null) {
             value.release();
         }
+        if (transfer != null) {
+            transfer.abandon();
+        }
     }
 }
--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -7,9 +7,11 @@
 import dappleseam.query.Execution;
 import dappleseam.query.Reached;
 import dappleseam.query.Slots;
+import dappleseam.query.Transfer;
 import dappleseam.router.Outcome;
 import dappleseam.wire.Chain;
 import dappleseam.wire.HttpReader;
+import dappleseam.wire.Large;
 import dappleseam.wire.Link;
 import dappleseam.wire.Loop;
 import dappleseam.wire.Progress;
@@ -19,7 +21,8 @@
 
 /** The origin, over HTTP/1.1: one exchange at a time on each connection. */
 public final class Origin implements Backend {
-    private static final long LONGEST_BODY = 65 << 10;
+    /** Bytes of a long value put out at once; the next when the origin has taken them. */
+    private static final int MOST_PUT_OUT = 64 << 10;
 
     private final Loop loop;
     private final InetSocketAddress endpoint;
@@ -89,8 +92,14 @@
         endWaiting();
     }
 
-    private final class Connection implements Link.Events {
-        private final HttpReader reader = new HttpReader(loop.pool(), LONGEST_BODY);
+    private final class Connection implements Link.Events, Large, Transfer.Source {
+        private final HttpReader reader = new HttpReader(loop.pool(), Large.LONGEST, this);
+        /** The long value that comes now, where somebody waits for it. */
+        private Transfer transfer;
+        private boolean paused;
+        /** Bytes of long values that came, and of a long one that goes out. */
+        private long taken;
+        private long put;
         private Loop.Deadline dialling = () -> { };
         private Loop.Deadline closing = () -> { };
         private final int slot = open.put(this);
@@ -122,30 +131,95 @@
             endsAt = Long.MAX_VALUE;
             try {
                 write(e.command, link.out());
+                put = 0;
+                putValue();
             } catch (RuntimeException fault) { // half a head must not be followed by another
                 ended("fault: " + fault);
                 return;
             }
-            endsAt = link.queued();
             link.flush();
         }
 
+        /** The next part of the value; the query holds the one copy of it. */
+        private void putValue() {
+            Chain value = current.command.value();
+            put += value == null ? 0 : link.out().copyPart(value, put, MOST_PUT_OUT);
+            if (value == null || put == value.size()) {
+                endsAt = link.queued();
+            }
+        }
+
         private static void write(Command command, Chain to) {
             to.put((command.isWrite() ? "PUT /" : "GET /") + command.key() + " HTTP/1.1\r\nHost: origin\r\n"
                     + "X-Correlation-Id: " + command.id() + "\r\nX-Facts: " + command.facts() + "\r\n"
                     + (command.isWrite() ? "Content-Length: " + command.value().size() + "\r\n\r\n" : "\r\n"));
-            if (command.isWrite()) {
-                to.copy(command.value());
-            }
         }
 
         @Override
         public void drained() {
             if (current != null && reached() == Reached.WHOLE) {
                 current.written();
+            } else if (current != null && endsAt == Long.MAX_VALUE) {
+                try {
+                    putValue();
+                } catch (RuntimeException fault) { // what has gone out is less than it was said to be
+                    ended("fault: " + fault);
+                    return;
+                }
+                link.flush();
+            }
+        }
+
+        @Override
+        public void begins(long length) {
+            if (current != null && !current.hasEnded()) {
+                transfer = new Transfer(length, loop.pool(), this);
+                current.end(Ending.begun(transfer));
+                watchTransfer(transfer);
             }
         }
 
+        @Override
+        public void part(ByteBuffer in, int count) {
+            taken += count;
+            if (transfer != null) {
+                transfer.put(in, count);
+            } else {
+                in.position(in.position() + count);
+            }
+        }
+
+        /** Guards a client against an origin that stops in the middle of a value. */
+        private void watchTransfer(Transfer watched) {
+            long before = taken;
+            loop.at(loop.nowMs() + Transfer.STALLED_MS, () -> {
+                if (transfer == watched && taken == before && !paused) {
+                    ended("a value stopped half-way");
+                } else if (transfer == watched) {
+                    watchTransfer(watched);
+                }
+            });
+        }
+
+        @Override
+        public void pause() {
+            paused = true;
+            link.pause();
+        }
+
+        @Override
+        public void resume() {
+            paused = false;
+            link.resume();
+        }
+
+        @Override
+        public void abandoned() {
+            transfer = null;
+            current = null;
+            close();
+        }
+
         Reached reached() {
             return link != null && link.written() >= endsAt ? Reached.WHOLE : Reached.NOT_WHOLE;
         }
@@ -179,7 +253,9 @@
             boolean neverRan = reader.header("x-unprocessed").equals("1")
                     && (reader.status() == 503 || reader.status() == 504);
             Ending failure = neverRan ? Ending.of(Outcome.FULL) : Ending.erred("status " + reader.status());
-            boolean staysOpen = clean && reader.staysOpen() && !retired;
+            boolean staysOpen = clean && reader.staysOpen() && !retired && endsAt != Long.MAX_VALUE;
+            Transfer passed = transfer;
+            transfer = null;
             Chain body = reader.takeBody();
             Execution done = current;
             current = null;
@@ -193,6 +269,9 @@
             if (!completed) {
                 body.release();
             }
+            if (passed != null) {
+                passed.whole();
+            }
             done.end(completed ? Ending.completed(body) : failure);
         }
 
@@ -225,6 +304,11 @@
             if (link != null) {
                 link.close();
             }
+            if (transfer != null) {
+                Transfer broken = transfer;
+                transfer = null;
+                broken.broken();
+            }
         }
 
         private void end(Ending ending) {
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -16,6 +16,7 @@
 import dappleseam.query.Reached;
 import dappleseam.query.Reuse;
 import dappleseam.query.Slots;
+import dappleseam.query.Transfer;
 import dappleseam.router.Host;
 import dappleseam.router.Key;
 import dappleseam.router.Member;
@@ -344,6 +345,10 @@
 
     private void answered(Taken taken, Figures.End how) {
         figures.ended(taken.grade, how);
+        answered(taken);
+    }
+
+    private static void answered(Taken taken) {
         taken.answered = true;
         taken.forgotten.callOff();
     }
@@ -399,10 +404,16 @@
         double took = loop.nowMs() - execution.sentAt;
         if (ending.outcome() == Outcome.COMPLETED) {
             if (taken.answered) {
-                ending.value().release();
-            } else {
+                ending.release();
+            } else if (ending.transfer() == null) {
                 answered(taken, Figures.End.COMPLETED);
                 taken.owed.value(ending.value());
+            } else { // it is answered from its first bytes on, and ended when the client has the last
+                answered(taken);
+                Transfer transfer = ending.transfer();
+                transfer.into(taken.owed::more, () -> figures.ended(taken.grade,
+                        transfer.isDone() ? Figures.End.COMPLETED : Figures.End.FAILED));
+                taken.owed.begun(transfer);
             }
         } else if (ending.outcome() == Outcome.ERRED && loop.nowMs() > errorLoggedAt + ERRORS_APART_MS) {
             errorLoggedAt = loop.nowMs();
--- a/src/main/java/dappleseam/query/Execution.java
+++ b/src/main/java/dappleseam/query/Execution.java
@@ -42,8 +42,8 @@
         if (!ended) {
             ended = true;
             whenEnded.accept(this, ending);
-        } else if (ending.value() != null) {
-            ending.value().release();
+        } else {
+            ending.release();
         }
     }
 }
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -7,8 +7,10 @@
 import dappleseam.query.Execution;
 import dappleseam.query.Reached;
 import dappleseam.query.Slots;
+import dappleseam.query.Transfer;
 import dappleseam.router.Outcome;
 import dappleseam.wire.Chain;
+import dappleseam.wire.Large;
 import dappleseam.wire.Link;
 import dappleseam.wire.Loop;
 import dappleseam.wire.Progress;
@@ -23,8 +25,6 @@
 
 /** One cache node and this proxy's connections to it, on which commands are answered in order. */
 public final class CacheNode implements Backend {
-    /** Bytes of the longest answer: a value and some. */
-    private static final int LONGEST_BULK = 65 << 10;
     /** Bulk strings of an answer: the value, how it went, the load report. */
     private static final int PARTS = 3;
     /** Time in ms that a connection may owe only answers nobody waits for; then it is taken for dead. */
@@ -115,20 +115,27 @@
 
     private record Sent(Execution execution, long endsAt, double at) {}
 
-    private final class Connection implements Link.Events {
+    private final class Connection implements Link.Events, Large, Transfer.Source {
         /** Not written yet, as the connection is not up. */
         final ArrayDeque<Execution> waiting = new ArrayDeque<>();
         /** Written and not answered, in order. */
         final ArrayDeque<Sent> sent = new ArrayDeque<>();
         /** Put out, and not known yet to be written whole, in order. */
         private final ArrayDeque<Sent> unwritten = new ArrayDeque<>();
-        private final RespReader reader = new RespReader(loop.pool(), LONGEST_BULK);
+        private final RespReader reader = new RespReader(loop.pool(), Large.LONGEST, this);
+        /** The long value that comes now, where somebody waits for it. */
+        private Transfer transfer;
         private final int slot = open.put(this);
         private Link link;
         private double idleSince;
         private final double dialledAt = loop.nowMs();
         private double connectMs;
         private double answeredAt;
+        /** The answer that comes now was owed when its long value began. */
+        private boolean beginsAnswer;
+        private boolean paused;
+        /** Bytes of long values that came. */
+        private long taken;
         /** How long it had been idle when the command went out that has no answer yet; under 0 for all others. */
         private double idleMs = -1;
         /** Closes the connection unless something happens. */
@@ -238,7 +245,7 @@
         }
 
         private void closeIfForgotten() {
-            if (sent.stream().allMatch(s -> s.execution.hasEnded())) {
+            if (transfer == null && sent.stream().allMatch(s -> s.execution.hasEnded())) {
                 close();
             }
         }
@@ -258,9 +265,71 @@
             }
         }
 
+        private boolean isOwed() {
+            return !sent.isEmpty() && !isTooSoon(sent.peek().at, answeredAt, connectMs, loop.nowMs());
+        }
+
+        @Override
+        public void begins(long length) {
+            // Guards the next commands against a client that reads slowly: they would wait behind this value.
+            limits.reuse().troubled(loop.nowMs());
+            if (isOwed() && !sent.peek().execution.hasEnded()) {
+                transfer = new Transfer(length, loop.pool(), this);
+                beginsAnswer = true;
+                sent.peek().execution.end(Ending.begun(transfer));
+                watchTransfer(transfer);
+            }
+        }
+
+        @Override
+        public void part(ByteBuffer in, int count) {
+            taken += count;
+            if (transfer != null) {
+                transfer.put(in, count);
+            } else {
+                in.position(in.position() + count); // nobody waits for it any more
+            }
+        }
+
+        /** Guards a client against a node that stops in the middle of a value. */
+        private void watchTransfer(Transfer watched) {
+            long before = taken;
+            loop.at(loop.nowMs() + Transfer.STALLED_MS, () -> {
+                if (transfer == watched && taken == before && !paused) {
+                    ended("a value stopped half-way");
+                } else if (transfer == watched) {
+                    watchTransfer(watched);
+                }
+            });
+        }
+
+        @Override
+        public void pause() {
+            paused = true;
+            link.pause();
+        }
+
+        @Override
+        public void resume() {
+            paused = false;
+            link.resume();
+        }
+
+        /** Reads the rest for those that wait behind it, and for nobody else. */
+        @Override
+        public void abandoned() {
+            transfer = null;
+            if (sent.size() > 1) {
+                resume();
+            } else if (!link.isClosed()) {
+                sent.clear();
+                close();
+            }
+        }
+
         private void answered(RespMessage message) {
             double now = loop.nowMs();
-            boolean isOwed = !sent.isEmpty() && !isTooSoon(sent.peek().at, answeredAt, connectMs, now);
+            boolean isOwed = beginsAnswer || isOwed();
             Ending ending = isOwed ? ending(message) : null;
             if (ending == null) { // more than was asked for, or no answer a node gives: what follows is as doubtful
                 message.release();
@@ -269,7 +338,18 @@
             }
             toldOfReuse(false);
             answeredAt = now;
-            sent.poll().execution.end(ending);
+            beginsAnswer = false;
+            Execution done = sent.poll().execution;
+            Transfer passed = transfer;
+            transfer = null;
+            if (passed != null) {
+                passed.whole();
+            }
+            if (message.firstWasLong()) {
+                ending.release();
+            } else {
+                done.end(ending);
+            }
             message.release();
         }
 
@@ -331,6 +411,11 @@
             reader.release();
             open.free(slot);
             link.close();
+            if (transfer != null) {
+                Transfer broken = transfer;
+                transfer = null;
+                broken.broken();
+            }
         }
 
         /** Ends what is out, by whether it was written whole. */
--- a/src/main/java/dappleseam/wire/BufferPool.java
+++ b/src/main/java/dappleseam/wire/BufferPool.java
@@ -37,6 +37,16 @@
         return most - out < KEPT_FOR_ANSWERS * most;
     }
 
+    /** Bytes that may still be taken. */
+    public long free() {
+        return (long) (most - out) * SIZE;
+    }
+
+    /** Bytes in all. */
+    public long all() {
+        return (long) most * SIZE;
+    }
+
     public int inUse() {
         return out;
     }
--- a/src/main/java/dappleseam/wire/Chain.java
+++ b/src/main/java/dappleseam/wire/Chain.java
@@ -67,6 +67,46 @@
         }
     }
 
+    /** Adds a copy of up to {@code count} bytes of {@code other}, from its byte {@code from} on; says how many. */
+    public long copyPart(Chain other, long from, long count) {
+        long skip = from;
+        long left = count;
+        for (ByteBuffer buffer : other.buffers) {
+            int here = buffer.remaining();
+            if (skip < here && left > 0) {
+                ByteBuffer part = buffer.duplicate().position(buffer.position() + (int) skip);
+                int bytes = (int) Math.min(left, part.remaining());
+                put(part, bytes);
+                left -= bytes;
+                skip = 0;
+            } else {
+                skip -= Math.min(skip, here);
+            }
+        }
+        return count - left;
+    }
+
+    /** Moves up to {@code most} bytes from the front of {@code other} to the end of this one. */
+    public void takePart(Chain other, long most) {
+        long left = most;
+        while (left > 0 && !other.buffers.isEmpty()) {
+            ByteBuffer first = other.buffers.peekFirst();
+            int bytes = first.remaining();
+            if (bytes <= left && bytes > BufferPool.SIZE / 2) {
+                buffers.addLast(other.buffers.pollFirst());
+                size += bytes;
+            } else {
+                bytes = (int) Math.min(left, bytes);
+                put(first, bytes);
+                if (!first.hasRemaining()) {
+                    pool.giveBack(other.buffers.pollFirst());
+                }
+            }
+            other.size -= bytes;
+            left -= bytes;
+        }
+    }
+
     /** Writes what the channel takes, gives those buffers back, and says how many bytes went. */
     long writeTo(WritableByteChannel channel) throws IOException {
         long written = 0;
--- a/src/main/java/dappleseam/wire/HttpReader.java
+++ b/src/main/java/dappleseam/wire/HttpReader.java
@@ -13,6 +13,9 @@
 
     private final BufferPool pool;
     private final long longestBody;
+    /** Takes the body of a long good answer that tells its length; null where all are held. */
+    private final Large large;
+    private boolean toLarge;
     private final StringBuilder line = new StringBuilder();
     private final Map<String, String> headers = new HashMap<>();
     private Part part = Part.STATUS;
@@ -22,8 +25,13 @@
     private long left;
 
     public HttpReader(BufferPool pool, long longestBody) {
+        this(pool, longestBody, null);
+    }
+
+    public HttpReader(BufferPool pool, long longestBody, Large large) {
         this.pool = pool;
         this.longestBody = longestBody;
+        this.large = large;
         body = new Chain(pool);
     }
 
@@ -47,10 +55,16 @@
         body = new Chain(pool);
         headers.clear();
         headBytes = 0;
+        toLarge = false;
         part = Part.STATUS;
         return done;
     }
 
+    /** Bytes held of the body. */
+    public long held() {
+        return body.size();
+    }
+
     public Progress read(ByteBuffer in) {
         while (in.hasRemaining()) {
             Progress progress = switch (part) {
@@ -71,7 +85,11 @@
 
     private Progress bodyPart(ByteBuffer in) {
         int count = (int) Math.min(left, in.remaining());
-        body.put(in, count);
+        if (toLarge) {
+            large.part(in, count);
+        } else {
+            body.put(in, count);
+        }
         left -= count;
         if (left > 0) {
             return Progress.MORE;
@@ -153,6 +171,10 @@
         }
         left = Digits.read(length, 10, longestBody);
         part = Part.BODY;
+        toLarge = large != null && status == 200 && left >= Large.FROM;
+        if (toLarge) {
+            large.begins(left);
+        }
         return left < 0 ? Progress.BAD : left == 0 ? Progress.DONE : Progress.MORE;
     }
 
--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -32,6 +32,7 @@
     private final Chain out;
     private long written;
     private boolean closed;
+    private boolean paused;
 
     /** {@code scratch} is shared by all connections of the thread: what is read is used up at once. */
     public Link(StreamConnection connection, BufferPool pool, ByteBuffer scratch, Events events) {
@@ -47,6 +48,7 @@
 
     public void resume() {
         if (!closed) {
+            paused = false;
             source.resumeReads();
         }
     }
@@ -54,6 +56,7 @@
     /** Reads no more until {@link #resume}. */
     public void pause() {
         if (!closed) {
+            paused = true;
             source.suspendReads();
         }
     }
@@ -127,7 +130,7 @@
                 end("closed by the peer");
                 return;
             }
-            if (count < scratch.capacity()) {
+            if (count < scratch.capacity() || paused) {
                 return;
             }
         }
--- a/src/main/java/dappleseam/wire/RespMessage.java
+++ b/src/main/java/dappleseam/wire/RespMessage.java
@@ -17,6 +17,13 @@
         this.line = line;
     }
 
+    /** The first bulk string was long and went to {@link Large}; an empty one stands in for it. */
+    boolean firstWasLong;
+
+    public boolean firstWasLong() {
+        return firstWasLong;
+    }
+
     public boolean isError() {
         return sign == '-';
     }
--- a/src/main/java/dappleseam/wire/RespReader.java
+++ b/src/main/java/dappleseam/wire/RespReader.java
@@ -11,6 +11,9 @@
 
     private final BufferPool pool;
     private final int longestBulk;
+    /** Takes a long bulk string that comes first in its array; null where all are held. */
+    private final Large large;
+    private boolean toLarge;
     private final StringBuilder line = new StringBuilder();
     private RespMessage message;
     /** Bulk strings of the array still to come. */
@@ -22,8 +25,18 @@
     private int bulkLeft;
 
     public RespReader(BufferPool pool, int longestBulk) {
+        this(pool, longestBulk, null);
+    }
+
+    public RespReader(BufferPool pool, int longestBulk, Large large) {
         this.pool = pool;
         this.longestBulk = longestBulk;
+        this.large = large;
+    }
+
+    /** Bytes that the bulk string being read still lacks. */
+    public long bulkLeft() {
+        return bulk == null ? 0 : Math.max(0, bulkLeft);
     }
 
     /** The message that is done; the caller releases it. */
@@ -101,6 +114,11 @@
             return Progress.BAD;
         }
         bulk = new Chain(pool);
+        toLarge = large != null && message.sign == '*' && message.bulks.isEmpty() && length >= Large.FROM;
+        if (toLarge) {
+            message.firstWasLong = true;
+            large.begins(length);
+        }
         bulkLeft = length == 0 ? -1 : length;
         return Progress.MORE;
     }
@@ -108,7 +126,11 @@
     private Progress bulkPart(ByteBuffer in) {
         if (bulkLeft > 0) {
             int part = Math.min(bulkLeft, in.remaining());
-            bulk.put(in, part);
+            if (toLarge) {
+                large.part(in, part);
+            } else {
+                bulk.put(in, part);
+            }
             bulkLeft = bulkLeft == part ? -1 : bulkLeft - part;
             return Progress.MORE;
         }
--- a/src/test/java/dappleseam/proxy/Sockets.java
+++ b/src/test/java/dappleseam/proxy/Sockets.java
@@ -28,6 +28,7 @@
     Process program;
     int port;
     int sockets = 1024;
+    int memoryMb = 192;
     String command = "serve";
     /** Port of the operators' door; 0 for none. */
     int control;
@@ -39,6 +40,8 @@
     static final class Peer implements AutoCloseable {
         final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         final BlockingQueue<Told> told = new LinkedBlockingQueue<>();
+        /** Whether the bodies of HTTP calls are read. */
+        volatile boolean bodies = true;
 
         Peer() throws IOException {
             Thread accept = new Thread(() -> {
@@ -61,7 +64,7 @@
             try {
                 InputStream in = new BufferedInputStream(socket.getInputStream());
                 while (true) {
-                    told.add(new Told(message(in), socket));
+                    told.add(new Told(message(in, bodies), socket));
                 }
             } catch (IOException e) {
                 told.add(new Told(List.of("closed"), socket));
@@ -94,7 +97,7 @@
     }
 
     /** One RESP message's words, or one HTTP head's lines. */
-    static List<String> message(InputStream in) throws IOException {
+    static List<String> message(InputStream in, boolean bodies) throws IOException {
         String line = line(in);
         List<String> words = new ArrayList<>();
         if (line.startsWith("*")) {
@@ -107,9 +110,14 @@
         } else {
             words.add(line);
             if (line.contains(" HTTP/1.1")) {
+                int length = 0;
                 while (!line.isEmpty()) {
                     line = line(in);
                     words.add(line);
+                    length = line.startsWith("Content-Length: ") ? Integer.parseInt(line.substring(16)) : length;
+                }
+                if (bodies && length > 0) {
+                    words.add(new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
                 }
             }
         }
@@ -159,7 +167,7 @@
         Path config = folder.resolve("config.json");
         return Files.writeString(config, """
                 {"name":"p","listen":"127.0.0.1:%d",%s"discovery":"%s","seed":"1",
-                 "limits":{"cores":1,"memory_mb":192,"sockets":%d},
+                 "limits":{"cores":1,"memory_mb":%d,"sockets":%d},
                  "known":{"rev":1,"all":true,"targets":[%s,%s]},
                  "settings":{"balancers":1,"flavors":["m","origin"],"dcs":["a"],
                   "membershipMode":"on_request","extra":{"mode":"aside","originKind":1},
@@ -168,7 +176,7 @@
                               "maxRetryAfterS":1,"streamsPerConn":8,"idleCloseS":60,"connectTimeoutS":2%s},
                   "rules":{"askEveryS":10,"coldFrom":0.5,"warmAfterS":5},
                   "serviceGrades":[%s]}}"""
-                .formatted(port, control == 0 ? "" : "\"control\":\"127.0.0.1:" + control + "\",", list.endpoint(), sockets, entry("s-1", cache, "m", "ready"),
+                .formatted(port, control == 0 ? "" : "\"control\":\"127.0.0.1:" + control + "\",", list.endpoint(), memoryMb, sockets, entry("s-1", cache, "m", "ready"),
                         entry("s-0", origin, "origin", "ready"), more, grades));
     }
 
@@ -255,7 +263,15 @@
         }
 
         String answer() throws IOException {
-            return message(in).get(0);
+            return message(in, false).get(0);
+        }
+
+        byte[] bytes(int count) throws IOException {
+            return in.readNBytes(count);
+        }
+
+        byte[] rest() throws IOException {
+            return in.readAllBytes();
         }
 
         boolean isAtEnd() throws IOException {
