Let a new process take over the list that the old one was told, drains included

Need: rule 3 over an upgrade while the list service turns callers away; the new process waited 2.5 s and then served by its file. Tests: a drain told to the old one holds in the new one with a silent list service; a saturated door with all connections held.

--- a/src/main/java/dappleseam/list/ListReader.java
+++ b/src/main/java/dappleseam/list/ListReader.java
@@ -58,7 +58,7 @@
         return new Listed(uid, new Member(new NodeId(hash(uid)), state, machine,
                 entry.path("pod_group").asInt(), zones.computeIfAbsent(zone, z -> zones.size()),
                 entry.path("capacity_hint").asDouble(1), entry.path("boot_ms").asDouble()),
-                address(entry.path("endpoint").asText()));
+                address(entry.path("endpoint").asText()), zone, entry.path("model").asText());
     }
 
     /** What is gone needs no address. */
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -72,6 +72,8 @@
     private ListReader lists;
     private final ListWatch watch;
     private final Map<NodeId, Peer> peers = new HashMap<>();
+    /** The list as last told, for the process that takes over. */
+    private volatile NodeList last = new NodeList(0, true, List.of());
     private final Slots<Taken> queries = new Slots<>();
     /** The ids of the queries taken last, as the clients gave them, in order: those of all that are open among them. */
     private final Set<String> ids = new LinkedHashSet<>();
@@ -82,7 +84,15 @@
     private double errorLoggedAt;
 
     /** A listed node and where it is dialled. */
-    private record Peer(InetSocketAddress endpoint, Member.State state, Backend backend) {}
+    private record Peer(Listed entry, Backend backend) {
+        InetSocketAddress endpoint() {
+            return entry.endpoint();
+        }
+
+        Member.State state() {
+            return entry.member().state();
+        }
+    }
 
     /** A query taken, until it is answered and its last execution has ended. */
     private static final class Taken {
@@ -165,7 +175,7 @@
 
     /** Tells the figures what takes a walk to count. */
     void publish() {
-        figures.list((int) peers.values().stream().filter(p -> p.state != Member.State.GONE).count(),
+        figures.list((int) peers.values().stream().filter(p -> p.state() != Member.State.GONE).count(),
                 router.avoided(loop.nowMs()));
     }
 
@@ -234,20 +244,26 @@
         if (list.whole()) {
             List.copyOf(peers.keySet()).stream().filter(id -> !listed.contains(id)).forEach(this::forget);
         }
+        last = new NodeList(list.version(), true, peers.values().stream().map(Peer::entry).toList());
+    }
+
+    /** The whole list as last told; for any thread. */
+    NodeList lastList() {
+        return last;
     }
 
     private void know(Listed entry) {
         Member m = entry.member();
         Peer peer = peers.get(m.node());
-        boolean moved = peer != null && !peer.endpoint.equals(entry.endpoint());
-        if (peer == null || moved || peer.state != m.state()) {
+        boolean moved = peer != null && !peer.endpoint().equals(entry.endpoint());
+        if (peer == null || moved || !peer.entry.equals(entry)) {
             LOG.log(Level.INFO, "node {0} is {1} at {2}: {3}", entry.uid(), name(m.node()), entry.endpoint(),
                     m.state());
             if (moved) {
                 peer.backend.retire();
             }
             Backend backend = peer == null || moved ? backend(m, entry.endpoint()) : peer.backend;
-            peers.put(m.node(), new Peer(entry.endpoint(), m.state(), backend));
+            peers.put(m.node(), new Peer(entry, backend));
             if (m.state() == Member.State.DRAINING) {
                 backend.endWaiting();
             }
--- a/src/main/java/dappleseam/proxy/Seats.java
+++ b/src/main/java/dappleseam/proxy/Seats.java
@@ -19,7 +19,7 @@
     static final int DESCRIPTORS = 3;
     private static final Logger LOG = System.getLogger(Seats.class.getName());
     /** Of the way the files are used; another version of this program with another way keeps to its own. */
-    private static final String VERSION = "dappleseam-seats-1";
+    static final String VERSION = "dappleseam-seats-1";
 
     private final FileChannel first;
     private final FileChannel second;
@@ -40,7 +40,7 @@
     static Seats take(Path folder, InetSocketAddress listen) {
         try {
             Path at = Files.createDirectories(folder.resolve(VERSION));
-            String name = listen.getHostString() + '-' + listen.getPort();
+            String name = name(listen);
             Seats seats = new Seats(open(at.resolve(name + "-first")), open(at.resolve(name + "-second")),
                     open(at.resolve(name + "-listens")));
             seats.look();
@@ -51,6 +51,14 @@
         }
     }
 
+    static String name(InetSocketAddress listen) {
+        return listen.getHostString() + '-' + listen.getPort();
+    }
+
+    synchronized boolean isFirst() {
+        return isFirst;
+    }
+
     private static FileChannel open(Path file) throws IOException {
         return FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
     }
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -1,9 +1,12 @@
 package dappleseam.proxy;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import dappleseam.clients.ClientFront;
 import dappleseam.control.Door;
 import dappleseam.control.Figures;
 import dappleseam.control.Staff;
+import dappleseam.list.ListFile;
+import dappleseam.list.NodeList;
 import dappleseam.site.FaultySettingException;
 import dappleseam.site.Post;
 import dappleseam.site.SiteReader;
@@ -73,7 +76,9 @@
 
     private EventLoop loop;
     private ClientFront front;
-    private Proxy proxy;
+    private volatile Proxy proxy;
+    /** The list last written for a process that takes over; the door's thread's. */
+    private NodeList kept;
     private final Figures figures = new Figures();
     private Seats seats;
     private volatile boolean ready;
@@ -140,6 +145,7 @@
         if (post.control() != null && !openDoor(worker, post)) {
             return null;
         }
+        Post told = seats != null && seats.areShared() ? withTakenOver(post) : post;
         int forPeers = (int) (SHARE_FOR_PEERS * descriptors(post, 1));
         int buffers = (int) (SHARE_FOR_BUFFERS * post.memoryMb() * (BYTES_PER_MB / BufferPool.SIZE));
         CountDownLatch begun = new CountDownLatch(1);
@@ -149,7 +155,7 @@
             Rehearsal.play(loop, worker.getIoThread(), post, passed -> {
                 rehearsed = passed;
                 try {
-                    proxy = new Proxy(loop, post, figures);
+                    proxy = new Proxy(loop, told, figures);
                     int forClients = descriptors(post, 1) - forPeers;
                     front = new ClientFront(loop, proxy, (int) (forClients * (1 - SHARE_FOR_CLOSED)),
                             post.descriptors() / DESCRIPTORS_A_CLIENT);
@@ -211,6 +217,38 @@
         loop.at(loop.nowMs() + PUBLISH_MS, this::publish);
     }
 
+    /** Guards rule 3 over an upgrade: what the other process was told of drains holds for this one. */
+    private static Post withTakenOver(Post post) {
+        try {
+            JsonNode list = ListFile.read(listFile(post));
+            long version = post.known().path("rev").asLong(-1);
+            if (list.path("rev").asLong() >= version) {
+                LOG.log(Level.INFO, "list taken over at version {0}, the file had {1}", list.path("rev").asLong(), version);
+                return post.withKnown(list);
+            }
+        } catch (IOException | RuntimeException e) { // it was worth a try
+            LOG.log(Level.INFO, "no list taken over: {0}", e.toString());
+        }
+        return post;
+    }
+
+    private static Path listFile(Post post) {
+        return folder().resolve(Seats.VERSION).resolve(Seats.name(post.listen()) + "-list");
+    }
+
+    /** On the door's thread. */
+    private void keepList(Post post) {
+        Proxy serving = proxy;
+        if (serving != null && serving.lastList() != kept && seats.isFirst()) {
+            kept = serving.lastList();
+            try {
+                ListFile.write(listFile(post), kept);
+            } catch (IOException e) {
+                LOG.log(Level.WARNING, "the list is not kept for a process that takes over: {0}", e.toString());
+            }
+        }
+    }
+
     private boolean openDoor(XnioWorker worker, Post post) {
         seats = Seats.take(folder(), post.listen());
         boolean[] shared = {seats.areShared()};
@@ -244,6 +282,7 @@
                 }
             }, figures, () -> {
                 seats.look();
+                keepList(post);
                 if (seats.areShared() != shared[0]) {
                     shared[0] = !shared[0];
                     LOG.log(Level.INFO, "{0}", shared[0] ? "another process serves this address, too"
--- a/src/main/java/dappleseam/site/Post.java
+++ b/src/main/java/dappleseam/site/Post.java
@@ -8,4 +8,8 @@
  * null where operators have no door.
  */
 public record Post(String name, InetSocketAddress listen, InetSocketAddress control, InetSocketAddress listService, long seed,
-                   int descriptors, int memoryMb, JsonNode known, Site site) {}
+                   int descriptors, int memoryMb, JsonNode known, Site site) {
+    public Post withKnown(JsonNode list) {
+        return new Post(name, listen, control, listService, seed, descriptors, memoryMb, list, site);
+    }
+}
--- a/src/test/java/dappleseam/proxy/OperatingTest.java
+++ b/src/test/java/dappleseam/proxy/OperatingTest.java
@@ -230,4 +230,73 @@
         sockets.program.destroy();
         sockets.awaitLog(folder, "no other process is here");
     }
+
+    /** Guards rule 3 over an upgrade: a drain that the old process was told of holds, with the list service down. */
+    @Test
+    void aNewProcessKeepsTheDrainsThatTheOldOneWasToldOf() throws Exception {
+        sockets.start(folder, "").client();
+        String list = "{\"rev\":7,\"all\":true,\"targets\":[" + Sockets.entry("s-1", sockets.cache, "m", "draining") + ","
+                + Sockets.entry("s-0", sockets.origin, "origin", "ready") + "]}";
+        sockets.list.next().answer("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+        sockets.awaitLog(folder, "DRAINING");
+        awaitFigures("app_members_unavailable 1\n");
+        Thread.sleep(500); // the old process writes it within 0.1 s
+        startBeside();
+        sockets.awaitLog(folder, "list taken over at version 7, the file had 1");
+        sockets.program.destroy();
+        sockets.awaitLog(folder, "another process takes the clients");
+        Sockets.Client client = sockets.client();
+        read(client, "id1");
+        sockets.origin.next().answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue");
+        assertThat(client.answer()).isEqualTo("value");
+        assertThat(sockets.cache.told).isEmpty();
+    }
+
+    /** Guards staff against a proxy that is busy, and against clients that hold all its connections. */
+    @Test
+    void theDoorAnswersInTimeWhileClientsTakeAllThereIs() throws Exception {
+        sockets.sockets = 160;
+        sockets.start(folder, "").client();
+        List<Socket> silent = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            silent.add(new Socket("127.0.0.1", sockets.port));
+        }
+        byte[] flood = "*1\r\n$4\r\nPING\r\n".repeat(1000).getBytes(StandardCharsets.US_ASCII);
+        List<Thread> busy = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            Sockets.Client client = sockets.client();
+            Thread sender = new Thread(() -> {
+                try {
+                    while (true) {
+                        client.socket.getOutputStream().write(flood);
+                    }
+                } catch (IOException e) {
+                    // the test is over
+                }
+            });
+            Thread taker = new Thread(() -> {
+                try {
+                    while (!client.isAtEnd()) {
+                        client.bytes(1 << 16);
+                    }
+                } catch (IOException e) {
+                    // the test is over
+                }
+            });
+            busy.addAll(List.of(sender, taker));
+        }
+        busy.forEach(thread -> {
+            thread.setDaemon(true);
+            thread.start();
+        });
+        for (int i = 0; i < 30; i++) { // each call waits 1 s at most
+            assertThat(sockets.call("GET /control/ready")).startsWith("HTTP/1.1 200");
+            assertThat(sockets.call("GET /control/counters")).contains("app_members 2\n");
+        }
+        assertThat(sockets.call("POST /control/out-of-service")).startsWith("HTTP/1.1 200");
+        assertThat(sockets.call("GET /control/ready")).startsWith("HTTP/1.1 503");
+        for (Socket one : silent) {
+            one.close();
+        }
+    }
 }
