Keep the node's side of long values in one class for caches and origin

The same forty lines stood in CacheNode and Origin. Found while moving them: with Connection: close the origin's long value would have been told broken by the close before it was told whole; the order is fixed, and a test has that header.

--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -5,9 +5,9 @@
 import dappleseam.query.Connections;
 import dappleseam.query.Ending;
 import dappleseam.query.Execution;
+import dappleseam.query.Inflow;
 import dappleseam.query.Reached;
 import dappleseam.query.Slots;
-import dappleseam.query.Transfer;
 import dappleseam.router.Outcome;
 import dappleseam.wire.Chain;
 import dappleseam.wire.HttpReader;
@@ -92,13 +92,10 @@
         endWaiting();
     }
 
-    private final class Connection implements Link.Events, Large, Transfer.Source {
-        private final HttpReader reader = new HttpReader(loop.pool(), Large.LONGEST, this);
-        /** The long value that comes now, where somebody waits for it. */
-        private Transfer transfer;
-        private boolean paused;
-        /** Bytes of long values that came, and of a long one that goes out. */
-        private long taken;
+    private final class Connection implements Link.Events, Inflow.Connection {
+        private final Inflow inflow = new Inflow(loop, this);
+        private final HttpReader reader = new HttpReader(loop.pool(), Large.LONGEST, inflow);
+        /** Bytes put out of the value that goes out. */
         private long put;
         private Loop.Deadline dialling = () -> { };
         private Loop.Deadline closing = () -> { };
@@ -171,51 +168,22 @@
         }
 
         @Override
-        public void begins(long length) {
-            if (current != null && !current.hasEnded()) {
-                transfer = new Transfer(length, loop.pool(), this);
-                current.end(Ending.begun(transfer));
-                watchTransfer(transfer);
-            }
-        }
-
-        @Override
-        public void part(ByteBuffer in, int count) {
-            taken += count;
-            if (transfer != null) {
-                transfer.put(in, count);
-            } else {
-                in.position(in.position() + count);
-            }
-        }
-
-        /** Guards a client against an origin that stops in the middle of a value. */
-        private void watchTransfer(Transfer watched) {
-            long before = taken;
-            loop.at(loop.nowMs() + Transfer.STALLED_MS, () -> {
-                if (transfer == watched && taken == before && !paused) {
-                    ended("a value stopped half-way");
-                } else if (transfer == watched) {
-                    watchTransfer(watched);
-                }
-            });
+        public Execution begins() {
+            return current;
         }
 
         @Override
-        public void pause() {
-            paused = true;
-            link.pause();
+        public Link link() {
+            return link;
         }
 
         @Override
-        public void resume() {
-            paused = false;
-            link.resume();
+        public void stalled() {
+            ended("a value stopped half-way");
         }
 
         @Override
         public void abandoned() {
-            transfer = null;
             current = null;
             close();
         }
@@ -254,11 +222,10 @@
                     && (reader.status() == 503 || reader.status() == 504);
             Ending failure = neverRan ? Ending.of(Outcome.FULL) : Ending.erred("status " + reader.status());
             boolean staysOpen = clean && reader.staysOpen() && !retired && endsAt != Long.MAX_VALUE;
-            Transfer passed = transfer;
-            transfer = null;
             Chain body = reader.takeBody();
             Execution done = current;
             current = null;
+            inflow.whole();
             toldOfReuse(false);
             if (staysOpen) {
                 idleSince = loop.nowMs();
@@ -269,9 +236,6 @@
             if (!completed) {
                 body.release();
             }
-            if (passed != null) {
-                passed.whole();
-            }
             done.end(completed ? Ending.completed(body) : failure);
         }
 
@@ -304,11 +268,7 @@
             if (link != null) {
                 link.close();
             }
-            if (transfer != null) {
-                Transfer broken = transfer;
-                transfer = null;
-                broken.broken();
-            }
+            inflow.broken();
         }
 
         private void end(Ending ending) {
--- /dev/null
+++ b/src/main/java/dappleseam/query/Inflow.java
@@ -0,0 +1,106 @@
+package dappleseam.query;
+
+import dappleseam.wire.Large;
+import dappleseam.wire.Link;
+import dappleseam.wire.Loop;
+import java.nio.ByteBuffer;
+
+/** The long values that come on one connection to a node, each handed to whoever waits for it, or passed over. */
+public final class Inflow implements Large, Transfer.Source {
+    /** The connection they come on. */
+    public interface Connection {
+        /** The execution whose answer begins with a long value; null where none is owed. */
+        Execution begins();
+
+        Link link();
+
+        /** Nobody wants the rest of the value that comes. */
+        void abandoned();
+
+        /** Nothing of it has come for long. */
+        void stalled();
+    }
+
+    private final Loop loop;
+    private final Connection connection;
+    private Transfer transfer;
+    private boolean paused;
+    private long came;
+
+    public Inflow(Loop loop, Connection connection) {
+        this.loop = loop;
+        this.connection = connection;
+    }
+
+    public boolean isUnderWay() {
+        return transfer != null;
+    }
+
+    @Override
+    public void begins(long length) {
+        Execution execution = connection.begins();
+        if (execution != null && !execution.hasEnded()) {
+            transfer = new Transfer(length, loop.pool(), this);
+            watch(transfer);
+            execution.end(Ending.begun(transfer));
+        }
+    }
+
+    @Override
+    public void part(ByteBuffer in, int count) {
+        came += count;
+        if (transfer != null) {
+            transfer.put(in, count);
+        } else {
+            in.position(in.position() + count); // nobody waits for it any more
+        }
+    }
+
+    /** Guards a client against a node that stops in the middle of a value. */
+    private void watch(Transfer watched) {
+        long before = came;
+        loop.at(loop.nowMs() + Transfer.STALLED_MS, () -> {
+            if (transfer == watched && came == before && !paused) {
+                connection.stalled();
+            } else if (transfer == watched) {
+                watch(watched);
+            }
+        });
+    }
+
+    @Override
+    public void pause() {
+        paused = true;
+        connection.link().pause();
+    }
+
+    @Override
+    public void resume() {
+        paused = false;
+        connection.link().resume();
+    }
+
+    @Override
+    public void abandoned() {
+        transfer = null;
+        connection.abandoned();
+    }
+
+    /** The answer has ended as it should. */
+    public void whole() {
+        Transfer passed = transfer;
+        transfer = null;
+        if (passed != null) {
+            passed.whole();
+        }
+    }
+
+    /** The connection is of no further use. */
+    public void broken() {
+        Transfer cut = transfer;
+        transfer = null;
+        if (cut != null) {
+            cut.broken();
+        }
+    }
+}
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -5,9 +5,9 @@
 import dappleseam.query.Connections;
 import dappleseam.query.Ending;
 import dappleseam.query.Execution;
+import dappleseam.query.Inflow;
 import dappleseam.query.Reached;
 import dappleseam.query.Slots;
-import dappleseam.query.Transfer;
 import dappleseam.router.Outcome;
 import dappleseam.wire.Chain;
 import dappleseam.wire.Large;
@@ -115,16 +115,15 @@
 
     private record Sent(Execution execution, long endsAt, double at) {}
 
-    private final class Connection implements Link.Events, Large, Transfer.Source {
+    private final class Connection implements Link.Events, Inflow.Connection {
         /** Not written yet, as the connection is not up. */
         final ArrayDeque<Execution> waiting = new ArrayDeque<>();
         /** Written and not answered, in order. */
         final ArrayDeque<Sent> sent = new ArrayDeque<>();
         /** Put out, and not known yet to be written whole, in order. */
         private final ArrayDeque<Sent> unwritten = new ArrayDeque<>();
-        private final RespReader reader = new RespReader(loop.pool(), Large.LONGEST, this);
-        /** The long value that comes now, where somebody waits for it. */
-        private Transfer transfer;
+        private final Inflow inflow = new Inflow(loop, this);
+        private final RespReader reader = new RespReader(loop.pool(), Large.LONGEST, inflow);
         private final int slot = open.put(this);
         private Link link;
         private double idleSince;
@@ -133,9 +132,6 @@
         private double answeredAt;
         /** The answer that comes now was owed when its long value began. */
         private boolean beginsAnswer;
-        private boolean paused;
-        /** Bytes of long values that came. */
-        private long taken;
         /** How long it had been idle when the command went out that has no answer yet; under 0 for all others. */
         private double idleMs = -1;
         /** Closes the connection unless something happens. */
@@ -245,7 +241,7 @@
         }
 
         private void closeIfForgotten() {
-            if (transfer == null && sent.stream().allMatch(s -> s.execution.hasEnded())) {
+            if (!inflow.isUnderWay() && sent.stream().allMatch(s -> s.execution.hasEnded())) {
                 close();
             }
         }
@@ -270,57 +266,28 @@
         }
 
         @Override
-        public void begins(long length) {
+        public Execution begins() {
             // Guards the next commands against a client that reads slowly: they would wait behind this value.
             limits.reuse().troubled(loop.nowMs());
-            if (isOwed() && !sent.peek().execution.hasEnded()) {
-                transfer = new Transfer(length, loop.pool(), this);
-                beginsAnswer = true;
-                sent.peek().execution.end(Ending.begun(transfer));
-                watchTransfer(transfer);
-            }
-        }
-
-        @Override
-        public void part(ByteBuffer in, int count) {
-            taken += count;
-            if (transfer != null) {
-                transfer.put(in, count);
-            } else {
-                in.position(in.position() + count); // nobody waits for it any more
-            }
-        }
-
-        /** Guards a client against a node that stops in the middle of a value. */
-        private void watchTransfer(Transfer watched) {
-            long before = taken;
-            loop.at(loop.nowMs() + Transfer.STALLED_MS, () -> {
-                if (transfer == watched && taken == before && !paused) {
-                    ended("a value stopped half-way");
-                } else if (transfer == watched) {
-                    watchTransfer(watched);
-                }
-            });
+            beginsAnswer = isOwed();
+            return beginsAnswer ? sent.peek().execution : null;
         }
 
         @Override
-        public void pause() {
-            paused = true;
-            link.pause();
+        public Link link() {
+            return link;
         }
 
         @Override
-        public void resume() {
-            paused = false;
-            link.resume();
+        public void stalled() {
+            ended("a value stopped half-way");
         }
 
         /** Reads the rest for those that wait behind it, and for nobody else. */
         @Override
         public void abandoned() {
-            transfer = null;
             if (sent.size() > 1) {
-                resume();
+                inflow.resume();
             } else if (!link.isClosed()) {
                 sent.clear();
                 close();
@@ -340,11 +307,7 @@
             answeredAt = now;
             beginsAnswer = false;
             Execution done = sent.poll().execution;
-            Transfer passed = transfer;
-            transfer = null;
-            if (passed != null) {
-                passed.whole();
-            }
+            inflow.whole();
             if (message.firstWasLong()) {
                 ending.release();
             } else {
@@ -411,11 +374,7 @@
             reader.release();
             open.free(slot);
             link.close();
-            if (transfer != null) {
-                Transfer broken = transfer;
-                transfer = null;
-                broken.broken();
-            }
+            inflow.broken();
         }
 
         /** Ends what is out, by whether it was written whole. */
--- a/src/test/java/dappleseam/proxy/LongValuesTest.java
+++ b/src/test/java/dappleseam/proxy/LongValuesTest.java
@@ -12,6 +12,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Long values through the program, more at once than its buffers hold. */
 class LongValuesTest {
@@ -97,13 +99,14 @@
         }
     }
 
-    @Test
-    void aLongValueComesFromTheOriginToo() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {"", "Connection: close\r\n"})
+    void aLongValueComesFromTheOriginToo(String header) throws Exception {
         sockets.start(folder, "");
         byte[] value = value(2);
         Sockets.Client client = reader("id1");
         sockets.cache.next().answer("*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n");
-        send(sockets.origin.next(), "HTTP/1.1 200 OK\r\nContent-Length: " + LONG + "\r\n\r\n", value, LONG, "");
+        send(sockets.origin.next(), "HTTP/1.1 200 OK\r\n" + header + "Content-Length: " + LONG + "\r\n\r\n", value, LONG, "");
         assertWhole(client, value);
     }
 
