Handle SIGTERM as a signal, so that the last lines of the log are not lost

Cause: the JVM runs shutdown hooks side by side, and java.util.logging's takes all handlers away in its own. Serve.call now handles TERM and INT, once, writes out its last lines and halts with 0. Ruled out: the hand-over itself (the old process had ended in time).

--- a/src/main/java/dappleseam/proxy/BackgroundLog.java
+++ b/src/main/java/dappleseam/proxy/BackgroundLog.java
@@ -48,6 +48,19 @@
         }
     }
 
+    /** Waits until all lines so far are on their way, for so long at most. */
+    static void written(long mostMs) {
+        long until = System.nanoTime() + mostMs * 1_000_000;
+        try {
+            while (!INSTANCE.lines.isEmpty() && System.nanoTime() < until) {
+                Thread.sleep(1);
+            }
+            Thread.sleep(1); // the last one taken is being written
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Override
     public void publish(LogRecord entry) {
         if (isLoggable(entry)) {
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -20,10 +20,12 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Collections;
+import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -59,6 +61,8 @@
     private static final double CLOSE_LEAD_MS = 350;
     private static final double ABORT_LEAD_MS = 200;
     private static final double END_LEAD_MS = 100;
+    /** Time in ms for the last lines of the log to be written. */
+    private static final long LAST_LINES_MS = 20;
     /** Time in ms in which a connection to itself comes up. */
     private static final double SELF_MS = 1000;
     /** Time in ms between publishings of the figures that take a walk. */
@@ -120,7 +124,15 @@
         if (check) {
             return rehearsed && answersItself(worker) ? 0 : 1;
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(worker)));
+        // Not a shutdown hook: the platform's logging takes its handlers away at the same time, and lines were lost.
+        AtomicBoolean told = new AtomicBoolean();
+        for (String name : List.of("TERM", "INT")) {
+            Signal.handle(new Signal(name), signal -> {
+                if (!told.getAndSet(true)) {
+                    drain(worker);
+                }
+            });
+        }
         ended.await();
         return 0;
     }
@@ -383,7 +395,8 @@
             Thread.currentThread().interrupt();
         }
         LOG.log(Level.INFO, "ended");
-        Runtime.getRuntime().halt(0); // a plain end after SIGTERM would have status 143
+        BackgroundLog.written(LAST_LINES_MS);
+        Runtime.getRuntime().halt(0);
     }
 
     /** Closes clients as they fall idle from that time on; all is done once none is left. */
