--- /dev/null
+++ b/src/main/java/dappleseam/lab/check/RuleChecker.java
@@ -0,0 +1,145 @@
+package dappleseam.lab.check;
+
+import dappleseam.lab.check.Ledger.Execution;
+import dappleseam.lab.check.Ledger.Query;
+import dappleseam.lab.check.Ledger.Started;
+import dappleseam.lab.check.Ledger.Told;
+import dappleseam.lab.check.Ledger.Verdict;
+import dappleseam.lab.scenario.Scenario;
+import dappleseam.lab.scenario.Scenario.Grade;
+import dappleseam.lab.scenario.Scenario.Repeat;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** The four rules over what peers and clients saw. Free of I/O; each breach tells the query's history. */
+public final class RuleChecker {
+    /** What every time limit is longer by, in ms: the way there and back. */
+    static final double SLACK_MS = 50;
+    /** Time in ms after a drain was told in which executions may still go there. */
+    static final double GRACE_MS = 500;
+    /** A cold cache falls over when sent more than so many times what it can do, for so many ms. */
+    static final double FALL_MULTIPLE = 3;
+    static final double FALL_MS = 1500;
+
+    /** A rule that was broken, 1 to 4. */
+    public record Breach(int rule, String what) {}
+
+    private final Scenario scenario;
+    private final Map<String, Grade> grades;
+    private final List<Breach> breaches = new ArrayList<>();
+
+    private RuleChecker(Scenario scenario) {
+        this.scenario = scenario;
+        grades = scenario.load().grades().stream().collect(Collectors.toMap(Grade::name, Function.identity()));
+    }
+
+    /** Faults on the clients' own connections are not the proxy's: an answer cut there breaks nothing. */
+    public static List<Breach> check(Scenario scenario, Ledger ledger, boolean clientsAreCut) {
+        RuleChecker checker = new RuleChecker(scenario);
+        Map<String, List<Execution>> byQuery = ledger.executions.stream()
+                .sorted(Comparator.comparingDouble(Execution::atMs)).collect(Collectors.groupingBy(Execution::query));
+        for (Query query : ledger.queries) {
+            checker.oneAnswer(query, byQuery.getOrDefault(query.id(), List.of()), clientsAreCut);
+            checker.noEffectTwice(query, byQuery.getOrDefault(query.id(), List.of()));
+        }
+        checker.marksOnce(ledger);
+        checker.drains(ledger);
+        checker.coldCaches(ledger);
+        return checker.breaches;
+    }
+
+    private void breach(int rule, String what, List<Execution> history) {
+        breaches.add(new Breach(rule, what + history.stream().map(e -> String.format("; %s at %.1f ms%s", e.node(), e.atMs(),
+                e.turnedAway() ? " turned away" : e.effect() ? "" : " dropped as a repeat")).collect(Collectors.joining())));
+    }
+
+    private void oneAnswer(Query q, List<Execution> executions, boolean clientsAreCut) {
+        boolean lost = q.verdict() == Verdict.UNANSWERED || q.verdict() == Verdict.CUT || q.verdict() == Verdict.SPOILT;
+        if (lost && !clientsAreCut) {
+            breach(1, "query " + q.id() + " ended " + q.verdict() + " after "
+                    + Math.round(q.endedMs() - q.sentMs()) + " of " + Math.round(q.timeoutMs()) + " ms", executions);
+        } else if (!lost && q.verdict() != Verdict.LEFT && q.answers() != 1) {
+            breach(1, "query " + q.id() + " had " + q.answers() + " answers", executions);
+        } else if (!lost && q.endedMs() > q.sentMs() + q.timeoutMs() + SLACK_MS) {
+            breach(1, "query " + q.id() + " was answered after its statement timeout", executions);
+        }
+        for (Execution e : executions) {
+            if (!clientsAreCut && e.atMs() > q.endedMs() + SLACK_MS) {
+                breach(1, "query " + q.id() + " was sent on after its end at " + Math.round(q.endedMs()) + " ms", executions);
+                return;
+            }
+        }
+    }
+
+    private void noEffectTwice(Query q, List<Execution> executions) {
+        if (grades.get(q.grade()).repeat() != Repeat.NON_IDEMPOTENT) {
+            return;
+        }
+        long effects = executions.stream().filter(Execution::effect).count();
+        boolean ranBeforeLast = executions.stream().limit(Math.max(0, executions.size() - 1)).anyMatch(Execution::effect);
+        if (effects > 1 || ranBeforeLast) {
+            breach(2, "query " + q.id() + " was sent again though it may have run", executions);
+        } else if (effects > 0 && q.verdict() == Verdict.REJECTED) {
+            breach(2, "query " + q.id() + " was rejected though it ran", executions);
+        }
+    }
+
+    private void marksOnce(Ledger ledger) {
+        Map<String, List<Execution>> byMark = ledger.executions.stream().filter(e -> e.effect() && !e.mark().isEmpty())
+                .collect(Collectors.groupingBy(Execution::mark));
+        byMark.forEach((mark, ran) -> {
+            if (ran.size() > 1) {
+                breach(2, "mark " + mark + " had its effect " + ran.size() + " times", ran);
+            }
+        });
+    }
+
+    private void drains(Ledger ledger) {
+        Map<String, Double> leftAt = new HashMap<>();
+        for (Told told : ledger.told) {
+            if (told.state().equals("ready")) {
+                leftAt.remove(told.node());
+            } else {
+                leftAt.putIfAbsent(told.node(), told.atMs());
+            }
+        }
+        for (Execution e : ledger.executions) {
+            Double at = leftAt.get(e.node());
+            if (at != null && e.atMs() > at + GRACE_MS + SLACK_MS) {
+                breach(3, e.node() + " got query " + e.query() + " " + Math.round(e.atMs() - at)
+                        + " ms after its drain was told", List.of());
+            }
+        }
+    }
+
+    /** Commands within any window of the stated length, against what the cache can do in it. */
+    private void coldCaches(Ledger ledger) {
+        double perMs = scenario.caches().slots() / Math.max(0.1, scenario.caches().workMs());
+        double warmMs = scenario.caches().warmS() * 1000;
+        for (Started start : ledger.started) {
+            if (!start.cold()) {
+                continue;
+            }
+            List<Execution> sent = ledger.executions.stream().filter(e -> e.node().equals(start.node())
+                    && e.atMs() >= start.atMs() && e.atMs() < start.atMs() + warmMs)
+                    .sorted(Comparator.comparingDouble(Execution::atMs)).toList();
+            for (int from = 0, to = 0; to < sent.size(); to++) {
+                while (sent.get(to).atMs() - sent.get(from).atMs() > FALL_MS) {
+                    from++;
+                }
+                double age = Math.max(0, sent.get(from).atMs() - start.atMs());
+                double share = scenario.caches().coldFrom() + (1 - scenario.caches().coldFrom()) * age / Math.max(1, warmMs);
+                if (to - from + 1 > FALL_MULTIPLE * share * perMs * FALL_MS) {
+                    breach(4, start.node() + " got " + (to - from + 1) + " commands in " + FALL_MS + " ms, "
+                            + Math.round(age) + " ms after its cold start", List.of());
+                    break;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/lab/scenario/ScenarioReader.java
@@ -0,0 +1,168 @@
+package dappleseam.lab.scenario;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import dappleseam.lab.scenario.Scenario.Caches;
+import dappleseam.lab.scenario.Scenario.Fault;
+import dappleseam.lab.scenario.Scenario.Grade;
+import dappleseam.lab.scenario.Scenario.How;
+import dappleseam.lab.scenario.Scenario.Kind;
+import dappleseam.lab.scenario.Scenario.Load;
+import dappleseam.lab.scenario.Scenario.Origin;
+import dappleseam.lab.scenario.Scenario.Repeat;
+import dappleseam.lab.scenario.Scenario.Trouble;
+import dappleseam.lab.scenario.Scenario.Way;
+import dappleseam.lab.scenario.Scenario.Where;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/** Reads a scenario and checks all of it before anything is started. */
+public final class ScenarioReader {
+    private ScenarioReader() {}
+
+    public static Scenario read(Path file) throws IOException {
+        return read(Files.readString(file), file.getFileName().toString());
+    }
+
+    public static Scenario read(String json, String what) {
+        JsonNode root;
+        try {
+            root = new ObjectMapper().readTree(json);
+        } catch (JsonProcessingException e) {
+            throw new FaultyScenarioException(what, "is not JSON: " + e.getOriginalMessage());
+        }
+        Keys top = new Keys(root, "");
+        Keys caches = top.part("caches");
+        Keys origin = top.part("origin");
+        Keys load = top.part("load");
+        List<Grade> grades = load.list("grades").stream().map(ScenarioReader::grade).toList();
+        if (grades.isEmpty()) {
+            throw new FaultyScenarioException("load.grades", "is empty");
+        }
+        Caches c = new Caches((int) caches.number("count", 1, 200), caches.number("work_ms", 0, 10_000),
+                (int) caches.number("slots", 1, 1000), (int) caches.number("queue", 0, 10_000),
+                (int) caches.number("connections", 1, 10_000), (int) caches.number("keys", 1, 1_000_000),
+                caches.number("cold_from", 0.01, 1), caches.number("warm_s", 0, 600), caches.number("window_ms", 0, 60_000),
+                (int) caches.number("value_bytes", 1, 4 << 20));
+        Scenario scenario = new Scenario(top.text("name"), (long) top.number("seed", 0, 1L << 52),
+                top.number("seconds", 0.5, 3600), c,
+                new Origin(origin.number("work_ms", 0, 10_000), (int) origin.number("slots", 1, 1000)),
+                new Load(load.number("per_second", 0.1, 20_000), (int) load.number("keys", 1, 10_000_000),
+                        load.number("skew", 0, 3), grades),
+                top.list("troubles").stream().map(t -> trouble(t, c.count())).toList(),
+                top.list("faults").stream().map(ScenarioReader::fault).toList());
+        List.of(top, caches, origin, load).forEach(Keys::noMore);
+        return scenario;
+    }
+
+    private static Grade grade(Keys keys) {
+        Grade grade = new Grade(keys.text("name"), keys.number("share", 0, 1), keys.oneOf("repeat", Repeat.class),
+                keys.flag("write"), keys.number("slo_ms", 1, 600_000), keys.number("timeout_ms", 1, 600_000),
+                (int) keys.number("retries", 0, 10), keys.number("leave_share", 0, 1));
+        keys.noMore();
+        return grade;
+    }
+
+    private static Trouble trouble(Keys keys, int caches) {
+        Trouble trouble = new Trouble(keys.number("at_s", 0, 3600), keys.oneOf("kind", Kind.class),
+                (int) keys.number("cache", 0, caches - 1), keys.number("for_s", 0, 3600), keys.number("size", 0, 1000));
+        keys.noMore();
+        return trouble;
+    }
+
+    private static Fault fault(Keys keys) {
+        Fault fault = new Fault(keys.oneOf("where", Where.class), keys.oneOf("way", Way.class), keys.oneOf("how", How.class),
+                keys.number("share", 0, 1), (int) keys.number("within_bytes", 1, 1 << 30), keys.number("size", 0, 1 << 20));
+        keys.noMore();
+        return fault;
+    }
+
+    /** One object of the file, with where it stands. */
+    private static final class Keys {
+        private final JsonNode node;
+        private final String at;
+        private final Set<String> read = new HashSet<>();
+
+        Keys(JsonNode node, String at) {
+            if (node == null || !node.isObject()) {
+                throw new FaultyScenarioException(at.isEmpty() ? "scenario" : at.substring(0, at.length() - 1), "is no object");
+            }
+            this.node = node;
+            this.at = at;
+        }
+
+        private JsonNode need(String name) {
+            read.add(name);
+            JsonNode found = node.get(name);
+            if (found == null || found.isNull()) {
+                throw new FaultyScenarioException(at + name, "is missing");
+            }
+            return found;
+        }
+
+        Keys part(String name) {
+            return new Keys(need(name), at + name + ".");
+        }
+
+        List<Keys> list(String name) {
+            JsonNode found = need(name);
+            if (!found.isArray()) {
+                throw new FaultyScenarioException(at + name, "is no list");
+            }
+            List<Keys> parts = new ArrayList<>();
+            for (JsonNode part : found) {
+                parts.add(new Keys(part, at + name + "[" + parts.size() + "]."));
+            }
+            return parts;
+        }
+
+        double number(String name, double least, double most) {
+            JsonNode found = need(name);
+            if (!found.isNumber() || found.asDouble() < least || found.asDouble() > most) {
+                throw new FaultyScenarioException(at + name, "is no number from " + least + " to " + most);
+            }
+            return found.asDouble();
+        }
+
+        String text(String name) {
+            JsonNode found = need(name);
+            if (!found.isTextual() || !found.asText().matches("[A-Za-z0-9._-]{1,64}")) {
+                throw new FaultyScenarioException(at + name, "is no name");
+            }
+            return found.asText();
+        }
+
+        boolean flag(String name) {
+            JsonNode found = need(name);
+            if (!found.isBoolean()) {
+                throw new FaultyScenarioException(at + name, "is neither true nor false");
+            }
+            return found.asBoolean();
+        }
+
+        <E extends Enum<E>> E oneOf(String name, Class<E> kind) {
+            String text = need(name).asText();
+            for (E one : kind.getEnumConstants()) {
+                if (one.name().toLowerCase(Locale.ROOT).equals(text)) {
+                    return one;
+                }
+            }
+            throw new FaultyScenarioException(at + name, "is not known: " + text);
+        }
+
+        void noMore() {
+            node.fieldNames().forEachRemaining(name -> {
+                if (!read.contains(name)) {
+                    throw new FaultyScenarioException(at + name, "is not known");
+                }
+            });
+        }
+    }
+}
