--- a/src/main/java/dappleseam/Main.java
+++ b/src/main/java/dappleseam/Main.java
@@ -1,13 +1,14 @@
 package dappleseam;
 
 import dappleseam.drill.Drill;
+import dappleseam.lab.Lab;
 import dappleseam.proxy.Serve;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
 /** Command line of dappleseam. */
 @Command(name = "dappleseam", mixinStandardHelpOptions = true, version = "dappleseam 0.1.0-SNAPSHOT",
-        description = "Client-side router for fleets of cache servers.", subcommands = {Drill.class, Serve.class},
+        description = "Client-side router for fleets of cache servers.", subcommands = {Drill.class, Lab.class, Serve.class},
         synopsisSubcommandLabel = "COMMAND")
 public final class Main implements Runnable {
     @CommandLine.Spec
--- /dev/null
+++ b/src/main/java/dappleseam/lab/Lab.java
@@ -0,0 +1,153 @@
+package dappleseam.lab;
+
+import dappleseam.lab.check.Ledger;
+import dappleseam.lab.check.RuleChecker;
+import dappleseam.lab.check.RuleChecker.Breach;
+import dappleseam.lab.emulator.Fleet;
+import dappleseam.lab.fault.FaultTool;
+import dappleseam.lab.load.LoadTool;
+import dappleseam.lab.report.Report;
+import dappleseam.lab.scenario.FaultyScenarioException;
+import dappleseam.lab.scenario.Scenario;
+import dappleseam.lab.scenario.Scenario.Fault;
+import dappleseam.lab.scenario.Scenario.Where;
+import dappleseam.lab.scenario.ScenarioReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.ParentCommand;
+
+/** The laboratory's sub-commands. */
+@Command(name = "lab", mixinStandardHelpOptions = true, description = "Rehearse troubles against stand-ins.",
+        subcommands = Lab.Run.class, synopsisSubcommandLabel = "COMMAND")
+public final class Lab implements Callable<Integer> {
+    private static final int BEAT_MS = 2;
+
+    @Override
+    public Integer call() {
+        System.err.println("dappleseam lab: say which: run");
+        return 2;
+    }
+
+    /** Plays one scenario, whole. */
+    @Command(name = "run", mixinStandardHelpOptions = true, description = "Play a scenario; status 1 where a rule is broken, 3 where that cannot be told.")
+    static final class Run implements Callable<Integer> {
+        @ParentCommand
+        private Lab lab;
+
+        @Parameters(paramLabel = "SCENARIO", description = "The scenario's file.")
+        private Path file;
+
+        @Option(names = "--proxies", defaultValue = "1", description = "Proxies beside each other (default: 1).")
+        private int proxies;
+
+        @Option(names = "--serve", defaultValue = "exec sh deploy/serve.sh", description = "How a proxy is started.")
+        private String serve;
+
+        @Option(names = "--json", description = "Where the report goes as JSON, too.")
+        private Path json;
+
+        @Option(names = "--folder", description = "Where the proxies' files and logs go (default: a new one).")
+        private Path folder;
+
+        @Override
+        public Integer call() throws Exception {
+            Scenario scenario;
+            try {
+                scenario = ScenarioReader.read(file);
+            } catch (FaultyScenarioException | IOException e) {
+                System.err.println("dappleseam lab: " + e.getMessage());
+                return 2;
+            }
+            Path home = folder == null ? Files.createTempDirectory("dappleseam-lab") : Files.createDirectories(folder);
+            Report report;
+            try {
+                report = play(scenario, serve, proxies, home);
+            } catch (IOException e) {
+                System.err.println("dappleseam lab: " + e.getMessage() + "; logs are in " + home);
+                return 2;
+            }
+            System.out.print(report.text());
+            if (json != null) {
+                Files.writeString(json, report.json());
+            }
+            return report.status();
+        }
+    }
+
+    /** Peers, faults, proxies and load; all are down again when it returns. */
+    static Report play(Scenario scenario, String serve, int proxies, Path home) throws IOException, InterruptedException {
+        Ledger ledger = new Ledger();
+        List<ProxyProcess> started = new ArrayList<>();
+        List<FaultTool> atClients = new ArrayList<>();
+        List<Fault> clientFaults = scenario.faults().stream().filter(f -> f.where() == Where.CLIENTS).toList();
+        try (Fleet fleet = new Fleet(scenario, ledger)) {
+            for (int i = 0; i < proxies; i++) {
+                started.add(new ProxyProcess(serve, home, scenario, fleet, proxies, i));
+            }
+            List<Integer> ports = new ArrayList<>();
+            for (ProxyProcess proxy : started) {
+                proxy.awaitReady();
+                if (clientFaults.isEmpty()) {
+                    ports.add(proxy.port());
+                } else {
+                    atClients.add(new FaultTool(proxy.port(), clientFaults, scenario.seed() + ports.size()));
+                    ports.add(atClients.get(ports.size()).port());
+                }
+            }
+            LoadTool load = new LoadTool(scenario, ledger, ports);
+            Thread metronome = metronome(ledger);
+            fleet.begin();
+            load.play();
+            metronome.interrupt();
+            for (ProxyProcess proxy : started) {
+                boolean alive = proxy.isAlive();
+                if (!alive || !proxy.end()) {
+                    ledger.notes.add(alive ? "a proxy did not end at SIGTERM" : "a proxy crashed: the run is incomplete");
+                }
+            }
+            List<FaultTool> tools = new ArrayList<>(fleet.tools());
+            tools.addAll(atClients);
+            List<Breach> breaches = RuleChecker.check(scenario, ledger, !clientFaults.isEmpty());
+            int planned = tools.stream().mapToInt(t -> t.planned().size()).sum();
+            return new Report(scenario, ledger, load, breaches, planned, leftOpen(tools));
+        } finally {
+            started.forEach(ProxyProcess::close);
+            for (FaultTool tool : atClients) {
+                tool.close();
+            }
+        }
+    }
+
+    /** Measures how late a thread of this process is run, as all stand-ins are. */
+    private static Thread metronome(Ledger ledger) {
+        Thread thread = new Thread(() -> {
+            try {
+                while (true) {
+                    double before = ledger.nowMs();
+                    Thread.sleep(BEAT_MS);
+                    ledger.late(ledger.nowMs() - before - BEAT_MS);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "metronome");
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    /** Connections that are still there a while after all proxies and clients have ended. */
+    private static int leftOpen(List<FaultTool> tools) throws InterruptedException {
+        for (int i = 0; i < 50 && tools.stream().anyMatch(t -> t.open() > 0); i++) {
+            Thread.sleep(20);
+        }
+        return tools.stream().mapToInt(FaultTool::open).sum();
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/lab/ProxyProcess.java
@@ -0,0 +1,111 @@
+package dappleseam.lab;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dappleseam.lab.emulator.Fleet;
+import dappleseam.lab.scenario.Scenario;
+import dappleseam.lab.scenario.Scenario.Grade;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+/** One proxy, as operators start it. */
+final class ProxyProcess implements AutoCloseable {
+    private static final int READY_S = 20;
+    private static final int LONGEST_END_S = 5;
+    private static final int SOCKETS = 512;
+    private static final int MEMORY_MB = 144;
+    private static final double MS_PER_S = 1000;
+
+    private final Process process;
+    private final int port;
+
+    ProxyProcess(String command, Path folder, Scenario scenario, Fleet fleet, int proxies, int number) throws IOException {
+        port = freePort();
+        Path home = Files.createDirectories(folder.resolve("proxy-" + number));
+        Path config = home.resolve("config.json");
+        Files.writeString(config, new ObjectMapper().writeValueAsString(config(scenario, fleet, proxies, number)));
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c", command);
+        builder.environment().put("NODE_CONFIG", config.toString());
+        builder.environment().put("TMPDIR", Files.createDirectories(home.resolve("tmp")).toString());
+        process = builder.redirectErrorStream(true).redirectOutput(home.resolve("log").toFile()).start();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return free.getLocalPort();
+        }
+    }
+
+    private ObjectNode config(Scenario scenario, Fleet fleet, int proxies, int number) {
+        ObjectNode config = new ObjectMapper().createObjectNode().put("name", "lab-" + number).put("listen", "127.0.0.1:" + port)
+                .put("discovery", "127.0.0.1:" + fleet.listPort()).put("seed", String.format("%016x", scenario.seed() + number));
+        config.putObject("limits").put("cores", 1).put("memory_mb", MEMORY_MB).put("sockets", SOCKETS);
+        config.set("known", fleet.known());
+        ObjectNode settings = config.putObject("settings").put("balancers", proxies).put("membershipMode", "on_request")
+                .put("weightSource", "nominal").put("tickS", 0.005);
+        settings.putArray("flavors").add("cache").add("origin");
+        settings.putArray("dcs").add("a");
+        settings.putObject("extra").put("mode", "aside").put("originKind", 1);
+        settings.putObject("penalties").put("connection", 0.08).put("handshake", 0.08);
+        settings.putObject("ceilings").put("mostExecutions", 4).put("parallelTries", true).put("mayCancel", true)
+                .put("retryAfter", true).put("maxRetryAfterS", 2).put("streamsPerConn", 128).put("idleCloseS", 10)
+                .put("connectTimeoutS", 0.25).put("mostHeld", 10_000);
+        settings.putObject("rules").put("askEveryS", 10).put("coldFrom", scenario.caches().coldFrom())
+                .put("warmAfterS", scenario.caches().warmS()).put("drainGraceS", 0.5);
+        ArrayNode grades = settings.putArray("serviceGrades");
+        for (Grade grade : scenario.load().grades()) {
+            grades.addObject().put("name", grade.name()).put("group", "all").put("importance", 1)
+                    .put("semantics", switch (grade.repeat()) {
+                        case IDEMPOTENT -> "read_like";
+                        case DEDUPLICATED -> "idempotency_key";
+                        case NON_IDEMPOTENT -> "non_idempotent";
+                    }).put("sloTimeS", grade.sloMs() / MS_PER_S).put("statementTimeoutS", grade.timeoutMs() / MS_PER_S)
+                    .put("windowS", scenario.caches().windowMs() / MS_PER_S).put("tardyImportance", 0.5);
+        }
+        return config;
+    }
+
+    int port() {
+        return port;
+    }
+
+    /** Waits until it answers a PING. */
+    void awaitReady() throws IOException, InterruptedException {
+        long until = System.nanoTime() + READY_S * 1_000_000_000L;
+        while (System.nanoTime() < until && process.isAlive()) {
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                socket.setSoTimeout(1000);
+                socket.getOutputStream().write("*1\r\n$4\r\nPING\r\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+                if (socket.getInputStream().read() == '+') {
+                    return;
+                }
+            } catch (IOException e) {
+                Thread.sleep(20);
+            }
+        }
+        throw new IOException(String.format(Locale.ROOT, "a proxy was not ready within %d s, alive: %s", READY_S,
+                process.isAlive()));
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** SIGTERM; says whether it ended by itself, with status 0. */
+    boolean end() throws InterruptedException {
+        process.destroy();
+        return process.waitFor(LONGEST_END_S, TimeUnit.SECONDS) && process.exitValue() == 0;
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+}
--- a/src/main/java/dappleseam/lab/check/Ledger.java
+++ b/src/main/java/dappleseam/lab/check/Ledger.java
@@ -30,6 +30,18 @@
     public final AtomicInteger listCalls = new AtomicInteger();
     private final long bornNanos = System.nanoTime();
 
+    private volatile double latenessMs;
+
+    /** The laboratory was so late itself; what it times can be off by as much. */
+    public synchronized void late(double ms) {
+        latenessMs = Math.max(latenessMs, ms);
+    }
+
+    /** The most it was late so far. */
+    public double latenessMs() {
+        return latenessMs;
+    }
+
     /** Ms since the ledger began. */
     public double nowMs() {
         return (System.nanoTime() - bornNanos) / 1e6;
--- a/src/main/java/dappleseam/lab/check/RuleChecker.java
+++ b/src/main/java/dappleseam/lab/check/RuleChecker.java
@@ -26,8 +26,8 @@
     static final double FALL_MULTIPLE = 3;
     static final double FALL_MS = 1500;
 
-    /** A rule that was broken, 1 to 4. */
-    public record Breach(int rule, String what) {}
+    /** A rule that was broken, 1 to 4; {@code timed} where it rests on a time limit, which a late laboratory cannot judge. */
+    public record Breach(int rule, String what, boolean timed) {}
 
     private final Scenario scenario;
     private final Map<String, Grade> grades;
@@ -54,8 +54,12 @@
     }
 
     private void breach(int rule, String what, List<Execution> history) {
+        breach(rule, what, history, false);
+    }
+
+    private void breach(int rule, String what, List<Execution> history, boolean timed) {
         breaches.add(new Breach(rule, what + history.stream().map(e -> String.format("; %s at %.1f ms%s", e.node(), e.atMs(),
-                e.turnedAway() ? " turned away" : e.effect() ? "" : " dropped as a repeat")).collect(Collectors.joining())));
+                e.turnedAway() ? " turned away" : e.effect() ? "" : " dropped as a repeat")).collect(Collectors.joining()), timed));
     }
 
     private void oneAnswer(Query q, List<Execution> executions, boolean clientsAreCut) {
@@ -66,11 +70,11 @@
         } else if (!lost && q.verdict() != Verdict.LEFT && q.answers() != 1) {
             breach(1, "query " + q.id() + " had " + q.answers() + " answers", executions);
         } else if (!lost && q.endedMs() > q.sentMs() + q.timeoutMs() + SLACK_MS) {
-            breach(1, "query " + q.id() + " was answered after its statement timeout", executions);
+            breach(1, "query " + q.id() + " was answered after its statement timeout", executions, true);
         }
         for (Execution e : executions) {
             if (!clientsAreCut && e.atMs() > q.endedMs() + SLACK_MS) {
-                breach(1, "query " + q.id() + " was sent on after its end at " + Math.round(q.endedMs()) + " ms", executions);
+                breach(1, "query " + q.id() + " was sent on after its end at " + Math.round(q.endedMs()) + " ms", executions, true);
                 return;
             }
         }
@@ -112,7 +116,7 @@
             Double at = leftAt.get(e.node());
             if (at != null && e.atMs() > at + GRACE_MS + SLACK_MS) {
                 breach(3, e.node() + " got query " + e.query() + " " + Math.round(e.atMs() - at)
-                        + " ms after its drain was told", List.of());
+                        + " ms after its drain was told", List.of(), true);
             }
         }
     }
@@ -136,7 +140,7 @@
                 double share = scenario.caches().coldFrom() + (1 - scenario.caches().coldFrom()) * age / Math.max(1, warmMs);
                 if (to - from + 1 > FALL_MULTIPLE * share * perMs * FALL_MS) {
                     breach(4, start.node() + " got " + (to - from + 1) + " commands in " + FALL_MS + " ms, "
-                            + Math.round(age) + " ms after its cold start", List.of());
+                            + Math.round(age) + " ms after its cold start", List.of(), true);
                     break;
                 }
             }
--- /dev/null
+++ b/src/main/java/dappleseam/lab/emulator/Fleet.java
@@ -0,0 +1,147 @@
+package dappleseam.lab.emulator;
+
+import dappleseam.lab.check.Ledger;
+import dappleseam.lab.fault.FaultTool;
+import dappleseam.lab.scenario.Scenario;
+import dappleseam.lab.scenario.Scenario.Fault;
+import dappleseam.lab.scenario.Scenario.Kind;
+import dappleseam.lab.scenario.Scenario.Trouble;
+import dappleseam.lab.scenario.Scenario.Where;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** All peers of the proxies, and the troubles that befall them by the scenario. */
+public final class Fleet implements AutoCloseable {
+    /** Time in ms after which the list service knows of what befell a process. */
+    private static final long NOTICE_MS = 1500;
+
+    private final Scenario scenario;
+    private final Ledger ledger;
+    private final ListEmulator list;
+    private final OriginEmulator origin;
+    private final List<CacheEmulator> caches = new ArrayList<>();
+    private final List<Integer> reachedAt = new ArrayList<>();
+    private final List<FaultTool> tools = new ArrayList<>();
+    private final int listPort;
+    private final ScheduledExecutorService troubles = Executors.newSingleThreadScheduledExecutor(work -> {
+        Thread thread = new Thread(work, "troubles");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    public Fleet(Scenario scenario, Ledger ledger) throws IOException {
+        this.scenario = scenario;
+        this.ledger = ledger;
+        list = new ListEmulator(ledger);
+        listPort = through(Where.LIST, list.port());
+        origin = new OriginEmulator(scenario.origin(), scenario.caches(), ledger);
+        list.tell("origin", through(Where.ORIGIN, origin.port()), "origin", "ready", 0);
+        for (int i = 0; i < scenario.caches().count(); i++) {
+            CacheEmulator cache = new CacheEmulator("cache-" + i, scenario.caches(), ledger, origin, scenario.seed() + i);
+            caches.add(cache);
+            reachedAt.add(through(Where.CACHES, cache.port()));
+            list.tell(cache.uid(), reachedAt.get(i), "cache", "ready", 0);
+        }
+        origin.caches(caches);
+        caches.forEach(Peer::begin);
+        origin.begin();
+        list.begin();
+    }
+
+    /** Where that port is reached: at a fault tool in front of it where the scenario has faults there. */
+    private int through(Where where, int port) throws IOException {
+        List<Fault> script = scenario.faults().stream().filter(f -> f.where() == where).toList();
+        if (script.isEmpty()) {
+            return port;
+        }
+        FaultTool tool = new FaultTool(port, script, scenario.seed() * 1000 + tools.size());
+        tools.add(tool);
+        return tool.port();
+    }
+
+    public int listPort() {
+        return listPort;
+    }
+
+    public ObjectNode known() {
+        return list.whole();
+    }
+
+    public List<FaultTool> tools() {
+        return tools;
+    }
+
+    /** Begins the scenario's clock. */
+    public void begin() {
+        for (Trouble trouble : scenario.troubles()) {
+            at(trouble.atS(), () -> set(trouble, true));
+            at(trouble.atS() + trouble.forS(), () -> set(trouble, false));
+        }
+    }
+
+    private interface Work {
+        void run() throws IOException;
+    }
+
+    private void at(double seconds, Work work) {
+        troubles.schedule(() -> {
+            try {
+                work.run();
+            } catch (IOException e) {
+                ledger.notes.add("a trouble could not be played: " + e.getMessage());
+            }
+        }, Math.round(seconds * 1000), TimeUnit.MILLISECONDS);
+    }
+
+    private void set(Trouble trouble, boolean begins) throws IOException {
+        CacheEmulator cache = caches.get(trouble.cache());
+        int port = reachedAt.get(trouble.cache());
+        ledger.notes.add(String.format("%.2f s: %s %s %s", ledger.nowMs() / 1000, cache.uid(), trouble.kind(),
+                begins ? "begins" : "ends"));
+        switch (trouble.kind()) {
+            case DIE -> {
+                if (begins) {
+                    cache.die();
+                    String uid = cache.uid();
+                    at(NOTICE_MS / 1000.0, () -> list.tell(uid, port, "cache", "gone", 0));
+                } else {
+                    cache.restart(cache.uid() + "+");
+                    list.tell(cache.uid(), port, "cache", "ready", System.currentTimeMillis());
+                }
+            }
+            case DRAIN -> {
+                if (begins) {
+                    list.tell(cache.uid(), port, "cache", "draining", 0);
+                } else {
+                    list.tell(cache.uid(), port, "cache", "gone", 0);
+                    cache.die();
+                    cache.restart(cache.uid() + "+");
+                    list.tell(cache.uid(), port, "cache", "ready", System.currentTimeMillis());
+                }
+            }
+            case SILENT -> cache.silent(begins);
+            case SLOW -> cache.slower(begins ? Math.max(1, trouble.size()) : 1);
+            case ERR -> cache.errs(begins ? trouble.size() : 0);
+            case SPOIL -> cache.spoils(begins ? trouble.size() : 0);
+            default -> throw new IllegalStateException(Kind.class.getName());
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        troubles.shutdownNow();
+        for (FaultTool tool : tools) {
+            tool.close();
+        }
+        for (CacheEmulator cache : caches) {
+            cache.close();
+        }
+        origin.close();
+        list.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/lab/emulator/ListEmulator.java
@@ -0,0 +1,86 @@
+package dappleseam.lab.emulator;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dappleseam.lab.check.Ledger;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The list service, with watches. */
+public final class ListEmulator extends Peer {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Pattern CALL =
+            Pattern.compile("GET /registry/instances(\\?from=(\\d{1,15})&hold_ms=(\\d{1,6}))? HTTP/1\\.1");
+
+    private record Entry(long rev, String uid, int port, String machine, String state, double bootMs) {}
+
+    private final Ledger ledger;
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private long rev = 1;
+
+    ListEmulator(Ledger ledger) throws IOException {
+        this.ledger = ledger;
+    }
+
+    /** A node as the list has it from now on; {@code port} is where the proxies reach it. */
+    synchronized void tell(String uid, int port, String machine, String state, double bootMs) {
+        entries.put(uid, new Entry(++rev, uid, port, machine, state, bootMs));
+        notifyAll();
+    }
+
+    /** The list as JSON: what came after {@code from}, or all that is not gone. */
+    private synchronized ObjectNode since(long from, List<Entry> told) {
+        ObjectNode list = JSON.createObjectNode().put("rev", rev).put("all", from == 0);
+        ArrayNode targets = list.putArray("targets");
+        for (Entry e : entries.values()) {
+            if (e.rev > from && (from > 0 || !e.state.equals("gone"))) {
+                told.add(e);
+                targets.addObject().put("uid", e.uid).put("endpoint", "127.0.0.1:" + e.port).put("az", "a")
+                        .put("model", e.machine).put("pod_group", 0).put("state", e.state).put("capacity_hint", 1.0)
+                        .put("boot_ms", e.bootMs);
+            }
+        }
+        return list;
+    }
+
+    public ObjectNode whole() {
+        return since(0, new ArrayList<>());
+    }
+
+    private synchronized void await(long from, long holdMs) throws InterruptedException {
+        long until = System.nanoTime() + holdMs * 1_000_000;
+        for (long left = holdMs; from > 0 && rev <= from && left > 0; left = (until - System.nanoTime()) / 1_000_000) {
+            wait(left);
+        }
+    }
+
+    @Override
+    void serve(InputStream in, OutputStream out) throws IOException, InterruptedException {
+        while (true) {
+            Matcher call = CALL.matcher(line(in));
+            for (String line = line(in); !line.isEmpty(); line = line(in)) {
+                continue; // no header tells anything here
+            }
+            ledger.listCalls.incrementAndGet();
+            if (!call.matches()) {
+                throw new IOException("garbage: a close is all it gets");
+            }
+            long from = call.group(2) == null ? 0 : Long.parseLong(call.group(2));
+            await(from, call.group(3) == null ? 0 : Long.parseLong(call.group(3)));
+            List<Entry> told = new ArrayList<>();
+            byte[] body = JSON.writeValueAsBytes(since(from, told));
+            out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            out.write(body);
+            told.forEach(e -> ledger.told.add(new Ledger.Told(e.uid, e.state, ledger.nowMs())));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/lab/emulator/Peer.java
@@ -0,0 +1,134 @@
+package dappleseam.lab.emulator;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** A stand-in that listens on a port of its own, with a thread for each connection. */
+abstract class Peer implements AutoCloseable {
+    private static final int BACKLOG = 512;
+    /** Tries to listen again where a process died a moment ago, and the time in ms between two. */
+    private static final int BINDS = 50;
+    private static final long BIND_AGAIN_MS = 20;
+
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private ServerSocket server;
+    private final int port;
+
+    Peer() throws IOException {
+        server = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
+        port = server.getLocalPort();
+    }
+
+    final void begin() {
+        ServerSocket listening = server;
+        thread("accept", () -> {
+            while (!listening.isClosed()) {
+                Socket socket = listening.accept();
+                socket.setTcpNoDelay(true);
+                open.add(socket);
+                thread("peer", () -> {
+                    try (socket) {
+                        serve(new BufferedInputStream(socket.getInputStream()), socket.getOutputStream());
+                    } finally {
+                        open.remove(socket);
+                    }
+                });
+            }
+        });
+    }
+
+    interface Work {
+        void run() throws IOException, InterruptedException;
+    }
+
+    static void thread(String name, Work work) {
+        Thread thread = new Thread(null, () -> {
+            try {
+                work.run();
+            } catch (IOException e) {
+                return; // the other side has gone, or this one is over
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, name, 128 << 10);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Speaks on one connection until it ends. */
+    abstract void serve(InputStream in, OutputStream out) throws IOException, InterruptedException;
+
+    public int port() {
+        return port;
+    }
+
+    int connections() {
+        return open.size();
+    }
+
+    /** As a process that dies: connections are reset, new ones refused. */
+    final void die() throws IOException {
+        server.close();
+        for (Socket socket : open) {
+            try {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            } catch (IOException e) {
+                continue; // its own thread has closed it
+            }
+        }
+    }
+
+    /** As the process that comes after it, at the same address. */
+    final void comeBack() throws IOException {
+        for (int tries = 1; ; tries++) {
+            server = new ServerSocket();
+            server.setReuseAddress(true);
+            try {
+                server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), BACKLOG);
+                begin();
+                return;
+            } catch (BindException e) { // the old listener is held until its thread has left accept
+                server.close();
+                if (tries == BINDS) {
+                    throw e;
+                }
+                pause();
+            }
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(BIND_AGAIN_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        die();
+    }
+
+    static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int c = in.read(); c != '\n'; c = in.read()) {
+            if (c < 0 || line.length() > 8192) {
+                throw new IOException(c < 0 ? "ended" : "a line without end");
+            }
+            line.append((char) c);
+        }
+        int end = line.length() - (line.length() > 0 && line.charAt(line.length() - 1) == '\r' ? 1 : 0);
+        return line.substring(0, end);
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/lab/load/LoadTool.java
@@ -0,0 +1,268 @@
+package dappleseam.lab.load;
+
+import dappleseam.lab.check.Ledger;
+import dappleseam.lab.check.Ledger.Verdict;
+import dappleseam.lab.emulator.OriginEmulator;
+import dappleseam.lab.scenario.Scenario;
+import dappleseam.lab.scenario.Scenario.Grade;
+import dappleseam.lab.scenario.Scenario.Repeat;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** Open-loop clients: arrivals are drawn ahead, so that a slow proxy does not slow its own load. */
+public final class LoadTool {
+    /** Queries open at once at most; a load that reaches it says so, as it is no longer open. */
+    private static final int MOST_OPEN = 600;
+    private static final int CONNECT_MS = 1000;
+    /** Time in ms past a query's time for which its answer is waited for: a late one is told from none. */
+    private static final int LATE_MS = 2000;
+    private static final double LONGEST_MS = 600_000;
+
+    /** One first try, as drawn. */
+    public record Arrival(double atMs, Grade grade, String key, double leavesAfterMs) {}
+
+    private final Scenario scenario;
+    private final Ledger ledger;
+    private final List<Integer> proxies;
+    private final ConcurrentLinkedDeque<Client> idle = new ConcurrentLinkedDeque<>();
+    private final Map<String, Histogram> times = new TreeMap<>();
+    private final Semaphore open = new Semaphore(MOST_OPEN);
+    private volatile int turn;
+    private volatile boolean wasFull;
+
+    private record Client(Socket socket, InputStream in) {}
+
+    public LoadTool(Scenario scenario, Ledger ledger, List<Integer> proxies) {
+        this.scenario = scenario;
+        this.ledger = ledger;
+        this.proxies = proxies;
+        scenario.load().grades().forEach(g -> times.put(g.name(), new ConcurrentHistogram((long) LONGEST_MS * 1000, 3)));
+    }
+
+    /** All first tries of a scenario, by its seed alone. */
+    public static List<Arrival> draw(Scenario scenario) {
+        SplittableRandom random = new SplittableRandom(scenario.seed());
+        double[] upTo = new double[Math.min(scenario.load().keys(), 100_000)];
+        double sum = 0;
+        for (int i = 0; i < upTo.length; i++) {
+            sum += Math.pow(i + 1, -scenario.load().skew());
+            upTo[i] = sum;
+        }
+        List<Arrival> arrivals = new ArrayList<>();
+        double shares = scenario.load().grades().stream().mapToDouble(Grade::share).sum();
+        for (double at = gap(random, scenario); at < scenario.seconds() * 1000; at += gap(random, scenario)) {
+            double pick = random.nextDouble() * shares;
+            Grade grade = scenario.load().grades().get(0);
+            for (Grade g : scenario.load().grades()) {
+                grade = pick >= 0 ? g : grade;
+                pick -= g.share();
+            }
+            int rank = java.util.Arrays.binarySearch(upTo, random.nextDouble() * sum);
+            int key = Math.min(upTo.length - 1, rank < 0 ? -rank - 1 : rank);
+            double leaves = random.nextDouble() < grade.leaveShare() ? random.nextDouble() * grade.timeoutMs()
+                    : Double.POSITIVE_INFINITY;
+            arrivals.add(new Arrival(at, grade, String.format("%016x", key * 0x9e3779b97f4a7c15L), leaves));
+        }
+        return arrivals;
+    }
+
+    private static double gap(SplittableRandom random, Scenario scenario) {
+        return -Math.log(1 - random.nextDouble()) * 1000 / scenario.load().perSecond();
+    }
+
+    /** Plays it, and waits until every query has its verdict. */
+    public void play() throws InterruptedException {
+        ExecutorService clients = Executors.newCachedThreadPool(work -> {
+            Thread thread = new Thread(null, work, "client", 128 << 10);
+            thread.setDaemon(true);
+            return thread;
+        });
+        List<Arrival> arrivals = draw(scenario);
+        double begin = ledger.nowMs();
+        int number = 0;
+        for (Arrival arrival : arrivals) {
+            double wait = begin + arrival.atMs() - ledger.nowMs();
+            if (wait > 0) {
+                Thread.sleep((long) wait, (int) (wait % 1 * 999_999));
+            }
+            if (!open.tryAcquire()) {
+                wasFull = true;
+                open.acquire();
+            }
+            int id = number++;
+            clients.execute(() -> {
+                try {
+                    ledger.late(ledger.nowMs() - begin - arrival.atMs());
+                    query(arrival, id, begin + arrival.atMs());
+                } finally {
+                    open.release();
+                }
+            });
+        }
+        clients.shutdown();
+        if (!clients.awaitTermination(60, TimeUnit.SECONDS)) {
+            ledger.notes.add("clients did not end: the verdicts are incomplete");
+        }
+        idle.forEach(LoadTool::close);
+    }
+
+    private void query(Arrival arrival, int number, double intendedMs) {
+        String mark = arrival.grade().repeat() == Repeat.DEDUPLICATED ? "m" + number : "";
+        for (int attempt = 0; attempt <= arrival.grade().retries(); attempt++) {
+            Answer answer = ask(arrival, "q" + number + "-" + attempt, mark, attempt == 0 ? intendedMs : ledger.nowMs());
+            boolean harmless = answer.verdict == Verdict.REJECTED
+                    || answer.verdict == Verdict.ABORTED && arrival.grade().repeat() == Repeat.IDEMPOTENT;
+            if (answer.verdict == Verdict.COMPLETED) {
+                times.get(arrival.grade().name()).recordValue((long) Math.min(LONGEST_MS * 1000,
+                        (ledger.nowMs() - intendedMs) * 1000));
+            }
+            if (!harmless) {
+                return;
+            }
+            try {
+                Thread.sleep(Math.min(2000, answer.comeBackMs));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    private record Answer(Verdict verdict, long comeBackMs) {}
+
+    private Answer ask(Arrival a, String id, String mark, double intendedMs) {
+        Grade grade = a.grade();
+        Client client = null;
+        double sent = intendedMs;
+        Answer answer = new Answer(Verdict.UNANSWERED, 0);
+        try {
+            for (int tries = 0; ; tries++) {
+                Client reused = tries == 0 ? idle.pollFirst() : null;
+                client = reused != null ? reused : connect();
+                double waits = Math.min(grade.timeoutMs(), a.leavesAfterMs());
+                client.socket.setSoTimeout((int) Math.ceil(waits) + (a.leavesAfterMs() < grade.timeoutMs() ? 0 : LATE_MS));
+                String facts = "c=" + grade.name() + ",d=" + Math.round(grade.timeoutMs()) + (mark.isEmpty() ? "" : ",k=" + mark);
+                sent = ledger.nowMs();
+                int first;
+                try {
+                    client.socket.getOutputStream().write(command(grade.write() ? new String[] {"C.SET", a.key(), id, facts, "value"}
+                            : new String[] {"C.GET", a.key(), id, facts}));
+                    first = client.in.read();
+                } catch (SocketTimeoutException e) {
+                    throw e;
+                } catch (IOException e) {
+                    first = -1;
+                }
+                if (first < 0 && reused != null) { // the proxy closed it between queries: once more, on a new one
+                    close(client);
+                    continue;
+                }
+                answer = read(first, client.in, a, id);
+                break;
+            }
+        } catch (SocketTimeoutException e) {
+            answer = new Answer(a.leavesAfterMs() < grade.timeoutMs() ? Verdict.LEFT : Verdict.UNANSWERED, 0);
+        } catch (IOException e) {
+            answer = new Answer(Verdict.CUT, 0);
+        }
+        boolean whole = answer.verdict == Verdict.COMPLETED || answer.verdict == Verdict.REJECTED
+                || answer.verdict == Verdict.ABORTED;
+        ledger.queries.add(new Ledger.Query(id, grade.name(), grade.write(), sent, grade.timeoutMs(), ledger.nowMs(),
+                answer.verdict, whole ? 1 : 0));
+        if (whole) {
+            idle.addFirst(client);
+        } else if (client != null) {
+            close(client);
+        }
+        return answer;
+    }
+
+    private Client connect() throws IOException {
+        int port;
+        synchronized (this) {
+            port = proxies.get(turn++ % proxies.size());
+        }
+        Socket socket = new Socket();
+        socket.setTcpNoDelay(true);
+        socket.connect(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), CONNECT_MS);
+        return new Client(socket, new BufferedInputStream(socket.getInputStream()));
+    }
+
+    private static void close(Client client) {
+        try {
+            client.socket.close();
+        } catch (IOException e) {
+            return; // it is of no further use anyway
+        }
+    }
+
+    private static byte[] command(String... words) {
+        StringBuilder command = new StringBuilder("*" + words.length + "\r\n");
+        for (String word : words) {
+            command.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+        }
+        return command.toString().getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** What it is, by its first byte; only the value made for this query completes it. */
+    private Answer read(int first, InputStream in, Arrival a, String id) throws IOException {
+        if (first < 0) {
+            return new Answer(Verdict.CUT, 0);
+        }
+        String line = line(in);
+        if (first == '-') {
+            boolean busy = line.startsWith("BUSY");
+            String ms = line.substring(Math.min(line.length(), 5));
+            return new Answer(busy ? Verdict.REJECTED : Verdict.ABORTED, ms.matches("\\d{1,6}") ? Long.parseLong(ms) : 20);
+        }
+        if (first != '$' || !line.matches("\\d{1,7}")) {
+            return new Answer(Verdict.SPOILT, 0);
+        }
+        int length = Integer.parseInt(line);
+        byte[] value = in.readNBytes(length);
+        if (value.length < length || in.readNBytes(2).length < 2) {
+            return new Answer(Verdict.CUT, 0);
+        }
+        String expected = OriginEmulator.value(a.key(), id, a.grade().write() ? 0 : scenario.caches().valueBytes());
+        boolean right = new String(value, StandardCharsets.ISO_8859_1).equals(expected);
+        return new Answer(right ? Verdict.COMPLETED : Verdict.SPOILT, 0);
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int c = in.read(); c != '\n'; c = in.read()) {
+            if (c < 0) {
+                throw new IOException("ended in a line");
+            }
+            line.append((char) c);
+        }
+        return line.toString().stripTrailing();
+    }
+
+    /** Microseconds from the intended send to the answer, retries included, by grade. */
+    public Map<String, Histogram> times() {
+        return times;
+    }
+
+    public boolean wasFull() {
+        return wasFull;
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/lab/report/Report.java
@@ -0,0 +1,120 @@
+package dappleseam.lab.report;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dappleseam.lab.check.Ledger;
+import dappleseam.lab.check.Ledger.Verdict;
+import dappleseam.lab.check.RuleChecker.Breach;
+import dappleseam.lab.load.LoadTool;
+import dappleseam.lab.scenario.Scenario;
+import dappleseam.lab.scenario.Scenario.Grade;
+import java.io.IOException;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.StreamSupport;
+import org.HdrHistogram.Histogram;
+
+/** What one run showed, as JSON and as text made of the same tree. */
+public final class Report {
+    private static final double[] PERCENTILES = {50, 90, 99, 100};
+    private static final int MOST_BREACHES = 20;
+    /** Lateness of the tools in ms from which a run tells of the laboratory. */
+    private static final double LATE_MS = 50;
+
+    private final ObjectNode tree = new ObjectMapper().createObjectNode();
+
+    public Report(Scenario scenario, Ledger ledger, LoadTool load, List<Breach> breaches, int faults, int leftOpen) {
+        tree.put("scenario", scenario.name()).put("seed", scenario.seed()).put("seconds", scenario.seconds());
+        tree.put("complete", ledger.notes.stream().noneMatch(n -> n.contains("incomplete")));
+        ObjectNode tools = tree.putObject("tools").put("latest_ms", round(ledger.latenessMs()))
+                .put("load_was_full", load.wasFull()).put("faults_planned", faults).put("connections_left_at_fault_tools", leftOpen);
+        tools.put("trustworthy", ledger.latenessMs() < LATE_MS && !load.wasFull());
+        ObjectNode grades = tree.putObject("grades");
+        for (Grade grade : scenario.load().grades()) {
+            grade(grades.putObject(grade.name()), grade, ledger, load.times().get(grade.name()));
+        }
+        long asked = ledger.queries.size();
+        tree.put("queries", asked).put("executions", ledger.executions.size())
+                .put("executions_a_query", asked == 0 ? 0 : round((double) ledger.executions.size() / asked))
+                .put("list_calls", ledger.listCalls.get());
+        ObjectNode nodes = tree.putObject("executions_by_node");
+        new TreeMap<>(ledger.executions.stream().collect(Collectors.groupingBy(Ledger.Execution::node, Collectors.counting())))
+                .forEach(nodes::put);
+        ledger.notes.forEach(tree.putArray("notes")::add);
+        boolean trustworthy = tools.path("trustworthy").asBoolean();
+        List<Breach> sure = breaches.stream().filter(b -> trustworthy || !b.timed()).toList();
+        // Guards the proxy against blame for a busy machine: a laboratory that is late cannot judge a time limit.
+        ObjectNode rules = tree.putObject("rules").put("broken", sure.size()).put("doubtful", breaches.size() - sure.size());
+        var told = rules.putArray("breaches");
+        breaches.stream().limit(MOST_BREACHES).forEach(b -> told.addObject().put("rule", b.rule())
+                .put("sure", trustworthy || !b.timed()).put("what", b.what()));
+    }
+
+    private static void grade(ObjectNode node, Grade grade, Ledger ledger, Histogram times) {
+        List<Ledger.Query> asked = ledger.queries.stream().filter(q -> q.grade().equals(grade.name())).toList();
+        node.put("queries", asked.size());
+        Map<Verdict, Long> verdicts = asked.stream().collect(Collectors.groupingBy(Ledger.Query::verdict, Collectors.counting()));
+        for (Verdict verdict : Verdict.values()) {
+            node.put(verdict.name().toLowerCase(Locale.ROOT), verdicts.getOrDefault(verdict, 0L));
+        }
+        for (double percentile : PERCENTILES) {
+            node.put("p" + (int) percentile + "_ms", round(times.getValueAtPercentile(percentile) / 1000.0));
+        }
+        double inTime = times.getTotalCount() == 0 ? 0 : times.getPercentileAtOrBelowValue((long) (grade.sloMs() * 1000));
+        node.put("completed_within_slo_percent", round(inTime));
+    }
+
+    private static double round(double value) {
+        return Math.round(value * 100) / 100.0;
+    }
+
+    public String json() throws IOException {
+        return new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(tree) + "\n";
+    }
+
+    /** One line a thing. */
+    public String text() {
+        StringBuilder text = new StringBuilder();
+        lines(text, "", tree);
+        return text.toString();
+    }
+
+    private static void lines(StringBuilder text, String at, JsonNode node) {
+        if (node.isObject()) {
+            node.fields().forEachRemaining(f -> {
+                if (f.getValue().isContainerNode() && !isFlat(f.getValue())) {
+                    lines(text, at + f.getKey() + ".", f.getValue());
+                } else {
+                    text.append(String.format("%-28s %s%n", at + f.getKey(), flat(f.getValue())));
+                }
+            });
+        } else {
+            node.forEach(part -> text.append(String.format("%-28s %s%n", at.substring(0, at.length() - 1), flat(part))));
+        }
+    }
+
+    private static boolean isFlat(JsonNode node) {
+        return node.isObject() && !node.isEmpty() && StreamSupport.stream(node.spliterator(), false)
+                .noneMatch(JsonNode::isContainerNode);
+    }
+
+    private static String flat(JsonNode node) {
+        if (!node.isObject()) {
+            return node.asText();
+        }
+        StringBuilder line = new StringBuilder();
+        node.fields().forEachRemaining(f -> line.append(f.getKey()).append(' ').append(f.getValue().asText()).append("  "));
+        return line.toString().strip();
+    }
+
+    /** As the command ends: 0 where all rules are kept, 1 where one is broken, 3 where that cannot be told. */
+    public int status() {
+        JsonNode rules = tree.path("rules");
+        return rules.path("broken").asInt() > 0 ? 1
+                : rules.path("doubtful").asInt() > 0 || !tree.path("complete").asBoolean() ? 3 : 0;
+    }
+}
--- /dev/null
+++ b/src/test/java/dappleseam/lab/LabTest.java
@@ -0,0 +1,72 @@
+package dappleseam.lab;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import dappleseam.lab.load.LoadTool;
+import dappleseam.lab.report.Report;
+import dappleseam.lab.scenario.FaultyScenarioException;
+import dappleseam.lab.scenario.Scenario;
+import dappleseam.lab.scenario.ScenarioReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The laboratory as its users run it, on a scenario that is shipped. */
+class LabTest {
+    private static final Path SHIPPED = Path.of("deploy/scenarios/dying-and-draining.json");
+
+    @TempDir
+    Path folder;
+
+    private static String shipped() throws Exception {
+        return Files.readString(SHIPPED);
+    }
+
+    /** The proxy through dying and draining caches, behind faults on its connections: no rule broken, nothing left over. */
+    @Test
+    void aProxyKeepsTheRulesThroughAShippedScenario() throws Exception {
+        Scenario scenario = ScenarioReader.read(shipped().replace("\"seconds\": 12", "\"seconds\": 9"), "short");
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        Report report = Lab.play(scenario, "exec " + java + " -XX:TieredStopAtLevel=1 -cp "
+                + System.getProperty("java.class.path") + " dappleseam.proxy.Serve", 2, folder);
+        assertThat(report.text()).contains("rules.broken                 0").contains("cache-1+ ").contains("cache-4+ ")
+                .contains("connections_left_at_fault_tools 0").containsPattern("complete +true");
+        assertThat(report.json()).contains("\"scenario\" : \"dying-and-draining\"");
+    }
+
+    @Test
+    void allShippedScenariosAreSound() throws Exception {
+        try (Stream<Path> files = Files.list(SHIPPED.getParent())) {
+            for (Path file : files.toList()) {
+                assertThat(ScenarioReader.read(file).name() + ".json").isEqualTo(file.getFileName().toString());
+            }
+        }
+    }
+
+    @Test
+    void arrivalsAreDrawnAheadBySeedAlone() throws Exception {
+        Scenario scenario = ScenarioReader.read(SHIPPED);
+        List<LoadTool.Arrival> arrivals = LoadTool.draw(scenario);
+        assertThat(arrivals).isEqualTo(LoadTool.draw(scenario)).hasSizeBetween(2200, 2600);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"\"seed\": 7 | \"seed\": \"x\" | seed: is no number",
+        "\"count\": 6 | \"count\": 0 | caches.count: is no number from 1.0 to 200.0",
+        "\"kind\": \"die\" | \"kind\": \"explode\" | troubles[0].kind: is not known: explode",
+        "\"cache\": 4 | \"cache\": 6 | troubles[1].cache: is no number from 0.0 to 5.0",
+        "\"within_bytes\": 30000 | \"bytes\": 3 | faults[4].within_bytes: is missing",
+        "\"queue\": 20 | \"queue\": 20, \"colour\": 1 | caches.colour: is not known",
+        "\"troubles\" | \"trouble\" | troubles: is missing"})
+    void aFaultNamesItsKey(String sound, String faulty, String message) throws Exception {
+        assertThat(shipped()).contains(sound);
+        assertThatThrownBy(() -> ScenarioReader.read(shipped().replace(sound, faulty), "s"))
+                .isInstanceOf(FaultyScenarioException.class).hasMessageContaining(message);
+    }
+}
