Say once what the change said twice: limits of descriptors, stalled values, the laboratory's threads and lines

Read over once more; behaviour stays as it is. Serve computes what peers and clients may hold in one place for one process and for two; a stalled long value is told through Link.Events.ended that both connections have; Rehearsal uses Post.withKnown; Chain.copy is copyPart of all; peers never hold one that is gone, so members is their number.

--- a/src/main/java/dappleseam/lab/Lab.java
+++ b/src/main/java/dappleseam/lab/Lab.java
@@ -21,7 +21,6 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import picocli.CommandLine.ParentCommand;
 
 /** The laboratory's sub-commands. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Rehearse troubles against stand-ins.",
@@ -38,9 +37,6 @@
     /** Plays one scenario, whole. */
     @Command(name = "run", mixinStandardHelpOptions = true, description = "Play a scenario; status 1 where a rule is broken, 3 where that cannot be told.")
     static final class Run implements Callable<Integer> {
-        @ParentCommand
-        private Lab lab;
-
         @Parameters(paramLabel = "SCENARIO", description = "The scenario's file.")
         private Path file;
 
--- a/src/main/java/dappleseam/lab/check/Ledger.java
+++ b/src/main/java/dappleseam/lab/check/Ledger.java
@@ -1,6 +1,5 @@
 package dappleseam.lab.check;
 
-import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -46,8 +45,4 @@
     public double nowMs() {
         return (System.nanoTime() - bornNanos) / 1e6;
     }
-
-    public List<Query> all() {
-        return List.copyOf(queries);
-    }
 }
--- a/src/main/java/dappleseam/lab/emulator/CacheEmulator.java
+++ b/src/main/java/dappleseam/lab/emulator/CacheEmulator.java
@@ -1,6 +1,7 @@
 package dappleseam.lab.emulator;
 
 import dappleseam.lab.check.Ledger;
+import dappleseam.lab.peer.Blocking;
 import dappleseam.lab.scenario.Scenario.Caches;
 import java.io.IOException;
 import java.io.InputStream;
@@ -118,18 +119,18 @@
     }
 
     private static String[] command(InputStream in) throws IOException {
-        String head = line(in);
+        String head = Blocking.line(in);
         if (!head.matches("\\*[1-8]")) {
             throw new IOException("garbage: a close is all it gets");
         }
         String[] words = new String[Math.min(MOST_PARTS, head.charAt(1) - '0')];
         for (int i = 0; i < words.length; i++) {
-            String length = line(in);
+            String length = Blocking.line(in);
             if (!length.matches("\\$\\d{1,7}") || Integer.parseInt(length.substring(1)) > LONGEST) {
                 throw new IOException("garbage");
             }
             words[i] = new String(in.readNBytes(Integer.parseInt(length.substring(1))), StandardCharsets.ISO_8859_1);
-            line(in);
+            Blocking.line(in);
         }
         return words;
     }
--- a/src/main/java/dappleseam/lab/emulator/Fleet.java
+++ b/src/main/java/dappleseam/lab/emulator/Fleet.java
@@ -1,10 +1,10 @@
 package dappleseam.lab.emulator;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import dappleseam.lab.check.Ledger;
 import dappleseam.lab.fault.FaultTool;
 import dappleseam.lab.scenario.Scenario;
 import dappleseam.lab.scenario.Scenario.Fault;
-import dappleseam.lab.scenario.Scenario.Kind;
 import dappleseam.lab.scenario.Scenario.Trouble;
 import dappleseam.lab.scenario.Scenario.Where;
 import java.io.IOException;
@@ -13,7 +13,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /** All peers of the proxies, and the troubles that befall them by the scenario. */
 public final class Fleet implements AutoCloseable {
@@ -128,7 +127,6 @@
             case SLOW -> cache.slower(begins ? Math.max(1, trouble.size()) : 1);
             case ERR -> cache.errs(begins ? trouble.size() : 0);
             case SPOIL -> cache.spoils(begins ? trouble.size() : 0);
-            default -> throw new IllegalStateException(Kind.class.getName());
         }
     }
 
--- a/src/main/java/dappleseam/lab/emulator/ListEmulator.java
+++ b/src/main/java/dappleseam/lab/emulator/ListEmulator.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dappleseam.lab.check.Ledger;
+import dappleseam.lab.peer.Blocking;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -66,8 +67,8 @@
     @Override
     void serve(InputStream in, OutputStream out) throws IOException, InterruptedException {
         while (true) {
-            Matcher call = CALL.matcher(line(in));
-            for (String line = line(in); !line.isEmpty(); line = line(in)) {
+            Matcher call = CALL.matcher(Blocking.line(in));
+            for (String line = Blocking.line(in); !line.isEmpty(); line = Blocking.line(in)) {
                 continue; // no header tells anything here
             }
             ledger.listCalls.incrementAndGet();
--- a/src/main/java/dappleseam/lab/emulator/OriginEmulator.java
+++ b/src/main/java/dappleseam/lab/emulator/OriginEmulator.java
@@ -1,6 +1,7 @@
 package dappleseam.lab.emulator;
 
 import dappleseam.lab.check.Ledger;
+import dappleseam.lab.peer.Blocking;
 import dappleseam.lab.scenario.Scenario.Caches;
 import dappleseam.lab.scenario.Scenario.Origin;
 import java.io.IOException;
@@ -50,12 +51,12 @@
     @Override
     void serve(InputStream in, OutputStream out) throws IOException, InterruptedException {
         while (true) {
-            String[] first = line(in).split(" ");
+            String[] first = Blocking.line(in).split(" ");
             if (first.length != 3 || !first[1].startsWith("/")) {
                 throw new IOException("garbage: a close is all it gets");
             }
             Map<String, String> headers = new HashMap<>();
-            for (String line = line(in); !line.isEmpty(); line = line(in)) {
+            for (String line = Blocking.line(in); !line.isEmpty(); line = Blocking.line(in)) {
                 int colon = line.indexOf(':');
                 if (colon > 0) {
                     headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
--- a/src/main/java/dappleseam/lab/emulator/Peer.java
+++ b/src/main/java/dappleseam/lab/emulator/Peer.java
@@ -1,5 +1,6 @@
 package dappleseam.lab.emulator;
 
+import dappleseam.lab.peer.Blocking;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -30,12 +31,12 @@
 
     final void begin() {
         ServerSocket listening = server;
-        thread("accept", () -> {
+        Blocking.start("accept", () -> {
             while (!listening.isClosed()) {
                 Socket socket = listening.accept();
                 socket.setTcpNoDelay(true);
                 open.add(socket);
-                thread("peer", () -> {
+                Blocking.start("peer", () -> {
                     try (socket) {
                         serve(new BufferedInputStream(socket.getInputStream()), socket.getOutputStream());
                     } finally {
@@ -46,24 +47,6 @@
         });
     }
 
-    interface Work {
-        void run() throws IOException, InterruptedException;
-    }
-
-    static void thread(String name, Work work) {
-        Thread thread = new Thread(null, () -> {
-            try {
-                work.run();
-            } catch (IOException e) {
-                return; // the other side has gone, or this one is over
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, name, 128 << 10);
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     /** Speaks on one connection until it ends. */
     abstract void serve(InputStream in, OutputStream out) throws IOException, InterruptedException;
 
@@ -119,16 +102,4 @@
     public void close() throws IOException {
         die();
     }
-
-    static String line(InputStream in) throws IOException {
-        StringBuilder line = new StringBuilder();
-        for (int c = in.read(); c != '\n'; c = in.read()) {
-            if (c < 0 || line.length() > 8192) {
-                throw new IOException(c < 0 ? "ended" : "a line without end");
-            }
-            line.append((char) c);
-        }
-        int end = line.length() - (line.length() > 0 && line.charAt(line.length() - 1) == '\r' ? 1 : 0);
-        return line.substring(0, end);
-    }
 }
--- a/src/main/java/dappleseam/lab/fault/FaultTool.java
+++ b/src/main/java/dappleseam/lab/fault/FaultTool.java
@@ -1,5 +1,6 @@
 package dappleseam.lab.fault;
 
+import dappleseam.lab.peer.Blocking;
 import dappleseam.lab.scenario.Scenario.Fault;
 import dappleseam.lab.scenario.Scenario.How;
 import dappleseam.lab.scenario.Scenario.Way;
@@ -40,7 +41,7 @@
         this.script = script;
         this.seed = seed;
         server = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
-        start(this::accept);
+        Blocking.start("fault", this::accept);
     }
 
     public int port() {
@@ -73,30 +74,12 @@
         return plan;
     }
 
-    private interface Work {
-        void run() throws IOException, InterruptedException;
-    }
-
-    private static void start(Work work) {
-        Thread thread = new Thread(null, () -> {
-            try {
-                work.run();
-            } catch (IOException e) {
-                return; // one side has gone: the other is told by its socket
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "fault", 128 << 10);
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     private void accept() throws IOException {
         for (long number = 0; ; number++) {
             Socket near = server.accept();
             long connection = number;
             open.add(near);
-            start(() -> join(near, connection));
+            Blocking.start("fault", () -> join(near, connection));
         }
     }
 
@@ -113,7 +96,7 @@
         open.add(far);
         List<Planned> plan = plan(script, seed, connection);
         planned.addAll(plan);
-        start(() -> pump(far, near, plan.stream().filter(p -> p.way() == Way.BACK).toList()));
+        Blocking.start("fault", () -> pump(far, near, plan.stream().filter(p -> p.way() == Way.BACK).toList()));
         pump(near, far, plan.stream().filter(p -> p.way() == Way.THERE).toList());
     }
 
--- a/src/main/java/dappleseam/lab/load/LoadTool.java
+++ b/src/main/java/dappleseam/lab/load/LoadTool.java
@@ -3,6 +3,7 @@
 import dappleseam.lab.check.Ledger;
 import dappleseam.lab.check.Ledger.Verdict;
 import dappleseam.lab.emulator.OriginEmulator;
+import dappleseam.lab.peer.Blocking;
 import dappleseam.lab.scenario.Scenario;
 import dappleseam.lab.scenario.Scenario.Grade;
 import dappleseam.lab.scenario.Scenario.Repeat;
@@ -227,7 +228,7 @@
         if (first < 0) {
             return new Answer(Verdict.CUT, 0);
         }
-        String line = line(in);
+        String line = Blocking.line(in);
         if (first == '-') {
             boolean busy = line.startsWith("BUSY");
             String ms = line.substring(Math.min(line.length(), 5));
@@ -246,17 +247,6 @@
         return new Answer(right ? Verdict.COMPLETED : Verdict.SPOILT, 0);
     }
 
-    private static String line(InputStream in) throws IOException {
-        StringBuilder line = new StringBuilder();
-        for (int c = in.read(); c != '\n'; c = in.read()) {
-            if (c < 0) {
-                throw new IOException("ended in a line");
-            }
-            line.append((char) c);
-        }
-        return line.toString().stripTrailing();
-    }
-
     /** Microseconds from the intended send to the answer, retries included, by grade. */
     public Map<String, Histogram> times() {
         return times;
--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -92,7 +92,7 @@
         endWaiting();
     }
 
-    private final class Connection implements Link.Events, Inflow.Connection {
+    private final class Connection implements Inflow.Connection {
         private final Inflow inflow = new Inflow(loop, this);
         private final HttpReader reader = new HttpReader(loop.pool(), Large.LONGEST, inflow);
         /** Bytes put out of the value that goes out. */
@@ -177,11 +177,6 @@
             return link;
         }
 
-        @Override
-        public void stalled() {
-            ended("a value stopped half-way");
-        }
-
         @Override
         public void abandoned() {
             current = null;
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -175,8 +175,7 @@
 
     /** Tells the figures what takes a walk to count. */
     void publish() {
-        figures.list((int) peers.values().stream().filter(p -> p.state() != Member.State.GONE).count(),
-                router.avoided(loop.nowMs()));
+        figures.list(peers.size(), router.avoided(loop.nowMs()));
     }
 
     /** Answers at once what has no answer yet: this process is about to end. */
--- a/src/main/java/dappleseam/proxy/Rehearsal.java
+++ b/src/main/java/dappleseam/proxy/Rehearsal.java
@@ -94,8 +94,7 @@
             targets.addObject().put("uid", "rehearsed-origin").put("state", "ready").put("endpoint", "127.0.0.1:2")
                     .put("model", post.site().machines().get(originModel));
         }
-        return new Post(post.name(), post.listen(), null, post.listService(), post.seed(), post.descriptors(),
-                post.memoryMb(), known, post.site());
+        return post.withKnown(known);
     }
 
     private void ask(Link client) {
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -67,8 +67,7 @@
     private static final double SELF_MS = 1000;
     /** Time in ms between publishings of the figures that take a walk. */
     private static final double PUBLISH_MS = 200;
-    /** Beside another process: each may dial so large a share of what both have; longest wait for the list, in ms. */
-    private static final double SHARE_FOR_PEERS_EACH = 0.25;
+    /** Beside another process: longest wait for the list, in ms. */
     private static final double LIST_WAIT_MS = 2500;
 
     @Option(names = "--config", defaultValue = "${env:NODE_CONFIG}", required = true,
@@ -158,18 +157,16 @@
             return null;
         }
         Post told = seats != null && seats.areShared() ? withTakenOver(post) : post;
-        int forPeers = (int) (SHARE_FOR_PEERS * descriptors(post, 1));
         int buffers = (int) (SHARE_FOR_BUFFERS * post.memoryMb() * (BYTES_PER_MB / BufferPool.SIZE));
         CountDownLatch begun = new CountDownLatch(1);
         Exception[] fault = new Exception[1];
         worker.getIoThread().execute(() -> {
-            loop = new EventLoop(worker.getIoThread(), new BufferPool(buffers), forPeers);
+            loop = new EventLoop(worker.getIoThread(), new BufferPool(buffers), forPeers(post, 1));
             Rehearsal.play(loop, worker.getIoThread(), post, passed -> {
                 rehearsed = passed;
                 try {
                     proxy = new Proxy(loop, told, figures);
-                    int forClients = descriptors(post, 1) - forPeers;
-                    front = new ClientFront(loop, proxy, (int) (forClients * (1 - SHARE_FOR_CLOSED)),
+                    front = new ClientFront(loop, proxy, forClients(post, 1),
                             post.descriptors() / DESCRIPTORS_A_CLIENT);
                     publish();
                     shareLimits(post);
@@ -196,6 +193,16 @@
         return Math.max(processes * LEAST_CONNECTIONS, post.descriptors() - processes * own);
     }
 
+    /** What each of them may dial. */
+    private static int forPeers(Post post, int processes) {
+        return (int) (SHARE_FOR_PEERS / processes * descriptors(post, processes));
+    }
+
+    /** What any of them may take of clients, who choose between them. */
+    private static int forClients(Post post, int processes) {
+        return (int) ((descriptors(post, processes) - processes * forPeers(post, processes)) * (1 - SHARE_FOR_CLOSED));
+    }
+
     /**
      * Listens at once where this process is alone. Beside another, which serves meanwhile, it waits for the list: that one
      * may have been told of drains that this one's file does not know yet.
@@ -314,12 +321,10 @@
         if (front == null || seats == null) {
             return;
         }
-        boolean shared = seats.areShared();
-        int all = descriptors(post, shared ? 2 : 1);
-        int forPeers = (int) ((shared ? SHARE_FOR_PEERS_EACH : SHARE_FOR_PEERS) * all);
+        int processes = seats.areShared() ? 2 : 1;
         try {
-            loop.limitDialled(forPeers);
-            front.limit((int) ((all - (shared ? 2 : 1) * forPeers) * (1 - SHARE_FOR_CLOSED)));
+            loop.limitDialled(forPeers(post, processes));
+            front.limit(forClients(post, processes));
         } catch (IOException e) {
             LOG.log(Level.WARNING, "limits are not shared: {0}", e.getMessage());
         }
--- a/src/main/java/dappleseam/query/Inflow.java
+++ b/src/main/java/dappleseam/query/Inflow.java
@@ -8,7 +8,7 @@
 /** The long values that come on one connection to a node, each handed to whoever waits for it, or passed over. */
 public final class Inflow implements Large, Transfer.Source {
     /** The connection they come on. */
-    public interface Connection {
+    public interface Connection extends Link.Events {
         /** The execution whose answer begins with a long value; null where none is owed. */
         Execution begins();
 
@@ -16,9 +16,6 @@
 
         /** Nobody wants the rest of the value that comes. */
         void abandoned();
-
-        /** Nothing of it has come for long. */
-        void stalled();
     }
 
     private final Loop loop;
@@ -61,7 +58,7 @@
         long before = came;
         loop.at(loop.nowMs() + Transfer.STALLED_MS, () -> {
             if (transfer == watched && came == before && !paused) {
-                connection.stalled();
+                connection.ended("a value stopped half-way");
             } else if (transfer == watched) {
                 watch(watched);
             }
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -115,7 +115,7 @@
 
     private record Sent(Execution execution, long endsAt, double at) {}
 
-    private final class Connection implements Link.Events, Inflow.Connection {
+    private final class Connection implements Inflow.Connection {
         /** Not written yet, as the connection is not up. */
         final ArrayDeque<Execution> waiting = new ArrayDeque<>();
         /** Written and not answered, in order. */
@@ -278,11 +278,6 @@
             return link;
         }
 
-        @Override
-        public void stalled() {
-            ended("a value stopped half-way");
-        }
-
         /** Reads the rest for those that wait behind it, and for nobody else. */
         @Override
         public void abandoned() {
@@ -295,16 +290,14 @@
         }
 
         private void answered(RespMessage message) {
-            double now = loop.nowMs();
-            boolean isOwed = beginsAnswer || isOwed();
-            Ending ending = isOwed ? ending(message) : null;
+            Ending ending = beginsAnswer || isOwed() ? ending(message) : null;
             if (ending == null) { // more than was asked for, or no answer a node gives: what follows is as doubtful
                 message.release();
                 spoilt("not an answer");
                 return;
             }
             toldOfReuse(false);
-            answeredAt = now;
+            answeredAt = loop.nowMs();
             beginsAnswer = false;
             Execution done = sent.poll().execution;
             inflow.whole();
--- a/src/main/java/dappleseam/wire/Chain.java
+++ b/src/main/java/dappleseam/wire/Chain.java
@@ -48,9 +48,7 @@
 
     /** Adds a copy of all that {@code other} holds. */
     public Chain copy(Chain other) {
-        for (ByteBuffer buffer : other.buffers) {
-            put(buffer.duplicate(), buffer.remaining());
-        }
+        copyPart(other, 0, other.size);
         return this;
     }
 
