--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -3,7 +3,20 @@
 # configuration's limits.memory_mb: a quarter for the heap, a quarter for direct memory, of which the program's buffers
 # take four fifths; the rest is for the JVM itself. The heap is touched at the start, so that use does not grow later.
 # The two properties keep XNIO and its threads from setting up management beans that nobody reads: a tenth of the start.
-memory=$(sed -n 's/.*"memory_mb"[[:space:]]*:[[:space:]]*\([0-9][0-9]*\).*/\1/p' "${NODE_CONFIG:?names no file}" | head -n 1)
+# The shell reads the figure itself: operators may refuse a start that begins any other program on its way.
+memory=''
+text=''
+while [ -z "$memory" ] && { IFS= read -r line || [ -n "$line" ]; }; do
+  text="$text$line "
+  case $text in *'"memory_mb"'*)
+    rest=${text#*'"memory_mb"'}
+    rest=${rest#"${rest%%[![:space:]]*}"}
+    rest=${rest#:}
+    rest=${rest#"${rest%%[![:space:]]*}"}
+    memory=${rest%%[!0-9]*};;
+  *) text=$line;; # the key itself never stands on two lines
+  esac
+done < "${NODE_CONFIG:?names no file}"
 quarter=$((${memory:-192} / 4))
 exec java -XX:SharedArchiveFile=target/dappleseam.jsa -Xlog:disable -Xlog:all=error:stderr -XX:+UseSerialGC \
   -XX:TieredStopAtLevel=1 -XX:-UsePerfData -Xss256k "-Xms${quarter}m" "-Xmx${quarter}m" -XX:+AlwaysPreTouch \
--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -23,6 +23,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Starts the program and speaks to it over sockets, as a client and for its peers. */
 class ServeTest {
@@ -473,16 +475,21 @@
         assertThat(last.answer()).isEqualTo("+PONG");
     }
 
-    /** Guards the memory limit: flags are fixed before the configuration is read, so the launcher works them out. */
-    @Test
-    void theLauncherBoundsMemoryByTheConfiguration() throws Exception {
+    /**
+     * Guards the memory limit: flags are fixed before the configuration is read, so the launcher works them out, with
+     * no program but java to be found.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"{\"limits\":{\"memory_mb\":128,\"sockets\":256}}",
+        "{\n\"limits\": {\n  \"sockets\": 256,\n  \"memory_mb\"\n:\t\n 128\n}}\n"})
+    void theLauncherBoundsMemoryByTheConfiguration(String text) throws Exception {
         Path tools = Files.createDirectory(folder.resolve("tools"));
         Path java = Files.writeString(tools.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
         assertThat(java.toFile().setExecutable(true)).isTrue();
-        Path config = Files.writeString(folder.resolve("config"), "{\"limits\":{\"memory_mb\":128,\"sockets\":256}}");
-        ProcessBuilder launcher = new ProcessBuilder("sh", "deploy/serve.sh");
+        Path config = Files.writeString(folder.resolve("config"), text);
+        ProcessBuilder launcher = new ProcessBuilder("/bin/sh", "deploy/serve.sh");
         launcher.environment().put("NODE_CONFIG", config.toString());
-        launcher.environment().merge("PATH", tools + ":", (path, first) -> first + path);
+        launcher.environment().put("PATH", tools.toString());
         sockets.program = launcher.start();
         String flags = new String(sockets.program.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertThat(flags).contains("-Xms32m -Xmx32m").contains("-XX:MaxDirectMemorySize=32m").endsWith("Serve\n");
