Shed keys by listed fullness, own location first, and no tries that earn nothing

Cause, measured before each change (docs/assumptions.md has the places): jammed caches kept their keys since a thin proxy meets each twice a minute; second copies at caches that fetch multiplied fetches; idle connections filled tables that have no price; tries past their SLO time were two thirds of what was sent; half of dakar's queries crossed at 0.12.

--- a/src/main/java/dappleseam/drill/Exchange.java
+++ b/src/main/java/dappleseam/drill/Exchange.java
@@ -1,5 +1,6 @@
 package dappleseam.drill;
 
+import dappleseam.router.Asking;
 import dappleseam.router.Deployment;
 import dappleseam.router.Key;
 import dappleseam.router.Member;
@@ -23,6 +24,9 @@
 final class Exchange {
     private static final double MS_PER_S = 1000;
     private static final int RECORD_HEADER = 5;
+    private static final int HINT_BIT = 1;
+    private static final int AGAIN_BIT = 2;
+    private static final int FETCHED = 2;
     private static final int WRITE_BIT = 4;
     private static final Outcome[] ENDINGS = {
         Outcome.ERRED, Outcome.FULL, Outcome.TIMED_OUT, Outcome.CONNECT_FAILED, Outcome.RESET,
@@ -123,10 +127,12 @@
                 in.getShort();
                 long key = in.getLong();
                 double leftMs = in.getDouble() * MS_PER_S;
-                in.getDouble();
+                double workMs = in.getDouble() * MS_PER_S;
                 in.getFloat();
-                boolean write = (in.get() & WRITE_BIT) != 0;
-                return () -> router.query(nowMs, query, grade, new Key(key), leftMs, write);
+                int flags = in.get();
+                Asking asking = new Asking(grade, new Key(key), leftMs, (flags & HINT_BIT) != 0 ? workMs : 0,
+                        (flags & WRITE_BIT) != 0, (flags & AGAIN_BIT) != 0);
+                return () -> router.query(nowMs, query, asking);
             }
             case 4: {
                 QueryId query = query(in);
@@ -140,9 +146,10 @@
                 Outcome outcome = outcome(in.getShort() & 0xFFFF);
                 double tookMs = in.getDouble() * MS_PER_S;
                 boolean finished = in.get() != 0;
-                in.get();
+                boolean fetched = in.get() == FETCHED && outcome == Outcome.COMPLETED;
                 skipReport(in);
-                return () -> router.executionEnded(nowMs, query, execution, outcome, tookMs, finished);
+                return () -> router.executionEnded(nowMs, query, execution, fetched ? Outcome.FETCHED : outcome,
+                        tookMs, finished);
             }
             case 6: {
                 QueryId query = query(in);
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -17,6 +17,7 @@
 import dappleseam.query.Reuse;
 import dappleseam.query.Slots;
 import dappleseam.query.Transfer;
+import dappleseam.router.Asking;
 import dappleseam.router.Host;
 import dappleseam.router.Key;
 import dappleseam.router.Member;
@@ -319,8 +320,8 @@
         figures.taken();
         QueryId id = new QueryId(queries.put(taken));
         taken.forgotten = loop.at(taken.quitAt + FORGOTTEN_MS, () -> forgotten(id));
-        tell(() -> router.query(loop.nowMs(), id, grade, key(command.key()), taken.quitAt - loop.nowMs(),
-                command.isWrite()));
+        tell(() -> router.query(loop.nowMs(), id, new Asking(grade, key(command.key()), taken.quitAt - loop.nowMs(),
+                0, command.isWrite(), false)));
         return id;
     }
 
--- a/src/main/java/dappleseam/router/Node.java
+++ b/src/main/java/dappleseam/router/Node.java
@@ -14,6 +14,12 @@
     int zone;
     int cell;
     double scale;
+    /** The largest scale ever listed, where scales move with load: the scale of the node when it holds nothing. */
+    double idleScale;
+    /** Queries held for each core when the list last told, by how far its scale had fallen. */
+    double held;
+    /** Share of the keys that its successors take for now. */
+    double shed;
     long[] tokens;
     /** The last walk of the ring that met this node. */
     int walk;
@@ -43,7 +49,7 @@
     }
 
     /** Takes over what the list says; a restarted process shares nothing with the one that failed. */
-    void learn(Member m, double newScale) {
+    void learn(Member m, double newScale, boolean scaleMoves) {
         if (m.startedAtMs() != startedAt) {
             strikes = 0;
             asideUntil = 0;
@@ -55,6 +61,10 @@
         zone = m.zone();
         cell = m.cell();
         scale = newScale;
+        if (scaleMoves && m.scale() > 0) {
+            idleScale = Math.max(idleScale, m.scale());
+            held = idleScale / m.scale() - 1;
+        }
     }
 
     /** The same tokens at every proxy, and fewer of the same where the scale is smaller. */
--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -9,8 +9,7 @@
     /** What the deployment allowed when the query was taken. */
     final Deployment site;
     final ServiceGrade grade;
-    final Key key;
-    final boolean write;
+    final Asking asking;
     final List<Execution> execs = new ArrayList<>(3);
     long hash;
     RecentKeys.Asked asked;
@@ -28,12 +27,11 @@
     /** The last walk of the ring met a cache whose limit was reached. */
     boolean crowded;
 
-    Query(QueryId id, Deployment site, ServiceGrade grade, Key key, boolean write) {
+    Query(QueryId id, Deployment site, ServiceGrade grade, Asking asking) {
         this.id = id;
         this.site = site;
         this.grade = grade;
-        this.key = key;
-        this.write = write;
+        this.asking = asking;
     }
 
     int execsLeft() {
@@ -84,6 +82,8 @@
         final double sentAt;
         boolean ended;
         boolean missed;
+        boolean fetched;
+        boolean answered;
         boolean neverRan;
         /** Its connection broke once it was written. */
         boolean reset;
@@ -101,6 +101,8 @@
         void end(Outcome outcome) {
             ended = true;
             missed = outcome == Outcome.MISS;
+            answered = outcome == Outcome.COMPLETED || outcome == Outcome.FETCHED || outcome == Outcome.MISS;
+            fetched = outcome == Outcome.FETCHED;
             neverRan = outcome.neverRan;
             reset = outcome == Outcome.RESET;
         }
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -28,6 +28,15 @@
     private static final double SKIP_MULTIPLE = 2;
     /** Load skip: queries in flight that are never too many; below, chance decides rather than load. */
     private static final int SKIP_FLOOR = 2;
+    /** Queries held for each core, as listed, that are never too many: what waits then is soon done. */
+    private static final double HELD_FLOOR = 1.5;
+    /** Share of the way that the shed share of a cache's keys goes up, or down, with each news of it. */
+    private static final double SHED_UP = 0.5;
+    private static final double SHED_DOWN = 0.15;
+    /** Shed share under which what is missing from a cache is not blamed on its own queue. */
+    private static final double SHED_LITTLE = 0.1;
+    /** Points for crossing with each query from which each location keeps copies of its own. */
+    private static final double CROSS_WORTH = 0.05;
     /** Share of the SLO time that one execution may take while a successor could still answer. */
     private static final double PATIENCE = 0.5;
     /** Share of the SLO time after which a second copy goes out: past the usual answer, time for another. */
@@ -60,6 +69,8 @@
     private static final double HOLD_FIRST = 0.5;
     private static final double HOLD_KEPT = 0.5;
     private static final double HOLD_GROWTH = 0.02;
+    /** Points that an open connection costs all others while every connect fails, where none has a price. */
+    private static final double FULL_PRICE = 0.08;
     private static final double LIMIT_KEPT = 0.7;
     /** Share of the SLO time after which a cache's, and the scarcer origin's, answer tells of a queue. */
     private static final double SLOW_ANSWER = 0.4;
@@ -104,6 +115,8 @@
     private static final double ASK_MOST = 0.8;
     /** Latest queries over which a key's or a cache's own share is taken: a thin proxy's ten to twenty s. */
     private static final double MEMORY = 64;
+    /** Difference between two times left, in ms, that may come from the ways alone. */
+    private static final double SAME_MS = 10;
     /** Time kept for the answer's way to the client, in ms, on top of two ticks. */
     private static final double LAST_HOP_MS = 2;
 
@@ -124,9 +137,16 @@
     private List<Node> caches = List.of();
     private long[] ring = {};
     private double ringScale;
+    /** Of the caches that a key is first looked for at. */
+    private double scaleInReach;
     private boolean ringIsStale;
     private Node origin;
     private int outAtCaches;
+    private double heldUsually;
+    /** Some answer has told that it was fetched, so that the others were not. */
+    private boolean tellsOfFetches;
+    /** The longest that a client has waited for one try, by grade, in ms. */
+    private double[] longestTry = {};
     private int walk;
     private double extras = EXTRA_MOST;
     private boolean followed;
@@ -155,6 +175,7 @@
     public void settingsChanged(double nowMs, Deployment newSite) {
         now = nowMs;
         site = newSite;
+        longestTry = new double[site.grades().size()];
         highestImportance = site.grades().stream().mapToDouble(ServiceGrade::importance).max().orElse(1);
         if (site.askEveryMs() > 0 && !followed) {
             askAfter(random.nextDouble() * ASK_AGAIN_MS);
@@ -200,7 +221,8 @@
         double first = Math.max(LIMIT_FIRST_LEAST, LIMIT_FIRST / site.proxies());
         Node n = nodes.computeIfAbsent(m.node(), id -> new Node(id, isOrigin, new Tally(BUCKETS, BUCKET_MS),
                 new Limit(first, isOrigin ? SCARCE_LEAST : LIMIT_LEAST), new Share(MEMORY)));
-        n.learn(m, site.scaleIsStable() && m.scale() > 0 ? m.scale() : 1);
+        n.learn(m, site.scaleIsStable() && m.scale() > 0 ? m.scale() : 1, site.scaleMoves());
+        shed(n);
     }
 
     /** Builds the ring from the list alone, so that proxies with one list agree and no other key moves. */
@@ -231,21 +253,26 @@
             fetchLimit.size = FETCH_FIRST * fleetLimit.size;
         }
         fleetLimit.least = Math.max(1, FLEET_LEAST / site.proxies() * ready.size());
+        scaleInReach = nearFirst() ? ready.stream().filter(n -> n.zone == site.zone()).mapToDouble(n -> n.scale).sum()
+                : ringScale;
         caches = ready;
+        heldUsually = ready.stream().mapToDouble(n -> n.held).sorted().skip(ready.size() / 2).findFirst().orElse(0);
     }
 
-    public void query(double nowMs, QueryId id, int grade, Key key, double leftMs, boolean write) {
+    public void query(double nowMs, QueryId id, Asking asking) {
         now = nowMs;
         if (ringIsStale) {
             rebuildRing();
         }
-        Query q = new Query(id, site, site.grades().get(grade), key, write);
+        Query q = new Query(id, site, site.grades().get(asking.grade()), asking);
+        Key key = asking.key();
         q.hash = Hash.mix(key.equals(Key.NONE) ? id.value() : key.value());
-        q.quitAt = now + leftMs;
-        q.impatient = leftMs < SLOW_ANSWER * q.grade.sloMs();
+        q.quitAt = now + asking.leftMs();
+        q.impatient = Math.min(asking.leftMs(), q.grade.sloMs()) < SLOW_ANSWER * q.grade.sloMs() + asking.workMs();
         // Past its SLO time an answer that earns nothing is given up, and its node freed.
         boolean toTheEnd = q.grade.tardyShare() > 0 || q.grade.repeat() == Repeat.NON_IDEMPOTENT;
-        double sloLeft = q.grade.sloMs() - 2 * site.tickMs() - LAST_HOP_MS;
+        double before = askedBefore(q.grade, asking);
+        double sloLeft = q.grade.sloMs() - 2 * site.tickMs() - LAST_HOP_MS - before;
         q.usefulUntil = toTheEnd ? q.quitAt : Math.min(q.quitAt, now + sloLeft);
         queries.put(id, q);
         extras = Math.min(EXTRA_MOST, extras + EXTRA_SHARE);
@@ -253,12 +280,24 @@
         q.asked = asked.computeIfAbsent(key, k -> new Asked(new Share(MEMORY)));
         // Guards a hot key's owner: the key is spread over the scale it would fill, each proxy at its place.
         q.keyShare = key.equals(Key.NONE) ? 0 : q.asked.share.at(turn);
-        q.passOver = SPREAD * q.keyShare * ringScale * place;
+        q.passOver = SPREAD * q.keyShare * scaleInReach * place;
         q.asked.share.add(turn);
         if (!caches.isEmpty()) {
             closeUnlessUsed(caches.get((int) (turn % caches.size())));
         }
-        route(q);
+        // Guards caches whose answers nobody waits for any more: this one would be worth nothing when it came.
+        if (before > 0 && q.usefulUntil - now < TOO_LATE * q.grade.sloMs()) {
+            giveUp(q);
+        } else {
+            route(q);
+        }
+    }
+
+    /** For how long a client that asks once more has asked at least, in ms: its tries end with its whole time. */
+    private double askedBefore(ServiceGrade grade, Asking asking) {
+        longestTry[asking.grade()] = Math.max(longestTry[asking.grade()], asking.leftMs());
+        boolean isLast = asking.again() && asking.leftMs() < longestTry[asking.grade()] - SAME_MS;
+        return isLast ? Math.max(0, grade.timeoutMs() - asking.leftMs()) : 0;
     }
 
     public void clientLeft(double nowMs, QueryId id) {
@@ -285,7 +324,7 @@
 
     private void route(Query q) {
         boolean aside = site.originModel() >= 0;
-        if (aside && (q.write || q.execsLeft() == 1 || q.firstMissedAt() != null)) {
+        if (aside && (q.asking.write() || q.execsLeft() == 1 || q.firstMissedAt() != null)) {
             toOrigin(q);
             return;
         }
@@ -316,11 +355,18 @@
         walk++;
         int found = Arrays.binarySearch(ring, q.hash >> INDEX_BITS << INDEX_BITS);
         int at = found < 0 ? -found - 1 : found;
-        for (int step = 0; step < ring.length && seen < CHOICES; step++, at++) {
+        boolean nearFirst = nearFirst();
+        for (int step = nearFirst ? 0 : ring.length; step < 2 * ring.length && (nearFirst || seen < CHOICES); step++, at++) {
+            if (step == ring.length) {
+                seen = 0;
+                nearFirst = false;
+            }
             Node n = caches.get((int) ring[at % ring.length] & (1 << INDEX_BITS) - 1);
-            boolean met = n.walk == walk;
+            if (n.walk == walk || nearFirst && n.zone != site.zone()) {
+                continue;
+            }
             n.walk = walk;
-            if (met || !usable(n, q)) {
+            if (!usable(n, q)) {
                 continue;
             }
             toPass -= n.scale;
@@ -330,17 +376,44 @@
             seen++;
             boolean full = !fits(n.out, n.limit, q);
             q.crowded |= full;
-            if (!full && n.out <= Math.max(SKIP_FLOOR, SKIP_MULTIPLE * (outAtCaches / ringScale) * n.scale)
-                    && (n.busyUntil <= now || overloaded())) {
+            if (!full && !(site.scaleMoves() ? sheds(n, q) : isBusy(n))) {
                 return n;
             }
             if (!full && (least == null || n.out / n.scale < least.out / least.scale)) {
                 least = n;
             }
+            if (nearFirst && seen == CHOICES) { // the own location has no room: on to the other
+                step = ring.length - 1;
+            }
         }
         return least;
     }
 
+    /** Whether a copy of each key in each location is worth what crossing costs; the walk is the same one. */
+    private boolean nearFirst() {
+        return site.crossPrice() >= CROSS_WORTH;
+    }
+
+    private boolean isBusy(Node n) {
+        return n.out > Math.max(SKIP_FLOOR, SKIP_MULTIPLE * (outAtCaches / ringScale) * n.scale)
+                || n.busyUntil > now && !overloaded();
+    }
+
+    /**
+     * Guards a cache that the list tells to be full: a share of each proxy's keys goes on to the successors. The share
+     * rises quickly and falls slowly, since news is late and the same for all: else all come and go together.
+     */
+    private void shed(Node n) {
+        double over = n.held / Math.max(HELD_FLOOR, SKIP_MULTIPLE * heldUsually) - 1;
+        double due = over > 0 ? over / (over + 1) : 0;
+        n.shed += (due > n.shed ? SHED_UP : SHED_DOWN) * (due - n.shed);
+    }
+
+    /** Each proxy sheds keys of its own, so that a hot one is split. */
+    private boolean sheds(Node n, Query q) {
+        return (Hash.fraction(Hash.mix(q.hash) ^ n.seed) + place) % 1 < n.shed;
+    }
+
     /** Guards the origin and the caches' slots where caches fetch: keys not known to be held are limited. */
     private boolean mayFetch(Query q, Node n) {
         return site.originModel() < 0 && q.asked.heldBy != n;
@@ -438,7 +511,8 @@
         boolean atOrigin = first.node.isOrigin; // late beside quick answers there: lost on its way
         outAtCaches -= atOrigin ? 0 : 1;
         suspect(first);
-        boolean spare = q.out == 1 && extras >= 1 && (!atOrigin || first.node.took < QUICK * q.grade.sloMs())
+        // Guards an origin behind the caches: a copy at one that lacks the key is a fetch that nothing calls off.
+        boolean spare = site.originModel() >= 0 && q.out == 1 && extras >= 1 && (!atOrigin || first.node.took < QUICK * q.grade.sloMs())
                 && q.execsLeft() >= (site.originModel() >= 0 && !atOrigin ? 2 : 1);
         Node n = spare ? originFits(q) ? origin : atOrigin ? null : choose(q) : null;
         if (n != null) {
@@ -461,15 +535,17 @@
         }
     }
 
-    public void executionEnded(double nowMs, QueryId id, int execution, Outcome outcome, double tookMs,
+    public void executionEnded(double nowMs, QueryId id, int execution, Outcome told, double tookMs,
                                boolean finished) {
         now = nowMs;
+        Outcome outcome = told == Outcome.FETCHED ? Outcome.COMPLETED : told;
         Query q = queries.get(id);
         if (q == null || execution >= q.execs.size() || q.execs.get(execution).ended) {
             return;
         }
         Execution e = q.execs.get(execution);
-        e.end(outcome);
+        e.end(told);
+        tellsOfFetches |= e.fetched;
         q.out--;
         if (outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED) {
             // Guards a node that goes on with work given up on: its place counts as taken for as long again.
@@ -493,7 +569,8 @@
     private void closeUnlessUsed(Node n) {
         // About one query is served by a cache in the time that one takes, which prices an open connection.
         double worthMs = hold * HOLD_FIRST * 100 * usualTook * site.handshakePrice();
-        if (n.open && n.out == 0 && n.share.at(turn) * turn * worthMs < (now - bornAt) * site.openPrice()) {
+        double price = Math.max(site.openPrice(), FULL_PRICE * (1 - hold));
+        if (n.open && n.out == 0 && n.share.at(turn) * turn * worthMs < (now - bornAt) * price) {
             n.open = false;
             host.closeIdle(n.id);
         }
@@ -529,7 +606,7 @@
     /** What an outcome tells of the node. */
     private void judge(Query q, Execution e, Outcome outcome, double tookMs) {
         Node n = e.node;
-        boolean slow = tookMs > (n.isOrigin ? SLOW_ORIGIN : SLOW_ANSWER) * q.grade.sloMs();
+        boolean slow = tookMs > (n.isOrigin ? SLOW_ORIGIN : SLOW_ANSWER) * q.grade.sloMs() + q.asking.workMs();
         boolean late = slow || outcome == Outcome.TIMED_OUT && !q.impatient;
         if (n.isOrigin) {
             n.tally.add(now, late ? Tally.BAD : Tally.GOOD);
@@ -591,20 +668,23 @@
     }
 
     private void pace(Execution e, boolean slow) {
-        Tally tally = e.mayFetch ? fetching : fleet;
-        Limit limit = e.mayFetch ? fetchLimit : fleetLimit;
-        if (slow && !e.mayFetch) {
+        // What had no answer may have been a fetch; of what had one, the node told, or nobody ever tells.
+        boolean fetch = e.mayFetch && (e.fetched || !tellsOfFetches || !e.answered && e.node.shed < SHED_LITTLE);
+        Tally tally = fetch ? fetching : fleet;
+        if (slow && !fetch) {
             passOver(e.node);
-        } else if (!e.mayFetch) {
+        } else if (!fetch) {
             e.node.busyUntil = 0;
         }
         tally.add(now, slow ? Tally.BAD : Tally.GOOD);
         if (!slow) {
             grow(fleetLimit, outAtCaches);
-            grow(fetchLimit, fetchesOut);
+            if (fetch || !e.mayFetch) {
+                grow(fetchLimit, fetchesOut);
+            }
             hold = Math.min(1, hold + HOLD_GROWTH);
-        } else if (e.mayFetch ? oftenLate(tally) : overloaded()) {
-            cut(limit, e.sentAt);
+        } else if (fetch ? oftenLate(tally) : overloaded()) {
+            cut(fetch ? fetchLimit : fleetLimit, e.sentAt);
         }
     }
 
--- a/src/main/java/dappleseam/site/SiteReader.java
+++ b/src/main/java/dappleseam/site/SiteReader.java
@@ -111,6 +111,9 @@
                 Math.max(1, root.path("balancers").asInt(1)),
                 extra.path("mode").asText().equals("aside") ? extra.path("originKind").asInt(-1) : -1,
                 scale.equals("nominal") || scale.equals("rough"),
+                scale.equals("live"),
+                root.path("zone").asInt(-1),
+                number(penalties, at + "penalties.", "crossZone", 0),
                 MS_PER_S * number(root, at, "tickS", 0),
                 (int) Math.ceil(positive(ceilings, inCeilings, "mostExecutions")),
                 ceilings.path("parallelTries").asBoolean(),
@@ -145,6 +148,7 @@
                 },
                 MS_PER_S * number(grade, at, "windowS", 0),
                 MS_PER_S * positive(grade, at, "sloTimeS"),
+                MS_PER_S * positive(grade, at, "statementTimeoutS"),
                 number(grade, at, "importance", 1),
                 number(grade, at, "tardyImportance", 0),
                 grade.path("stream").asBoolean());
--- a/src/test/java/dappleseam/router/OneProxy.java
+++ b/src/test/java/dappleseam/router/OneProxy.java
@@ -21,7 +21,7 @@
     }
 
     static ServiceGrade grade(ServiceGrade.Repeat repeat, ServiceGrade.Group group) {
-        return new ServiceGrade(repeat, group, 2000, 600, 1, 0, false);
+        return new ServiceGrade(repeat, group, 2000, 600, 2000, 1, 0, false);
     }
 
     /** Two proxies, three executions, caches that fetch for themselves, a pushed list. */
@@ -45,9 +45,19 @@
         return site(READ, -1, false, 8000);
     }
 
+    /** A list whose scales move with load, at location 1 of two. */
+    static Deployment live(double crossPrice) {
+        return new Deployment(List.of(READ), 2, -1, false, true, 1, crossPrice, 1, 3, false, true, 1000, 0, 0.2, 10000,
+                0, 0);
+    }
+
+    static Member live(long node, int zone, double scale) {
+        return new Member(new NodeId(node), Member.State.READY, 0, 0, zone, scale, 0);
+    }
+
     private static Deployment site(ServiceGrade grade, int originModel, boolean parallel,
                                    double askEvery) {
-        return new Deployment(List.of(grade), 2, originModel, true, 1, 3, parallel, true, 1000,
+        return new Deployment(List.of(grade), 2, originModel, true, false, 0, 0, 1, 3, parallel, true, 1000,
                 askEvery, 0.2, 10000, 0.05, 0.05);
     }
 
@@ -72,11 +82,11 @@
     }
 
     void ask(double at, int id, long key) {
-        router.query(at, new QueryId(id), 0, new Key(key), 2000, false);
+        router.query(at, new QueryId(id), new Asking(0, new Key(key), 2000, 0, false, false));
     }
 
     void write(double at, int id, long key) {
-        router.query(at, new QueryId(id), 0, new Key(key), 2000, true);
+        router.query(at, new QueryId(id), new Asking(0, new Key(key), 2000, 0, true, false));
     }
 
     void ended(double at, int id, int execution, Outcome outcome, double took) {
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -96,7 +96,7 @@
 
     @Test
     void aDeduplicatedQueryIsNotRepeatedPastItsWindow() {
-        ServiceGrade brief = new ServiceGrade(Repeat.DEDUPLICATED, Group.ALL, 300, 600, 1, 0.5, false);
+        ServiceGrade brief = new ServiceGrade(Repeat.DEDUPLICATED, Group.ALL, 300, 600, 2000, 1, 0.5, false);
         OneProxy p = new OneProxy(OneProxy.through(brief)).listed(3);
         p.ask(1000, 1, 42);
         p.ended(1310, 1, 0, Outcome.RESET, 310);
@@ -312,7 +312,7 @@
     /** litoral i14f780: caches that merely had a queue stood set aside for silence. */
     @Test
     void aSilentCacheGetsASecondCopyElsewhere() {
-        OneProxy p = new OneProxy(OneProxy.parallel()).listed(4);
+        OneProxy p = new OneProxy(OneProxy.asideInParallel()).listed(4);
         p.ask(1000, 1, 42);
         p.router.woken(1360, p.timers.get(0));
         assertThat(new HashSet<>(p.sentTo)).hasSize(2);
@@ -335,8 +335,8 @@
         Deployment site = OneProxy.through(OneProxy.READ);
         OneProxy p = new OneProxy(site).listed(5);
         p.ask(1000, 1, 42);
-        p.router.settingsChanged(1001, new Deployment(site.grades(), 2, -1, true, 1, 1, false, true, 1000, 0, 0.2, 10000,
-                0.05, 0.05));
+        p.router.settingsChanged(1001, new Deployment(site.grades(), 2, -1, true, false, 0, 0, 1, 1, false, true, 1000, 0,
+                0.2, 10000, 0.05, 0.05));
         p.ask(1002, 2, 43);
         p.ended(1005, 1, 0, Outcome.ERRED, 5);
         p.ended(1005, 2, 0, Outcome.ERRED, 5);
@@ -367,13 +367,13 @@
         for (boolean write : new boolean[] {true, false}) {
             OneProxy p = new OneProxy(OneProxy.aside(OneProxy.READ)).listed(4);
             for (int i = 0; i < 60; i++) {
-                p.router.query(1000 + 100 * i, new QueryId(i), 0, new Key(i + 1), 60, write);
+                p.router.query(1000 + 100 * i, new QueryId(i), new Asking(0, new Key(i + 1), 60, 0, write, false));
                 p.ended(1050 + 100 * i, i, 0, Outcome.TIMED_OUT, 50);
                 p.router.woken(1099 + 100 * i, p.timers.get(p.timers.size() - 1)); // its place is free again
             }
             p.done.clear();
             for (int i = 100; i < 110; i++) {
-                p.router.query(9000, new QueryId(i), 0, new Key(i), 2000, write);
+                p.router.query(9000, new QueryId(i), new Asking(0, new Key(i), 2000, 0, write, false));
             }
             assertThat(p.done).filteredOn(done -> done.startsWith("execute")).hasSize(10);
         }
@@ -381,7 +381,7 @@
 
     @Test
     void theCopyThatLosesIsCalledOff() {
-        OneProxy p = new OneProxy(OneProxy.parallel()).listed(4);
+        OneProxy p = new OneProxy(OneProxy.asideInParallel()).listed(4);
         p.ask(1000, 1, 42);
         p.router.woken(1240, p.timers.get(0));
         p.ended(1300, 1, 1, Outcome.COMPLETED, 60);
@@ -524,4 +524,79 @@
         }
         assertThat(p.delays.get(p.delays.size() - 1)).isBetween(0.2 * 6400, 6400.0);
     }
+
+    /** kingston big-2: jammed caches kept their keys; keys must not move for a list that is merely of another age. */
+    @Test
+    void aFullCacheShedsKeysAndTokensStay() {
+        OneProxy calm = new OneProxy(OneProxy.live(0)).listed(5);
+        OneProxy told = new OneProxy(OneProxy.live(0)).listed(5);
+        for (int news = 0; news < 6; news++) {
+            told.router.listChanged(1001 + news, List.of(OneProxy.live(1, 1, 0.05), OneProxy.live(2, 0, 0.5),
+                    OneProxy.live(3, 1, 0.5), OneProxy.live(4, 0, 0.7), OneProxy.live(5, 1, 0.4)));
+        }
+        int atFull = 0;
+        for (int key = 0; key < 400; key++) {
+            calm.ask(1100, key, key);
+            told.ask(1100, key, key);
+            calm.ended(1100, key, 0, Outcome.COMPLETED, 0);
+            told.ended(1100, key, 0, Outcome.COMPLETED, 0);
+            atFull += told.last().value() == 1 ? 1 : 0;
+            assertThat(told.last()).matches(node -> node.equals(calm.last()) || calm.last().value() == 1);
+        }
+        assertThat(atFull).isBetween(1, 30);
+    }
+
+    /** dakar, every day: half of the queries crossed at twelve points each. */
+    @Test
+    void theOwnLocationIsFirstOnlyWhereCrossingIsDear() {
+        for (double price : new double[] {0.12, 0.01}) {
+            OneProxy p = new OneProxy(OneProxy.live(price)).listed(8);
+            for (int key = 0; key < 100; key++) {
+                p.ask(1000, key, key);
+                p.ended(1000, key, 0, Outcome.COMPLETED, 0);
+            }
+            assertThat(p.sentTo).filteredOn(node -> node.value() % 2 == 1).hasSizeBetween(price > 0.1 ? 100 : 20, price > 0.1 ? 100 : 80);
+        }
+    }
+
+    @Test
+    void theOtherLocationServesWhatTheOwnCannot() {
+        OneProxy p = new OneProxy(OneProxy.live(0.12)).listed(2);
+        p.router.listChanged(1001, List.of(OneProxy.member(1, Member.State.DRAINING, 0),
+                OneProxy.member(99, Member.State.DRAINING, 0)));
+        p.ask(1002, 1, 42);
+        assertThat(p.last()).isEqualTo(new NodeId(2));
+    }
+
+    /** dakar big-1, a squeeze: tables were full of idle connections, which cost nothing there. */
+    @Test
+    void idleConnectionsAreClosedWhileConnectsFailThoughNoneHasAPrice() {
+        OneProxy p = new OneProxy(OneProxy.live(0)).listed(5);
+        p.ask(1000, 1, 42);
+        p.ended(1005, 1, 0, Outcome.COMPLETED, 5);
+        assertThat(p.done).noneMatch(done -> done.startsWith("close"));
+        p.ask(1010, 2, 42);
+        p.ended(1110, 2, 0, Outcome.CONNECT_FAILED, 100);
+        p.ended(1115, 2, 1, Outcome.COMPLETED, 5);
+        assertThat(p.done).anyMatch(done -> done.startsWith("close"));
+    }
+
+    /** kingston big-2: two thirds of what was sent was asked for once more after its SLO time, for nothing. */
+    @Test
+    void aLastTryPastItsSloTimeIsAnsweredAtOnce() {
+        OneProxy p = new OneProxy(OneProxy.live(0)).listed(5);
+        p.router.query(1000, new QueryId(1), new Asking(0, new Key(1), 1200, 0, false, false));
+        p.router.query(1100, new QueryId(2), new Asking(0, new Key(1), 1200, 0, false, true));
+        p.router.query(1900, new QueryId(3), new Asking(0, new Key(1), 1100, 0, false, true));
+        assertThat(p.done).containsExactly("execute 1", "execute 2", "reject 3");
+    }
+
+    /** kingston big-1: copies at successors were fetches more, and the origin made everything late. */
+    @Test
+    void thereAreNoCopiesWhereCachesFetch() {
+        OneProxy p = new OneProxy(OneProxy.parallel()).listed(4);
+        p.ask(1000, 1, 42);
+        List.copyOf(p.timers).forEach(timer -> p.router.woken(1360, timer));
+        assertThat(p.done).containsExactly("execute 1");
+    }
 }
