--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -15,6 +15,8 @@
     RecentKeys.Asked asked;
     /** Its key's share of this proxy's latest queries, without itself. */
     double keyShare;
+    /** Its key is looked for in the own location first. */
+    boolean nearFirst;
     /** Scale of the successors passed over for a hot key. */
     double passOver;
     double quitAt;
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -37,6 +37,9 @@
     private static final double SHED_LITTLE = 0.1;
     /** Points for crossing with each query from which each location keeps copies of its own. */
     private static final double CROSS_WORTH = 0.05;
+    /** By how much the share of keys copied so falls with each slow read at the origin, or grows. */
+    private static final double COPIED_DOWN = 0.1;
+    private static final double COPIED_UP = 0.01;
     /** Share of the SLO time that one execution may take while a successor could still answer. */
     private static final double PATIENCE = 0.5;
     /** Share of the SLO time after which a second copy goes out: past the usual answer, time for another. */
@@ -137,8 +140,10 @@
     private List<Node> caches = List.of();
     private long[] ring = {};
     private double ringScale;
-    /** Of the caches that a key is first looked for at. */
-    private double scaleInReach;
+    /** Share of the keys that each location keeps for itself: what the origin bears, as misses double. */
+    private double copied = 1;
+    /** Of the own location's caches. */
+    private double scaleNear;
     private boolean ringIsStale;
     private Node origin;
     private int outAtCaches;
@@ -253,10 +258,10 @@
             fetchLimit.size = FETCH_FIRST * fleetLimit.size;
         }
         fleetLimit.least = Math.max(1, FLEET_LEAST / site.proxies() * ready.size());
-        scaleInReach = nearFirst() ? ready.stream().filter(n -> n.zone == site.zone()).mapToDouble(n -> n.scale).sum()
-                : ringScale;
+        scaleNear = ready.stream().filter(n -> n.zone == site.zone()).mapToDouble(n -> n.scale).sum();
         caches = ready;
-        heldUsually = ready.stream().mapToDouble(n -> n.held).sorted().skip(ready.size() / 2).findFirst().orElse(0);
+        heldUsually = ready.stream().mapToDouble(n -> n.held).sorted().skip(ready.size() / 2)
+                .findFirst().orElse(0);
     }
 
     public void query(double nowMs, QueryId id, Asking asking) {
@@ -268,7 +273,8 @@
         Key key = asking.key();
         q.hash = Hash.mix(key.equals(Key.NONE) ? id.value() : key.value());
         q.quitAt = now + asking.leftMs();
-        q.impatient = Math.min(asking.leftMs(), q.grade.sloMs()) < SLOW_ANSWER * q.grade.sloMs() + asking.workMs();
+        double slowMs = SLOW_ANSWER * q.grade.sloMs() + asking.workMs();
+        q.impatient = Math.min(asking.leftMs(), q.grade.sloMs()) < slowMs;
         // Past its SLO time an answer that earns nothing is given up, and its node freed.
         boolean toTheEnd = q.grade.tardyShare() > 0 || q.grade.repeat() == Repeat.NON_IDEMPOTENT;
         double before = askedBefore(q.grade, asking);
@@ -280,12 +286,13 @@
         q.asked = asked.computeIfAbsent(key, k -> new Asked(new Share(MEMORY)));
         // Guards a hot key's owner: the key is spread over the scale it would fill, each proxy at its place.
         q.keyShare = key.equals(Key.NONE) ? 0 : q.asked.share.at(turn);
-        q.passOver = SPREAD * q.keyShare * scaleInReach * place;
+        q.nearFirst = site.crossPrice() >= CROSS_WORTH && Hash.fraction(Hash.mix(~q.hash)) < copied;
+        q.passOver = SPREAD * q.keyShare * (q.nearFirst ? scaleNear : ringScale) * place;
         q.asked.share.add(turn);
         if (!caches.isEmpty()) {
             closeUnlessUsed(caches.get((int) (turn % caches.size())));
         }
-        // Guards caches whose answers nobody waits for any more: this one would be worth nothing when it came.
+        // Guards caches against work whose answer nobody waits for any more.
         if (before > 0 && q.usefulUntil - now < TOO_LATE * q.grade.sloMs()) {
             giveUp(q);
         } else {
@@ -293,7 +300,7 @@
         }
     }
 
-    /** For how long a client that asks once more has asked at least, in ms: its tries end with its whole time. */
+    /** For how many ms a client that asks once more has asked at least: its last try ends with its time. */
     private double askedBefore(ServiceGrade grade, Asking asking) {
         longestTry[asking.grade()] = Math.max(longestTry[asking.grade()], asking.leftMs());
         boolean isLast = asking.again() && asking.leftMs() < longestTry[asking.grade()] - SAME_MS;
@@ -355,8 +362,9 @@
         walk++;
         int found = Arrays.binarySearch(ring, q.hash >> INDEX_BITS << INDEX_BITS);
         int at = found < 0 ? -found - 1 : found;
-        boolean nearFirst = nearFirst();
-        for (int step = nearFirst ? 0 : ring.length; step < 2 * ring.length && (nearFirst || seen < CHOICES); step++, at++) {
+        boolean nearFirst = q.nearFirst;
+        int last = 2 * ring.length;
+        for (int step = nearFirst ? 0 : ring.length; step < last && (nearFirst || seen < CHOICES); step++, at++) {
             if (step == ring.length) {
                 seen = 0;
                 nearFirst = false;
@@ -389,19 +397,14 @@
         return least;
     }
 
-    /** Whether a copy of each key in each location is worth what crossing costs; the walk is the same one. */
-    private boolean nearFirst() {
-        return site.crossPrice() >= CROSS_WORTH;
-    }
-
     private boolean isBusy(Node n) {
         return n.out > Math.max(SKIP_FLOOR, SKIP_MULTIPLE * (outAtCaches / ringScale) * n.scale)
                 || n.busyUntil > now && !overloaded();
     }
 
     /**
-     * Guards a cache that the list tells to be full: a share of each proxy's keys goes on to the successors. The share
-     * rises quickly and falls slowly, since news is late and the same for all: else all come and go together.
+     * Guards a cache that the list tells to be full: a share of each proxy's keys goes on to successors. It rises
+     * quickly and falls slowly, since news is late and the same for all: else all come and go together.
      */
     private void shed(Node n) {
         double over = n.held / Math.max(HELD_FLOOR, SKIP_MULTIPLE * heldUsually) - 1;
@@ -511,9 +514,9 @@
         boolean atOrigin = first.node.isOrigin; // late beside quick answers there: lost on its way
         outAtCaches -= atOrigin ? 0 : 1;
         suspect(first);
-        // Guards an origin behind the caches: a copy at one that lacks the key is a fetch that nothing calls off.
-        boolean spare = site.originModel() >= 0 && q.out == 1 && extras >= 1 && (!atOrigin || first.node.took < QUICK * q.grade.sloMs())
-                && q.execsLeft() >= (site.originModel() >= 0 && !atOrigin ? 2 : 1);
+        // Guards an origin behind the caches: a copy is a fetch more there, and nothing calls it off.
+        boolean spare = site.originModel() >= 0 && q.out == 1 && extras >= 1
+                && (!atOrigin || first.node.took < QUICK * q.grade.sloMs()) && q.execsLeft() >= (atOrigin ? 1 : 2);
         Node n = spare ? originFits(q) ? origin : atOrigin ? null : choose(q) : null;
         if (n != null) {
             extras--;
@@ -606,8 +609,13 @@
     /** What an outcome tells of the node. */
     private void judge(Query q, Execution e, Outcome outcome, double tookMs) {
         Node n = e.node;
-        boolean slow = tookMs > (n.isOrigin ? SLOW_ORIGIN : SLOW_ANSWER) * q.grade.sloMs() + q.asking.workMs();
+        double slowShare = n.isOrigin ? SLOW_ORIGIN : SLOW_ANSWER;
+        boolean slow = tookMs > slowShare * q.grade.sloMs() + q.asking.workMs();
         boolean late = slow || outcome == Outcome.TIMED_OUT && !q.impatient;
+        if (n.isOrigin && !q.asking.write()) {
+            boolean queued = outcome == Outcome.TIMED_OUT || tookMs > SLOW_ANSWER * q.grade.sloMs();
+            copied = Math.max(0, Math.min(1, copied + (queued ? -COPIED_DOWN : COPIED_UP)));
+        }
         if (n.isOrigin) {
             n.tally.add(now, late ? Tally.BAD : Tally.GOOD);
         } else if (outcome == Outcome.TIMED_OUT && late) {
@@ -669,7 +677,8 @@
 
     private void pace(Execution e, boolean slow) {
         // What had no answer may have been a fetch; of what had one, the node told, or nobody ever tells.
-        boolean fetch = e.mayFetch && (e.fetched || !tellsOfFetches || !e.answered && e.node.shed < SHED_LITTLE);
+        boolean fetch = e.mayFetch
+                && (e.fetched || !tellsOfFetches || !e.answered && e.node.shed < SHED_LITTLE);
         Tally tally = fetch ? fetching : fleet;
         if (slow && !fetch) {
             passOver(e.node);
--- a/src/test/java/dappleseam/router/OneProxy.java
+++ b/src/test/java/dappleseam/router/OneProxy.java
@@ -47,8 +47,12 @@
 
     /** A list whose scales move with load, at location 1 of two. */
     static Deployment live(double crossPrice) {
-        return new Deployment(List.of(READ), 2, -1, false, true, 1, crossPrice, 1, 3, false, true, 1000, 0, 0.2, 10000,
-                0, 0);
+        return live(crossPrice, -1);
+    }
+
+    static Deployment live(double crossPrice, int originModel) {
+        return new Deployment(List.of(READ), 2, originModel, false, true, 1, crossPrice, 1, 3, false, true, 1000, 0,
+                0.2, 10000, 0, 0);
     }
 
     static Member live(long node, int zone, double scale) {
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -581,7 +581,7 @@
         assertThat(p.done).anyMatch(done -> done.startsWith("close"));
     }
 
-    /** kingston big-2: two thirds of what was sent was asked for once more after its SLO time, for nothing. */
+    /** kingston big-2: clients asked up to three times more, also past the SLO time, and were served for nothing. */
     @Test
     void aLastTryPastItsSloTimeIsAnsweredAtOnce() {
         OneProxy p = new OneProxy(OneProxy.live(0)).listed(5);
@@ -599,4 +599,20 @@
         List.copyOf(p.timers).forEach(timer -> p.router.woken(1360, timer));
         assertThat(p.done).containsExactly("execute 1");
     }
+
+    /** dakar fresh-big: copies at both locations doubled the misses, and the origin made a quarter late. */
+    @Test
+    void copiesAtEachLocationAreAsManyAsTheOriginBears() {
+        for (double tookAtOrigin : new double[] {50, 400}) {
+            OneProxy p = new OneProxy(OneProxy.live(0.12, OneProxy.ORIGIN_MODEL)).listed(8);
+            int crossed = 0;
+            for (int i = 0; i < 100; i++) {
+                p.ask(1000 + i, i, i);
+                crossed += i >= 50 && p.last().value() % 2 == 0 ? 1 : 0;
+                p.ended(1000 + i, i, 0, Outcome.MISS, 5);
+                p.ended(1000 + i, i, 1, Outcome.COMPLETED, tookAtOrigin);
+            }
+            assertThat(crossed > 10).isEqualTo(tookAtOrigin > 100);
+        }
+    }
 }
