Carry over what was learnt of nodes, read the move's settings, and build the ring only anew

Cause: rebuildRing sorted 20,000 tokens for each list, and a live list is new each second. Ruled out: the queries (5 us each once it is gone).

--- a/src/main/java/dappleseam/drill/Exchange.java
+++ b/src/main/java/dappleseam/drill/Exchange.java
@@ -26,7 +26,6 @@
     private static final int RECORD_HEADER = 5;
     private static final int HINT_BIT = 1;
     private static final int AGAIN_BIT = 2;
-    private static final int FETCHED = 2;
     private static final int WRITE_BIT = 4;
     private static final Outcome[] ENDINGS = {
         Outcome.ERRED, Outcome.FULL, Outcome.TIMED_OUT, Outcome.CONNECT_FAILED, Outcome.RESET,
@@ -146,10 +145,9 @@
                 Outcome outcome = outcome(in.getShort() & 0xFFFF);
                 double tookMs = in.getDouble() * MS_PER_S;
                 boolean finished = in.get() != 0;
-                boolean fetched = in.get() == FETCHED && outcome == Outcome.COMPLETED;
+                in.get();
                 skipReport(in);
-                return () -> router.executionEnded(nowMs, query, execution, fetched ? Outcome.FETCHED : outcome,
-                        tookMs, finished);
+                return () -> router.executionEnded(nowMs, query, execution, outcome, tookMs, finished);
             }
             case 6: {
                 QueryId query = query(in);
--- /dev/null
+++ b/src/main/java/dappleseam/list/SealedFile.java
@@ -0,0 +1,53 @@
+package dappleseam.list;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dappleseam.wire.Json;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.Arrays;
+import java.util.zip.CRC32;
+
+/** JSON that one process leaves for the next, behind a line with its version and a sum that proves it. */
+public final class SealedFile {
+    private static final int LONGEST = 4 << 20;
+    private static final int LONGEST_FIRST_LINE = 64;
+
+    private SealedFile() {}
+
+    /** Replaces the file as a whole. */
+    public static void write(Path file, String version, byte[] body) throws IOException {
+        Path beside = file.resolveSibling(file.getFileName() + ".new");
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        all.write((version + ' ' + checkSum(body) + '\n').getBytes(StandardCharsets.US_ASCII));
+        all.write(body);
+        Files.write(beside, all.toByteArray());
+        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** What is in the file; an exception says why it is of no use. */
+    public static JsonNode read(Path file, String version) throws IOException {
+        if (Files.size(file) > LONGEST) {
+            throw new IOException("too long");
+        }
+        byte[] all = Files.readAllBytes(file);
+        int end = 0;
+        while (end < all.length && all[end] != '\n' && end < LONGEST_FIRST_LINE) {
+            end++;
+        }
+        byte[] body = Arrays.copyOfRange(all, Math.min(all.length, end + 1), all.length);
+        if (!new String(all, 0, end, StandardCharsets.US_ASCII).equals(version + ' ' + checkSum(body))) {
+            throw new IOException("of another version, or damaged");
+        }
+        return Json.read(body);
+    }
+
+    private static String checkSum(byte[] bytes) {
+        CRC32 sum = new CRC32();
+        sum.update(bytes);
+        return Long.toHexString(sum.getValue());
+    }
+}
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -20,6 +20,7 @@
 import dappleseam.router.Asking;
 import dappleseam.router.Host;
 import dappleseam.router.Key;
+import dappleseam.router.Learnt;
 import dappleseam.router.Member;
 import dappleseam.router.NodeId;
 import dappleseam.router.Outcome;
@@ -56,6 +57,9 @@
     private static final int IDS = 8 << 10;
     /** A time in ms as clients write it. */
     private static final Pattern MS = Pattern.compile("\\d{1,7}(\\.\\d{1,6})?");
+    /** A time in s as clients write it. */
+    private static final Pattern SECONDS = Pattern.compile("\\d{1,4}(\\.\\d{1,9})?");
+    private static final double MS_PER_S = 1000;
     /** Time in ms by which an answer goes out before the client stops waiting for it. */
     private static final double LAST_HOP_MS = 10;
     /** Time in ms past that at which a query the router forgot is aborted; it guards rule 1. */
@@ -75,6 +79,7 @@
     private final Map<NodeId, Peer> peers = new HashMap<>();
     /** The list as last told, for the process that takes over. */
     private volatile NodeList last = new NodeList(0, true, List.of());
+    private volatile List<Learnt> learnt = List.of();
     private final Slots<Taken> queries = new Slots<>();
     /** The ids of the queries taken last, as the clients gave them, in order: those of all that are open among them. */
     private final Set<String> ids = new LinkedHashSet<>();
@@ -174,8 +179,18 @@
         return hasHeardList;
     }
 
+    /** What was learnt of the nodes when it was last told; for any thread. */
+    List<Learnt> learnt() {
+        return learnt;
+    }
+
+    void recall(List<Learnt> known) {
+        tell(() -> router.recall(loop.nowMs(), known));
+    }
+
     /** Tells the figures what takes a walk to count. */
     void publish() {
+        learnt = router.learnt();
         figures.list(peers.size(), router.avoided(loop.nowMs()));
     }
 
@@ -321,7 +336,7 @@
         QueryId id = new QueryId(queries.put(taken));
         taken.forgotten = loop.at(taken.quitAt + FORGOTTEN_MS, () -> forgotten(id));
         tell(() -> router.query(loop.nowMs(), id, new Asking(grade, key(command.key()), taken.quitAt - loop.nowMs(),
-                0, command.isWrite(), false)));
+                workMs(command), command.isWrite(), command.fact("r").equals("1"))));
         return id;
     }
 
@@ -332,6 +347,12 @@
                 : Math.min(Double.parseDouble(text), site.statementTimeoutsMs().get(grade));
     }
 
+    /** The client's guess of the work, which it gives in s; 0 where there is none, or none that can be. */
+    private static double workMs(Command command) {
+        String text = command.fact("costGuessS");
+        return SECONDS.matcher(text).matches() ? MS_PER_S * Double.parseDouble(text) : 0;
+    }
+
     private static Key key(String text) {
         try {
             return new Key(Long.parseUnsignedLong(text, 16));
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -12,6 +12,7 @@
 import dappleseam.site.SiteReader;
 import dappleseam.wire.BufferPool;
 import dappleseam.wire.Link;
+import dappleseam.router.Learnt;
 import dappleseam.wire.RespWriter;
 import java.io.IOException;
 import java.lang.System.Logger;
@@ -69,6 +70,8 @@
     private static final double PUBLISH_MS = 200;
     /** Beside another process: longest wait for the list, in ms. */
     private static final double LIST_WAIT_MS = 2500;
+    /** Time in ms between two writings of what was learnt: a share of the time for which it is news. */
+    private static final double LEARNT_EVERY_MS = 1000;
 
     @Option(names = "--config", defaultValue = "${env:NODE_CONFIG}", required = true,
             description = "What this proxy is told at its start, as JSON (default: the file that NODE_CONFIG names).")
@@ -82,6 +85,8 @@
     private volatile Proxy proxy;
     /** The list last written for a process that takes over; the door's thread's. */
     private NodeList kept;
+    private List<Learnt> learntKept = List.of();
+    private double learntKeptAt;
     private final Figures figures = new Figures();
     private Seats seats;
     private volatile boolean ready;
@@ -166,6 +171,7 @@
                 rehearsed = passed;
                 try {
                     proxy = new Proxy(loop, told, figures);
+                    proxy.recall(learntBefore(post));
                     front = new ClientFront(loop, proxy, forClients(post, 1),
                             post.descriptors() / DESCRIPTORS_A_CLIENT);
                     publish();
@@ -251,6 +257,22 @@
         return post;
     }
 
+    /** Guards the first seconds after a switch: nodes that are ill, and known to be, are still avoided. */
+    private List<Learnt> learntBefore(Post post) {
+        try {
+            List<Learnt> learnt = seats == null ? List.of() : LearntFile.read(learntFile(post), post.site(), loop.nowMs());
+            LOG.log(Level.INFO, "learnt before of {0} nodes", learnt.size());
+            return learnt;
+        } catch (IOException | RuntimeException e) { // it was worth a try
+            LOG.log(Level.INFO, "nothing learnt is taken over: {0}", e.toString());
+            return List.of();
+        }
+    }
+
+    private static Path learntFile(Post post) {
+        return folder().resolve(Seats.VERSION).resolve(Seats.name(post.listen()) + "-learnt");
+    }
+
     private static Path listFile(Post post) {
         return folder().resolve(Seats.VERSION).resolve(Seats.name(post.listen()) + "-list");
     }
@@ -268,6 +290,22 @@
         }
     }
 
+    /** On the door's thread. */
+    private void keepLearnt(Post post) {
+        Proxy serving = proxy;
+        double now = System.currentTimeMillis();
+        boolean isNews = serving != null && !(serving.learnt().isEmpty() && learntKept.isEmpty());
+        if (isNews && now > learntKeptAt + LEARNT_EVERY_MS && seats.isFirst()) {
+            learntKeptAt = now;
+            learntKept = serving.learnt();
+            try {
+                LearntFile.write(learntFile(post), post.site(), now, learntKept);
+            } catch (IOException e) {
+                LOG.log(Level.WARNING, "what was learnt is not kept: {0}", e.toString());
+            }
+        }
+    }
+
     private boolean openDoor(XnioWorker worker, Post post) {
         seats = Seats.take(folder(), post.listen());
         boolean[] shared = {seats.areShared()};
@@ -302,6 +340,7 @@
             }, figures, () -> {
                 seats.look();
                 keepList(post);
+                keepLearnt(post);
                 if (seats.areShared() != shared[0]) {
                     shared[0] = !shared[0];
                     LOG.log(Level.INFO, "{0}", shared[0] ? "another process serves this address, too"
--- /dev/null
+++ b/src/main/java/dappleseam/router/Learnt.java
@@ -0,0 +1,8 @@
+package dappleseam.router;
+
+/**
+ * What one router knows of a node that means the same to another build or process, all of it under the node's start:
+ * until when it is set aside or passed over (clock times in ms), its scale when it holds nothing, and the shed share.
+ */
+public record Learnt(NodeId node, double startedAtMs, double asideUntilMs, double busyUntilMs, double idleScale,
+                     double shed) {}
--- a/src/main/java/dappleseam/router/Node.java
+++ b/src/main/java/dappleseam/router/Node.java
@@ -75,6 +75,21 @@
         }
     }
 
+    /** What may be told to a router that comes after this one; null where nothing was learnt. */
+    Learnt learnt() {
+        boolean nothing = asideUntil == 0 && busyUntil == 0 && idleScale == 0;
+        return nothing ? null : new Learnt(id, startedAt, asideUntil, busyUntil, idleScale, shed);
+    }
+
+    /** Times to come are bounded by what this router itself would set; a node that is avoided comes back by trials. */
+    void recall(Learnt known, double untilMost, double busyMost, int trials) {
+        asideUntil = Math.min(known.asideUntilMs(), untilMost);
+        trialsLeft = asideUntil > 0 ? trials : 0;
+        busyUntil = Math.min(known.busyUntilMs(), busyMost);
+        idleScale = Math.max(idleScale, known.idleScale());
+        shed = known.shed();
+    }
+
     void heard(double atMs) {
         heardAt = atMs;
         strikes = 0;
--- a/src/main/java/dappleseam/router/Outcome.java
+++ b/src/main/java/dappleseam/router/Outcome.java
@@ -3,8 +3,6 @@
 /** How one execution ended. */
 public enum Outcome {
     COMPLETED(false),
-    /** Completed, and the node told that it had to ask the origin first. */
-    FETCHED(false),
     /** The node answered with an error. */
     ERRED(false),
     /** Turned back unseen: the node is full or draining. */
--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -84,8 +84,6 @@
         final double sentAt;
         boolean ended;
         boolean missed;
-        boolean fetched;
-        boolean answered;
         boolean neverRan;
         /** Its connection broke once it was written. */
         boolean reset;
@@ -103,8 +101,6 @@
         void end(Outcome outcome) {
             ended = true;
             missed = outcome == Outcome.MISS;
-            answered = outcome == Outcome.COMPLETED || outcome == Outcome.FETCHED || outcome == Outcome.MISS;
-            fetched = outcome == Outcome.FETCHED;
             neverRan = outcome.neverRan;
             reset = outcome == Outcome.RESET;
         }
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
@@ -31,10 +32,8 @@
     /** Queries held for each core, as listed, that are never too many: what waits then is soon done. */
     private static final double HELD_FLOOR = 1.5;
     /** Share of the way that the shed share of a cache's keys goes up, or down, with each news of it. */
-    private static final double SHED_UP = 0.5;
+    private static final double SHED_UP = 0.3;
     private static final double SHED_DOWN = 0.15;
-    /** Shed share under which what is missing from a cache is not blamed on its own queue. */
-    private static final double SHED_LITTLE = 0.1;
     /** Points for crossing with each query from which each location keeps copies of its own. */
     private static final double CROSS_WORTH = 0.05;
     /** By how much the share of keys copied so falls with each slow read at the origin, or grows. */
@@ -148,8 +147,6 @@
     private Node origin;
     private int outAtCaches;
     private double heldUsually;
-    /** Some answer has told that it was fetched, so that the others were not. */
-    private boolean tellsOfFetches;
     /** The longest that a client has waited for one try, by grade, in ms. */
     private double[] longestTry = {};
     private int walk;
@@ -237,6 +234,11 @@
         origin = nodes.values().stream().filter(isReady.and(n -> n.isOrigin)).findFirst().orElse(null);
         List<Node> ready = nodes.values().stream().filter(isReady.and(n -> !n.isOrigin))
                 .sorted(Comparator.comparingLong(n -> n.id.value())).toList();
+        heldUsually = ready.stream().mapToDouble(n -> n.held).sorted().skip(ready.size() / 2)
+                .findFirst().orElse(0);
+        if (ready.equals(caches) && ringScale == ready.stream().mapToDouble(n -> n.scale).sum()) {
+            return; // a list whose scales move with load is new each second, and its ring is not
+        }
         double largest = ready.stream().mapToDouble(n -> n.scale).max().orElse(1);
         // A power of two as the unit: tokens change only when the largest machine's class does.
         double unit = Math.pow(2, Math.ceil(Math.log(largest) / Math.log(2) - 1e-9));
@@ -260,8 +262,6 @@
         fleetLimit.least = Math.max(1, FLEET_LEAST / site.proxies() * ready.size());
         scaleNear = ready.stream().filter(n -> n.zone == site.zone()).mapToDouble(n -> n.scale).sum();
         caches = ready;
-        heldUsually = ready.stream().mapToDouble(n -> n.held).sorted().skip(ready.size() / 2)
-                .findFirst().orElse(0);
     }
 
     public void query(double nowMs, QueryId id, Asking asking) {
@@ -363,8 +363,8 @@
         int found = Arrays.binarySearch(ring, q.hash >> INDEX_BITS << INDEX_BITS);
         int at = found < 0 ? -found - 1 : found;
         boolean nearFirst = q.nearFirst;
-        int last = 2 * ring.length;
-        for (int step = nearFirst ? 0 : ring.length; step < last && (nearFirst || seen < CHOICES); step++, at++) {
+        int step = nearFirst ? 0 : ring.length;
+        for (; step < 2 * ring.length && (nearFirst || seen < CHOICES); step++, at++) {
             if (step == ring.length) {
                 seen = 0;
                 nearFirst = false;
@@ -403,12 +403,12 @@
     }
 
     /**
-     * Guards a cache that the list tells to be full: a share of each proxy's keys goes on to successors. It rises
-     * quickly and falls slowly, since news is late and the same for all: else all come and go together.
+     * Guards a cache that the list tells to be full: a share of each proxy's keys goes on to successors. It
+     * rises quickly and falls slowly, since news is late and the same for all: else all come and go together.
      */
     private void shed(Node n) {
         double over = n.held / Math.max(HELD_FLOOR, SKIP_MULTIPLE * heldUsually) - 1;
-        double due = over > 0 ? over / (over + 1) : 0;
+        double due = over > 0 ? 1 - (1 - n.shed) / (over + 1) : 0; // of what it got, with what it got
         n.shed += (due > n.shed ? SHED_UP : SHED_DOWN) * (due - n.shed);
     }
 
@@ -516,7 +516,8 @@
         suspect(first);
         // Guards an origin behind the caches: a copy is a fetch more there, and nothing calls it off.
         boolean spare = site.originModel() >= 0 && q.out == 1 && extras >= 1
-                && (!atOrigin || first.node.took < QUICK * q.grade.sloMs()) && q.execsLeft() >= (atOrigin ? 1 : 2);
+                && q.execsLeft() >= (atOrigin ? 1 : 2)
+                && (!atOrigin || first.node.took < QUICK * q.grade.sloMs());
         Node n = spare ? originFits(q) ? origin : atOrigin ? null : choose(q) : null;
         if (n != null) {
             extras--;
@@ -538,17 +539,15 @@
         }
     }
 
-    public void executionEnded(double nowMs, QueryId id, int execution, Outcome told, double tookMs,
+    public void executionEnded(double nowMs, QueryId id, int execution, Outcome outcome, double tookMs,
                                boolean finished) {
         now = nowMs;
-        Outcome outcome = told == Outcome.FETCHED ? Outcome.COMPLETED : told;
         Query q = queries.get(id);
         if (q == null || execution >= q.execs.size() || q.execs.get(execution).ended) {
             return;
         }
         Execution e = q.execs.get(execution);
-        e.end(told);
-        tellsOfFetches |= e.fetched;
+        e.end(outcome);
         q.out--;
         if (outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED) {
             // Guards a node that goes on with work given up on: its place counts as taken for as long again.
@@ -676,24 +675,20 @@
     }
 
     private void pace(Execution e, boolean slow) {
-        // What had no answer may have been a fetch; of what had one, the node told, or nobody ever tells.
-        boolean fetch = e.mayFetch
-                && (e.fetched || !tellsOfFetches || !e.answered && e.node.shed < SHED_LITTLE);
-        Tally tally = fetch ? fetching : fleet;
-        if (slow && !fetch) {
+        Tally tally = e.mayFetch ? fetching : fleet;
+        Limit limit = e.mayFetch ? fetchLimit : fleetLimit;
+        if (slow && !e.mayFetch) {
             passOver(e.node);
-        } else if (!fetch) {
+        } else if (!e.mayFetch) {
             e.node.busyUntil = 0;
         }
         tally.add(now, slow ? Tally.BAD : Tally.GOOD);
         if (!slow) {
             grow(fleetLimit, outAtCaches);
-            if (fetch || !e.mayFetch) {
-                grow(fetchLimit, fetchesOut);
-            }
+            grow(fetchLimit, fetchesOut);
             hold = Math.min(1, hold + HOLD_GROWTH);
-        } else if (fetch ? oftenLate(tally) : overloaded()) {
-            cut(fetch ? fetchLimit : fleetLimit, e.sentAt);
+        } else if (e.mayFetch ? oftenLate(tally) : overloaded()) {
+            cut(limit, e.sentAt);
         }
     }
 
@@ -740,6 +735,19 @@
         n.asideUntil = now + ASIDE_MS + ASIDE_RANDOM_MS * random.nextDouble();
     }
 
+    /** What a router that takes over may know of the listed nodes. */
+    public List<Learnt> learnt() {
+        return nodes.values().stream().map(Node::learnt).filter(Objects::nonNull).toList();
+    }
+
+    /** Guards the first seconds after a switch; a node that is not listed, or started since, begins afresh. */
+    public void recall(double nowMs, List<Learnt> known) {
+        known.stream().filter(k -> nodes.containsKey(k.node()))
+                .filter(k -> nodes.get(k.node()).startedAt == k.startedAtMs())
+                .forEach(k -> nodes.get(k.node()).recall(k, nowMs + ASIDE_MS + ASIDE_RANDOM_MS,
+                        nowMs + BUSY_MOST_MS, TRIAL_GOOD));
+    }
+
     /** How many of the listed nodes are avoided now. */
     public int avoided(double nowMs) {
         return (int) nodes.values().stream()
--- a/src/main/java/dappleseam/site/SiteReader.java
+++ b/src/main/java/dappleseam/site/SiteReader.java
@@ -7,6 +7,8 @@
 import dappleseam.wire.Address;
 import dappleseam.wire.Json;
 import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -15,6 +17,9 @@
 
 /** The one place where what is given at start is read, checked and given defaults. */
 public final class SiteReader {
+    private static final Logger LOG = System.getLogger(SiteReader.class.getName());
+    /** What {@code weightSource} may say of the list's scales; the last two are its absence. */
+    private static final List<String> SCALES = List.of("nominal", "rough", "live", "off", "");
     private static final double MS_PER_S = 1000;
     /** Default of descriptors where no limit is told: what systems usually allow. */
     private static final int DESCRIPTORS = 1024;
@@ -106,13 +111,16 @@
         boolean retryAfter = ceilings.path("retryAfter").asBoolean();
         boolean onRequest = root.path("membershipMode").asText().equals("on_request");
         String scale = root.path("weightSource").asText();
+        if (!SCALES.contains(scale)) {
+            LOG.log(Level.WARNING, "{0}weightSource: {1} is not known, so all nodes count alike", at, scale);
+        }
         Deployment deployment = new Deployment(
                 List.copyOf(grades),
                 Math.max(1, root.path("balancers").asInt(1)),
                 extra.path("mode").asText().equals("aside") ? extra.path("originKind").asInt(-1) : -1,
                 scale.equals("nominal") || scale.equals("rough"),
                 scale.equals("live"),
-                root.path("zone").asInt(-1),
+                zone(root, at),
                 number(penalties, at + "penalties.", "crossZone", 0),
                 MS_PER_S * number(root, at, "tickS", 0),
                 (int) Math.ceil(positive(ceilings, inCeilings, "mostExecutions")),
@@ -132,6 +140,15 @@
                 (int) number(ceilings, inCeilings, "mostHeld", Integer.MAX_VALUE));
     }
 
+    /** Where this proxy stands among the locations that {@code dcs} names; -1 where nothing tells. */
+    private static int zone(JsonNode root, String at) {
+        double zone = number(root, at, "zone", -1);
+        if (zone != Math.rint(zone)) {
+            throw new FaultySettingException(at + "zone", "is no whole number");
+        }
+        return (int) zone;
+    }
+
     private static ServiceGrade grade(JsonNode grade, String at) {
         return new ServiceGrade(
                 switch (need(grade, at, "semantics").asText()) {
--- a/src/test/java/dappleseam/proxy/OperatingTest.java
+++ b/src/test/java/dappleseam/proxy/OperatingTest.java
@@ -252,6 +252,21 @@
         assertThat(sockets.cache.told).isEmpty();
     }
 
+    /** Guards the first seconds after a switch: what one process learnt of nodes reaches the next, and no start depends on it. */
+    @Test
+    void aNewProcessHearsWhatTheOldOneLearntOfANode() throws Exception {
+        sockets.start(folder, "").client();
+        sockets.awaitLog(folder, "nothing learnt is taken over");
+        Sockets.Client client = sockets.client();
+        read(client, "id1");
+        sockets.cache.next().answer("-BUSY\r\n");
+        sockets.origin.next().answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue");
+        assertThat(client.answer()).isEqualTo("value");
+        Thread.sleep(1500); // it is written once a second
+        startBeside();
+        sockets.awaitLog(folder, "learnt before of 1 nodes");
+    }
+
     /** Guards staff against a proxy that is busy, and against clients that hold all its connections. */
     @Test
     void theDoorAnswersInTimeWhileClientsTakeAllThereIs() throws Exception {
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -615,4 +615,43 @@
             assertThat(crossed > 10).isEqualTo(tookAtOrigin > 100);
         }
     }
+
+    /** Guards the first seconds after a switch: with what was learnt an ill cache is avoided, without it each finds out anew. */
+    @Test
+    void aRouterThatTakesOverAvoidsWhatIsIllAndNothingElse() {
+        OneProxy old = new OneProxy(OneProxy.through(OneProxy.READ)).listed(3);
+        for (int id = 1; old.router.learnt().isEmpty(); id++) {
+            old.ask(1000, id, 42);
+            old.ended(1000, id, 0, Outcome.CONNECT_FAILED, 0);
+        }
+        List<Learnt> learnt = old.router.learnt();
+        long ill = learnt.get(0).node().value();
+        for (boolean told : new boolean[] {true, false}) {
+            OneProxy fresh = new OneProxy(OneProxy.through(OneProxy.READ)).listed(3);
+            fresh.router.recall(1200, told ? learnt : List.of());
+            for (int key = 0; key < 40; key++) {
+                fresh.ask(1300, key, key);
+                fresh.ended(1301, key, 0, Outcome.COMPLETED, 1);
+            }
+            assertThat(fresh.sentTo.contains(new NodeId(ill))).isNotEqualTo(told);
+        }
+        OneProxy restarted = new OneProxy(OneProxy.through(OneProxy.READ)).listed(3);
+        restarted.router.listChanged(1200, List.of(OneProxy.member(ill, Member.State.READY, 1100)));
+        restarted.router.recall(1200, learnt);
+        assertThat(restarted.router.avoided(1300)).isZero();
+    }
+
+    /** Guards against a file that is wrong: what it says of a node holds for seconds at most, and the list wins. */
+    @Test
+    void whatIsRecalledIsBoundedAndNeverOverrulesTheList() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(3);
+        p.router.recall(1000, List.of(new Learnt(new NodeId(1), 0, 1e15, 1e15, 0, 0),
+                new Learnt(new NodeId(2), 0, 1e15, 0, 0, 0), new Learnt(new NodeId(77), 0, 0, 0, 0, 0)));
+        p.router.listChanged(1001, List.of(OneProxy.member(3, Member.State.DRAINING, 0),
+                OneProxy.member(99, Member.State.DRAINING, 0)));
+        p.ask(1002, 1, 42);
+        assertThat(p.done).containsExactly("reject 1");
+        p.ask(3501, 2, 42);
+        assertThat(p.last().value()).isIn(1L, 2L);
+    }
 }
--- a/src/test/java/dappleseam/site/SiteReaderTest.java
+++ b/src/test/java/dappleseam/site/SiteReaderTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import dappleseam.router.Deployment;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -37,10 +38,31 @@
         "\"statementTimeoutS\":1 | \"x\":1 | serviceGrades[0].statementTimeoutS: is missing",
         "\"name\":\"read\" | \"x\":1 | serviceGrades[0].name: is missing",
         "\"rules\" | \"rule\" | rules: is missing",
+        "\"rules\" | \"zone\":\"north\",\"rules\" | zone: is not a number from 0",
+        "\"rules\" | \"zone\":0.5,\"rules\" | zone: is no whole number",
+        "\"rules\" | \"penalties\":{\"crossZone\":-1},\"rules\" | penalties.crossZone: is not a number from 0",
         "{\"name\":\"read\",\"semantics\":\"read_like\",\"sloTimeS\":0.5,\"statementTimeoutS\":1} | '' | serviceGrades: is empty"})
     void aFaultNamesItsKey(String sound, String faulty, String message) {
         assertThat(SITE).contains(sound);
         assertThatThrownBy(() -> read(SITE.replace(sound, faulty)))
                 .isInstanceOf(FaultySettingException.class).hasMessage(message);
     }
+
+    /** The move: what the module newly reads, and that its absence or an unknown word leaves all as it was. */
+    @Test
+    void scalesThatMoveTheOwnZoneAndThePriceOfCrossingAreRead() {
+        Deployment told = read(SITE.replace("\"rules\"", "\"weightSource\":\"live\",\"zone\":1,\"penalties\":"
+                + "{\"crossZone\":0.12},\"rules\"")).deployment();
+        assertThat(told.scaleMoves()).isTrue();
+        assertThat(told.scaleIsStable()).isFalse();
+        assertThat(told.zone()).isEqualTo(1);
+        assertThat(told.crossPrice()).isEqualTo(0.12);
+        for (String other : new String[] {"", "\"weightSource\":\"lunar\","}) {
+            Deployment untold = read(SITE.replace("\"rules\"", other + "\"rules\"")).deployment();
+            assertThat(untold.scaleMoves()).isFalse();
+            assertThat(untold.scaleIsStable()).isFalse();
+            assertThat(untold.zone()).isEqualTo(-1);
+            assertThat(untold.crossPrice()).isZero();
+        }
+    }
 }
