--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -141,14 +141,12 @@
     private double ringScale;
     /** Share of the keys that each location keeps for itself: what the origin bears, as misses double. */
     private double copied = 1;
-    /** Of the own location's caches. */
-    private double scaleNear;
+    private double scaleNear; // of the own location's caches
     private boolean ringIsStale;
     private Node origin;
     private int outAtCaches;
     private double heldUsually;
-    /** The longest that a client has waited for one try, by grade, in ms. */
-    private double[] longestTry = {};
+    private double[] longestTry = {}; // that a client has waited for, by grade, in ms
     private int walk;
     private double extras = EXTRA_MOST;
     private boolean followed;
@@ -403,8 +401,8 @@
     }
 
     /**
-     * Guards a cache that the list tells to be full: a share of each proxy's keys goes on to successors. It
-     * rises quickly and falls slowly, since news is late and the same for all: else all come and go together.
+     * Guards a cache that the list tells to be full: a share of each proxy's keys goes on to successors,
+     * quickly more and slowly less, since news is late and the same for all: else they come and go together.
      */
     private void shed(Node n) {
         double over = n.held / Math.max(HELD_FLOOR, SKIP_MULTIPLE * heldUsually) - 1;
@@ -611,11 +609,10 @@
         double slowShare = n.isOrigin ? SLOW_ORIGIN : SLOW_ANSWER;
         boolean slow = tookMs > slowShare * q.grade.sloMs() + q.asking.workMs();
         boolean late = slow || outcome == Outcome.TIMED_OUT && !q.impatient;
-        if (n.isOrigin && !q.asking.write()) {
-            boolean queued = outcome == Outcome.TIMED_OUT || tookMs > SLOW_ANSWER * q.grade.sloMs();
-            copied = Math.max(0, Math.min(1, copied + (queued ? -COPIED_DOWN : COPIED_UP)));
-        }
         if (n.isOrigin) {
+            boolean queued = outcome == Outcome.TIMED_OUT || tookMs > SLOW_ANSWER * q.grade.sloMs();
+            double step = q.asking.write() ? 0 : queued ? -COPIED_DOWN : COPIED_UP;
+            copied = Math.max(0, Math.min(1, copied + step));
             n.tally.add(now, late ? Tally.BAD : Tally.GOOD);
         } else if (outcome == Outcome.TIMED_OUT && late) {
             pace(e, true);
@@ -740,12 +737,12 @@
         return nodes.values().stream().map(Node::learnt).filter(Objects::nonNull).toList();
     }
 
-    /** Guards the first seconds after a switch; a node that is not listed, or started since, begins afresh. */
+    /** Guards the first seconds after a switch; a node not listed, or started since, begins afresh. */
     public void recall(double nowMs, List<Learnt> known) {
-        known.stream().filter(k -> nodes.containsKey(k.node()))
-                .filter(k -> nodes.get(k.node()).startedAt == k.startedAtMs())
-                .forEach(k -> nodes.get(k.node()).recall(k, nowMs + ASIDE_MS + ASIDE_RANDOM_MS,
-                        nowMs + BUSY_MOST_MS, TRIAL_GOOD));
+        double asideMost = nowMs + ASIDE_MS + ASIDE_RANDOM_MS;
+        known.stream().filter(k -> nodes.containsKey(k.node())
+                && nodes.get(k.node()).startedAt == k.startedAtMs())
+                .forEach(k -> nodes.get(k.node()).recall(k, asideMost, nowMs + BUSY_MOST_MS, TRIAL_GOOD));
     }
 
     /** How many of the listed nodes are avoided now. */
