--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -610,8 +610,9 @@
         boolean slow = tookMs > slowShare * q.grade.sloMs() + q.asking.workMs();
         boolean late = slow || outcome == Outcome.TIMED_OUT && !q.impatient;
         if (n.isOrigin) {
-            boolean queued = outcome == Outcome.TIMED_OUT || tookMs > SLOW_ANSWER * q.grade.sloMs();
-            double step = q.asking.write() ? 0 : queued ? -COPIED_DOWN : COPIED_UP;
+            boolean queued = tookMs > SLOW_ANSWER * q.grade.sloMs(); // a lost answer tells nothing of it
+            boolean tells = outcome == Outcome.COMPLETED && !q.asking.write();
+            double step = !tells ? 0 : queued ? -COPIED_DOWN : COPIED_UP;
             copied = Math.max(0, Math.min(1, copied + step));
             n.tally.add(now, late ? Tally.BAD : Tally.GOOD);
         } else if (outcome == Outcome.TIMED_OUT && late) {
