--- a/src/main/java/dappleseam/router/Node.java
+++ b/src/main/java/dappleseam/router/Node.java
@@ -48,13 +48,19 @@
         this.share = share;
     }
 
-    /** Takes over what the list says; a restarted process shares nothing with the one that failed. */
-    void learn(Member m, double newScale, boolean scaleMoves) {
+    /**
+     * Takes over what the list says; a restarted process shares nothing with the one that failed. Whether the ring
+     * is another by it.
+     */
+    boolean learn(Member m, double newScale, boolean scaleMoves) {
+        boolean moves = state != m.state() || scale != newScale || zone != m.zone();
         if (m.startedAtMs() != startedAt) {
             strikes = 0;
             asideUntil = 0;
             trialsLeft = 0;
             tally.clear();
+            shed = 0;
+            held = 0;
         }
         state = m.state();
         startedAt = m.startedAtMs();
@@ -65,6 +71,7 @@
             idleScale = Math.max(idleScale, m.scale());
             held = idleScale / m.scale() - 1;
         }
+        return moves;
     }
 
     /** The same tokens at every proxy, and fewer of the same where the scale is smaller. */
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -185,6 +185,7 @@
     public void listGiven(double nowMs, List<Member> members, boolean remembered) {
         boolean before = followed;
         nodes.values().forEach(n -> n.state = Member.State.GONE);
+        ringIsStale = true;
         listChanged(nowMs, members);
         followed = before || !remembered;
     }
@@ -195,7 +196,8 @@
         askWait = ASK_AGAIN_MS;
         members.forEach(this::learn);
         nodes.values().removeIf(n -> n.state == Member.State.GONE); // guards long days: ids are ever new
-        ringIsStale = true; // built anew for the next query: a thin proxy sees many changes between two
+        heldUsually = caches.stream().mapToDouble(n -> n.held).sorted().skip(caches.size() / 2)
+                .findFirst().orElse(0);
     }
 
     public void listFailed(double nowMs) {
@@ -221,7 +223,8 @@
         double first = Math.max(LIMIT_FIRST_LEAST, LIMIT_FIRST / site.proxies());
         Node n = nodes.computeIfAbsent(m.node(), id -> new Node(id, isOrigin, new Tally(BUCKETS, BUCKET_MS),
                 new Limit(first, isOrigin ? SCARCE_LEAST : LIMIT_LEAST), new Share(MEMORY)));
-        n.learn(m, site.scaleIsStable() && m.scale() > 0 ? m.scale() : 1, site.scaleMoves());
+        // Built anew for the next query: a thin proxy hears of many changes between two; load is none.
+        ringIsStale |= n.learn(m, site.scaleIsStable() && m.scale() > 0 ? m.scale() : 1, site.scaleMoves());
         shed(n);
     }
 
@@ -232,11 +235,6 @@
         origin = nodes.values().stream().filter(isReady.and(n -> n.isOrigin)).findFirst().orElse(null);
         List<Node> ready = nodes.values().stream().filter(isReady.and(n -> !n.isOrigin))
                 .sorted(Comparator.comparingLong(n -> n.id.value())).toList();
-        heldUsually = ready.stream().mapToDouble(n -> n.held).sorted().skip(ready.size() / 2)
-                .findFirst().orElse(0);
-        if (ready.equals(caches) && ringScale == ready.stream().mapToDouble(n -> n.scale).sum()) {
-            return; // a list whose scales move with load is new each second, and its ring is not
-        }
         double largest = ready.stream().mapToDouble(n -> n.scale).max().orElse(1);
         // A power of two as the unit: tokens change only when the largest machine's class does.
         double unit = Math.pow(2, Math.ceil(Math.log(largest) / Math.log(2) - 1e-9));
@@ -359,7 +357,8 @@
         q.crowded = false;
         walk++;
         int found = Arrays.binarySearch(ring, q.hash >> INDEX_BITS << INDEX_BITS);
-        int at = found < 0 ? -found - 1 : found;
+        int first = found < 0 ? -found - 1 : found;
+        int at = first;
         boolean nearFirst = q.nearFirst;
         int step = nearFirst ? 0 : ring.length;
         for (; step < 2 * ring.length && (nearFirst || seen < CHOICES); step++, at++) {
@@ -390,6 +389,7 @@
             }
             if (nearFirst && seen == CHOICES) { // the own location has no room: on to the other
                 step = ring.length - 1;
+                at = first - 1;
             }
         }
         return least;
--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -166,6 +166,21 @@
         assertTwoReadsHaveAConnectionEach(client);
     }
 
+    /** The move: a connection that carries one query at a time, where open connections have a price and would be shared. */
+    @Test
+    void whereAConnectionCarriesOneQueryTwoOpenOnesHaveOneEach() throws Exception {
+        Sockets.Client client = sockets.start(folder, ",\"streamsPerConn\":1").client();
+        client.send("C.GET", "00000000000000aa", "id0", "c=read,d=9000");
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000,r=1,costGuessS=0.03");
+        Sockets.Told first = sockets.cache.next();
+        Sockets.Told second = sockets.cache.next();
+        assertThat(first.from()).isNotSameAs(second.from());
+        first.answer(hit("value"));
+        second.answer(hit("value"));
+        assertThat(client.answer()).isEqualTo("value");
+        assertThat(client.answer()).isEqualTo("value");
+    }
+
     /** Guards what would wait behind an answer that never comes, on a connection that stays open. */
     @Test
     void afterAnAnswerThatNeverCameTwoCommandsHaveAConnectionEach() throws Exception {
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -654,4 +654,43 @@
         p.ask(3501, 2, 42);
         assertThat(p.last().value()).isIn(1L, 2L);
     }
+
+    /** Guards against a ring that is kept though two caches have changed places in size. */
+    @Test
+    void cachesThatExchangeTheirScalesExchangeTheirKeys() {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ));
+        int[] ofSecond = new int[2];
+        for (int turn = 0; turn < 2; turn++) {
+            p.router.listChanged(1000, List.of(new Member(new NodeId(1), Member.State.READY, 0, 0, 0, 4 - 3 * turn, 0),
+                    new Member(new NodeId(2), Member.State.READY, 0, 0, 0, 1 + 3 * turn, 0)));
+            for (int key = 0; key < 200; key++) {
+                p.ask(1000, 1000 * turn + key, key);
+                p.ended(1000, 1000 * turn + key, 0, Outcome.COMPLETED, 1);
+                ofSecond[turn] += p.last().value() == 2 ? 1 : 0;
+            }
+        }
+        assertThat(ofSecond[0]).isBetween(10, 80);
+        assertThat(ofSecond[1]).isBetween(120, 190);
+    }
+
+    /** Where the own location is full, a key goes where the other location keeps it: from its hash on, not from the last one met. */
+    @Test
+    void aKeyThatSpillsOverGoesToItsOwnerThere() {
+        for (int key = 0; key < 60; key++) {
+            OneProxy there = new OneProxy(OneProxy.live(0.12)).listed(9);
+            there.router.listChanged(1001, IntStream.of(1, 3, 5, 7, 9, 99).mapToObj(
+                    n -> OneProxy.member(n, Member.State.DRAINING, 0)).toList());
+            there.ask(1002, 1, key);
+            OneProxy full = new OneProxy(OneProxy.live(0.12)).listed(9);
+            full.router.listChanged(1001, IntStream.of(5, 7, 9).mapToObj(
+                    n -> OneProxy.member(n, Member.State.DRAINING, 0)).toList());
+            full.ask(1001, 0, key);
+            for (int news = 0; news < 60; news++) {
+                full.router.listChanged(1001 + news, IntStream.of(1, 3, 99).mapToObj(
+                        n -> OneProxy.live(n, 1, 0.0001)).toList());
+            }
+            full.ask(1100, 1, key);
+            assertThat(full.last()).isEqualTo(there.last());
+        }
+    }
 }
