Say once what the move said twice: statement timeouts, sealed files, answers of stand-ins

Read over once more; behaviour stays as it is. The statement timeout stood in Site and, since the move, in the service grade: the grade's serves both. The list and what was learnt made their JSON and their file's name each by itself: SealedFile writes both, leftFile names both. serve.sh kept the last line for nothing.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -14,7 +14,7 @@
     rest=${rest#:}
     rest=${rest#"${rest%%[![:space:]]*}"}
     memory=${rest%%[!0-9]*};;
-  *) text=$line;; # the key itself never stands on two lines
+  *) text='';; # the key itself never stands on two lines
   esac
 done < "${NODE_CONFIG:?names no file}"
 quarter=$((${memory:-192} / 4))
--- a/src/main/java/dappleseam/list/ListFile.java
+++ b/src/main/java/dappleseam/list/ListFile.java
@@ -1,9 +1,7 @@
 package dappleseam.list;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.databind.JsonNode;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Locale;
@@ -16,7 +14,7 @@
     private ListFile() {}
 
     public static void write(Path file, NodeList list) throws IOException {
-        SealedFile.write(file, VERSION, json(list));
+        SealedFile.write(file, VERSION, json -> write(json, list));
     }
 
     /** The list in the file; an exception says why it is of no use. */
@@ -24,28 +22,24 @@
         return SealedFile.read(file, VERSION);
     }
 
-    private static byte[] json(NodeList list) throws IOException {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        try (JsonGenerator json = new JsonFactory().createGenerator(out)) {
+    private static void write(JsonGenerator json, NodeList list) throws IOException {
+        json.writeStartObject();
+        json.writeNumberField("rev", list.version());
+        json.writeBooleanField("all", list.whole());
+        json.writeArrayFieldStart("targets");
+        for (Listed entry : list.entries()) {
             json.writeStartObject();
-            json.writeNumberField("rev", list.version());
-            json.writeBooleanField("all", list.whole());
-            json.writeArrayFieldStart("targets");
-            for (Listed entry : list.entries()) {
-                json.writeStartObject();
-                json.writeStringField("uid", entry.uid());
-                json.writeStringField("endpoint", entry.endpoint().getHostString() + ':' + entry.endpoint().getPort());
-                json.writeStringField("az", entry.zone());
-                json.writeStringField("model", entry.machine());
-                json.writeNumberField("pod_group", entry.member().cell());
-                json.writeStringField("state", entry.member().state().name().toLowerCase(Locale.ROOT));
-                json.writeNumberField("capacity_hint", entry.member().scale());
-                json.writeNumberField("boot_ms", entry.member().startedAtMs());
-                json.writeEndObject();
-            }
-            json.writeEndArray();
+            json.writeStringField("uid", entry.uid());
+            json.writeStringField("endpoint", entry.endpoint().getHostString() + ':' + entry.endpoint().getPort());
+            json.writeStringField("az", entry.zone());
+            json.writeStringField("model", entry.machine());
+            json.writeNumberField("pod_group", entry.member().cell());
+            json.writeStringField("state", entry.member().state().name().toLowerCase(Locale.ROOT));
+            json.writeNumberField("capacity_hint", entry.member().scale());
+            json.writeNumberField("boot_ms", entry.member().startedAtMs());
             json.writeEndObject();
         }
-        return out.toByteArray();
+        json.writeEndArray();
+        json.writeEndObject();
     }
 }
--- a/src/main/java/dappleseam/list/SealedFile.java
+++ b/src/main/java/dappleseam/list/SealedFile.java
@@ -1,5 +1,7 @@
 package dappleseam.list;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.databind.JsonNode;
 import dappleseam.wire.Json;
 import java.io.ByteArrayOutputStream;
@@ -18,8 +20,18 @@
 
     private SealedFile() {}
 
+    /** Writes the JSON of one file. */
+    public interface Content {
+        void write(JsonGenerator json) throws IOException;
+    }
+
     /** Replaces the file as a whole. */
-    public static void write(Path file, String version, byte[] body) throws IOException {
+    public static void write(Path file, String version, Content content) throws IOException {
+        ByteArrayOutputStream written = new ByteArrayOutputStream();
+        try (JsonGenerator json = new JsonFactory().createGenerator(written)) {
+            content.write(json);
+        }
+        byte[] body = written.toByteArray();
         Path beside = file.resolveSibling(file.getFileName() + ".new");
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         all.write((version + ' ' + checkSum(body) + '\n').getBytes(StandardCharsets.US_ASCII));
--- a/src/main/java/dappleseam/proxy/LearntFile.java
+++ b/src/main/java/dappleseam/proxy/LearntFile.java
@@ -1,13 +1,11 @@
 package dappleseam.proxy;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.databind.JsonNode;
 import dappleseam.list.SealedFile;
 import dappleseam.router.Learnt;
 import dappleseam.router.NodeId;
 import dappleseam.site.Site;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -29,26 +27,26 @@
     private LearntFile() {}
 
     static void write(Path file, Site site, double nowMs, List<Learnt> learnt) throws IOException {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        try (JsonGenerator json = new JsonFactory().createGenerator(out)) {
+        SealedFile.write(file, VERSION, json -> write(json, site, nowMs, learnt));
+    }
+
+    private static void write(JsonGenerator json, Site site, double nowMs, List<Learnt> learnt) throws IOException {
+        json.writeStartObject();
+        json.writeStringField("deployment", deployment(site));
+        json.writeNumberField("at", nowMs);
+        json.writeArrayFieldStart("nodes");
+        for (Learnt one : learnt.subList(0, Math.min(MOST, learnt.size()))) {
             json.writeStartObject();
-            json.writeStringField("deployment", deployment(site));
-            json.writeNumberField("at", nowMs);
-            json.writeArrayFieldStart("nodes");
-            for (Learnt one : learnt.subList(0, Math.min(MOST, learnt.size()))) {
-                json.writeStartObject();
-                json.writeStringField("node", Long.toHexString(one.node().value()));
-                json.writeNumberField("started", one.startedAtMs());
-                json.writeNumberField("aside", one.asideUntilMs());
-                json.writeNumberField("busy", one.busyUntilMs());
-                json.writeNumberField("idle", one.idleScale());
-                json.writeNumberField("shed", one.shed());
-                json.writeEndObject();
-            }
-            json.writeEndArray();
+            json.writeStringField("node", Long.toHexString(one.node().value()));
+            json.writeNumberField("started", one.startedAtMs());
+            json.writeNumberField("aside", one.asideUntilMs());
+            json.writeNumberField("busy", one.busyUntilMs());
+            json.writeNumberField("idle", one.idleScale());
+            json.writeNumberField("shed", one.shed());
             json.writeEndObject();
         }
-        SealedFile.write(file, VERSION, out.toByteArray());
+        json.writeEndArray();
+        json.writeEndObject();
     }
 
     /** What can be used of it; an exception says why nothing can. An entry that is odd is left out alone. */
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -344,7 +344,7 @@
     private double waits(Command command, int grade) {
         String text = command.fact("d");
         return grade < 0 || !MS.matcher(text).matches() ? -1
-                : Math.min(Double.parseDouble(text), site.statementTimeoutsMs().get(grade));
+                : Math.min(Double.parseDouble(text), site.deployment().grades().get(grade).timeoutMs());
     }
 
     /** The client's guess of the work, which it gives in s; 0 where there is none, or none that can be. */
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -7,12 +7,13 @@
 import dappleseam.control.Staff;
 import dappleseam.list.ListFile;
 import dappleseam.list.NodeList;
+import dappleseam.router.Learnt;
+import dappleseam.router.ServiceGrade;
 import dappleseam.site.FaultySettingException;
 import dappleseam.site.Post;
 import dappleseam.site.SiteReader;
 import dappleseam.wire.BufferPool;
 import dappleseam.wire.Link;
-import dappleseam.router.Learnt;
 import dappleseam.wire.RespWriter;
 import java.io.IOException;
 import java.lang.System.Logger;
@@ -20,7 +21,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -72,6 +72,9 @@
     private static final double LIST_WAIT_MS = 2500;
     /** Time in ms between two writings of what was learnt: a share of the time for which it is news. */
     private static final double LEARNT_EVERY_MS = 1000;
+    /** Ends of the names of what one process leaves for the next. */
+    private static final String LIST = "-list";
+    private static final String LEARNT = "-learnt";
 
     @Option(names = "--config", defaultValue = "${env:NODE_CONFIG}", required = true,
             description = "What this proxy is told at its start, as JSON (default: the file that NODE_CONFIG names).")
@@ -150,7 +153,9 @@
     }
 
     private static double killAfterMs(Post post) {
-        return Math.min(LONGEST_WAIT_MS, Collections.max(post.site().statementTimeoutsMs())) + KILL_MORE_MS;
+        double longest = post.site().deployment().grades().stream().mapToDouble(ServiceGrade::timeoutMs).max()
+                .orElseThrow();
+        return Math.min(LONGEST_WAIT_MS, longest) + KILL_MORE_MS;
     }
 
     /** Null, with the cause said, where it cannot. */
@@ -245,7 +250,7 @@
     /** Guards rule 3 over an upgrade: what the other process was told of drains holds for this one. */
     private static Post withTakenOver(Post post) {
         try {
-            JsonNode list = ListFile.read(listFile(post));
+            JsonNode list = ListFile.read(leftFile(post, LIST));
             long version = post.known().path("rev").asLong(-1);
             if (list.path("rev").asLong() >= version) {
                 LOG.log(Level.INFO, "list taken over at version {0}, the file had {1}", list.path("rev").asLong(), version);
@@ -260,7 +265,7 @@
     /** Guards the first seconds after a switch: nodes that are ill, and known to be, are still avoided. */
     private List<Learnt> learntBefore(Post post) {
         try {
-            List<Learnt> learnt = seats == null ? List.of() : LearntFile.read(learntFile(post), post.site(), loop.nowMs());
+            List<Learnt> learnt = seats == null ? List.of() : LearntFile.read(leftFile(post, LEARNT), post.site(), loop.nowMs());
             LOG.log(Level.INFO, "learnt before of {0} nodes", learnt.size());
             return learnt;
         } catch (IOException | RuntimeException e) { // it was worth a try
@@ -269,12 +274,9 @@
         }
     }
 
-    private static Path learntFile(Post post) {
-        return folder().resolve(Seats.VERSION).resolve(Seats.name(post.listen()) + "-learnt");
-    }
-
-    private static Path listFile(Post post) {
-        return folder().resolve(Seats.VERSION).resolve(Seats.name(post.listen()) + "-list");
+    /** Where processes on one address leave something for each other. */
+    private static Path leftFile(Post post, String what) {
+        return folder().resolve(Seats.VERSION).resolve(Seats.name(post.listen()) + what);
     }
 
     /** On the door's thread. */
@@ -283,7 +285,7 @@
         if (serving != null && serving.lastList() != kept && seats.isFirst()) {
             kept = serving.lastList();
             try {
-                ListFile.write(listFile(post), kept);
+                ListFile.write(leftFile(post, LIST), kept);
             } catch (IOException e) {
                 LOG.log(Level.WARNING, "the list is not kept for a process that takes over: {0}", e.toString());
             }
@@ -299,7 +301,7 @@
             learntKeptAt = now;
             learntKept = serving.learnt();
             try {
-                LearntFile.write(learntFile(post), post.site(), now, learntKept);
+                LearntFile.write(leftFile(post, LEARNT), post.site(), now, learntKept);
             } catch (IOException e) {
                 LOG.log(Level.WARNING, "what was learnt is not kept: {0}", e.toString());
             }
--- a/src/main/java/dappleseam/router/ServiceGrade.java
+++ b/src/main/java/dappleseam/router/ServiceGrade.java
@@ -1,6 +1,9 @@
 package dappleseam.router;
 
-/** What is promised for one kind of query; {@code tardyShare} of its importance is paid past the SLO time, up to the statement timeout. */
+/**
+ * What is promised for one kind of query; {@code tardyShare} of its importance is paid past the SLO time, up to the
+ * statement timeout.
+ */
 public record ServiceGrade(Repeat repeat, Group group, double windowMs, double sloMs,
                            double timeoutMs, double importance, double tardyShare, boolean stream) {
     public enum Repeat { IDEMPOTENT, DEDUPLICATED, NON_IDEMPOTENT }
--- a/src/main/java/dappleseam/site/SiteReader.java
+++ b/src/main/java/dappleseam/site/SiteReader.java
@@ -94,7 +94,6 @@
         String inCeilings = at + "ceilings.";
         List<ServiceGrade> grades = new ArrayList<>();
         List<String> names = new ArrayList<>();
-        List<Double> timeouts = new ArrayList<>();
         for (JsonNode grade : need(root, at, "serviceGrades")) {
             String inGrade = at + "serviceGrades[" + grades.size() + "].";
             grades.add(grade(grade, inGrade));
@@ -103,7 +102,6 @@
                 throw new FaultySettingException(inGrade + "name", name.isEmpty() ? "is empty" : "is used twice: " + name);
             }
             names.add(name);
-            timeouts.add(MS_PER_S * positive(grade, inGrade, "statementTimeoutS"));
         }
         if (grades.isEmpty()) {
             throw new FaultySettingException(at + "serviceGrades", "is empty");
@@ -132,8 +130,7 @@
                 MS_PER_S * number(rules, at + "rules.", "warmAfterS"),
                 number(penalties, at + "penalties.", "connection", 0),
                 number(penalties, at + "penalties.", "handshake", 0));
-        return new Site(deployment, List.copyOf(names), List.copyOf(timeouts), names(root.path("flavors")),
-                names(root.path("dcs")),
+        return new Site(deployment, List.copyOf(names), names(root.path("flavors")), names(root.path("dcs")),
                 Math.max(1, (int) number(ceilings, inCeilings, "streamsPerConn", 1)),
                 MS_PER_S * number(ceilings, inCeilings, "idleCloseS", 60),
                 MS_PER_S * number(ceilings, inCeilings, "connectTimeoutS", 1),
--- a/src/test/java/dappleseam/proxy/LearntFileTest.java
+++ b/src/test/java/dappleseam/proxy/LearntFileTest.java
@@ -60,7 +60,7 @@
         String nodes = String.join(",", sound, sound.replace("0.5", "1.5"), sound.replace("\"a\"", "\"zz\""),
                 sound.replace("\"busy\":3", "\"busy\":-3"), sound.replace("\"idle\":4,", ""), "7");
         SealedFile.write(file, "dappleseam-learnt-1",
-                ("{\"deployment\":\"m;a,b\",\"at\":5000,\"nodes\":[" + nodes + "]}").getBytes(StandardCharsets.UTF_8));
+                json -> json.writeRaw("{\"deployment\":\"m;a,b\",\"at\":5000,\"nodes\":[" + nodes + "]}"));
         assertThat(LearntFile.read(file, site("\"m\""), 5000))
                 .containsExactly(new Learnt(new NodeId(10), 1, 2, 3, 4, 0.5));
     }
--- a/src/test/java/dappleseam/proxy/LongValuesTest.java
+++ b/src/test/java/dappleseam/proxy/LongValuesTest.java
@@ -164,7 +164,7 @@
             assertThat(asked.words()).contains("Content-Length: " + LONG);
             assertThat(asked.words().get(asked.words().size() - 1).getBytes(StandardCharsets.ISO_8859_1))
                     .isEqualTo(value(which));
-            asked.answer("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nreceipt");
+            asked.answer(Sockets.ok("receipt"));
             assertThat(clients.get(which).answer()).isEqualTo("receipt");
         }
     }
--- a/src/test/java/dappleseam/proxy/OperatingTest.java
+++ b/src/test/java/dappleseam/proxy/OperatingTest.java
@@ -1,5 +1,7 @@
 package dappleseam.proxy;
 
+import static dappleseam.proxy.Sockets.hit;
+import static dappleseam.proxy.Sockets.ok;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
@@ -19,8 +21,6 @@
 
 /** Starts the program and runs it as operators do: door, drain and upgrade. */
 class OperatingTest {
-    private static final String HIT = "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n";
-
     @TempDir
     Path folder;
     private Sockets sockets;
@@ -53,7 +53,7 @@
         Sockets.Client client = sockets.start(folder, "").client();
         for (int i = 0; i < 3; i++) {
             read(client, "id" + i);
-            sockets.cache.next().answer(HIT);
+            sockets.cache.next().answer(hit("value"));
             assertThat(client.answer()).isEqualTo("value");
         }
         client.send("C.SET", "00000000000000aa", "w1", "c=put,d=9000", "v");
@@ -122,7 +122,7 @@
         assertThat(late.answer()).startsWith("-ERR");
         assertThat(idle.isAtEnd()).isTrue();
         assertThat(late.isAtEnd()).isTrue();
-        asked.answer(HIT);
+        asked.answer(hit("value"));
         assertThat(busy.answer()).isEqualTo("value");
         assertThat(busy.isAtEnd()).isTrue();
         assertThat(sockets.call("POST /control/in-service")).startsWith("HTTP/1.1 200");
@@ -156,7 +156,7 @@
         second.from().close();
         assertThat(after.answer()).startsWith("-ERR");
         after.send("C.GET", "00000000000000aa", "r1", "c=fresh,d=9000");
-        sockets.cache.next().answer(HIT);
+        sockets.cache.next().answer(hit("value"));
         assertThat(after.answer()).isEqualTo("value");
         after.send("C.GET", "00000000000000aa", "r2", "c=read,d=9000");
         assertThat(after.answer()).startsWith("-ERR");
@@ -179,7 +179,7 @@
         awaitFigures("app_config_reload_errors_total 1\n");
         sockets.awaitLog(folder, "configuration not taken: " + key);
         read(client, "id1");
-        sockets.cache.next().answer(HIT);
+        sockets.cache.next().answer(hit("value"));
         assertThat(client.answer()).isEqualTo("value");
         assertThat(sockets.call("GET /control/counters")).contains("app_config_reloads_total 0\n").doesNotContain("fresh");
     }
@@ -207,7 +207,7 @@
             assertThat(client.answer()).isEqualTo("+PONG");
             client.socket.close();
         }
-        asked.answer("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nreceipt");
+        asked.answer(ok("receipt"));
         assertThat(writer.answer()).isEqualTo("receipt");
         assertThat(writer.isAtEnd()).isTrue();
         assertThat(sockets.program.waitFor(2, TimeUnit.SECONDS)).isTrue();
@@ -224,7 +224,7 @@
         sockets.awaitLog(folder, "alone on this address");
         Sockets.Client client = sockets.client();
         read(client, "id1");
-        sockets.cache.next().answer(HIT);
+        sockets.cache.next().answer(hit("value"));
         assertThat(client.answer()).isEqualTo("value");
         assertThat(Sockets.call(door, "GET /control/ready HTTP/1.1")).startsWith("HTTP/1.1 200");
         sockets.program.destroy();
@@ -237,7 +237,7 @@
         sockets.start(folder, "").client();
         String list = "{\"rev\":7,\"all\":true,\"targets\":[" + Sockets.entry("s-1", sockets.cache, "m", "draining") + ","
                 + Sockets.entry("s-0", sockets.origin, "origin", "ready") + "]}";
-        sockets.list.next().answer("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+        sockets.list.next().answer(ok(list));
         sockets.awaitLog(folder, "DRAINING");
         awaitFigures("app_members_unavailable 1\n");
         Thread.sleep(500); // the old process writes it within 0.1 s
@@ -247,7 +247,7 @@
         sockets.awaitLog(folder, "another process takes the clients");
         Sockets.Client client = sockets.client();
         read(client, "id1");
-        sockets.origin.next().answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue");
+        sockets.origin.next().answer(ok("value"));
         assertThat(client.answer()).isEqualTo("value");
         assertThat(sockets.cache.told).isEmpty();
     }
@@ -260,7 +260,7 @@
         Sockets.Client client = sockets.client();
         read(client, "id1");
         sockets.cache.next().answer("-BUSY\r\n");
-        sockets.origin.next().answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue");
+        sockets.origin.next().answer(ok("value"));
         assertThat(client.answer()).isEqualTo("value");
         Thread.sleep(1500); // it is written once a second
         startBeside();
--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -1,5 +1,7 @@
 package dappleseam.proxy;
 
+import static dappleseam.proxy.Sockets.hit;
+import static dappleseam.proxy.Sockets.ok;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
@@ -44,14 +46,6 @@
         sockets.close();
     }
 
-    private static String hit(String value) {
-        return "*3\r\n$" + value.length() + "\r\n" + value + "\r\n$3\r\nhit\r\n$-1\r\n";
-    }
-
-    private static String ok(String body) {
-        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
-    }
-
     @Test
     void aReadIsAnsweredWithWhatTheCacheSends() throws Exception {
         Sockets.Client client = sockets.start(folder, "").client();
--- a/src/test/java/dappleseam/proxy/Sockets.java
+++ b/src/test/java/dappleseam/proxy/Sockets.java
@@ -96,6 +96,16 @@
         }
     }
 
+    /** What a cache answers that holds the value. */
+    static String hit(String value) {
+        return "*3\r\n$" + value.length() + "\r\n" + value + "\r\n$3\r\nhit\r\n$-1\r\n";
+    }
+
+    /** What the origin or the list service answers. */
+    static String ok(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
     /** One RESP message's words, or one HTTP head's lines. */
     static List<String> message(InputStream in, boolean bodies) throws IOException {
         String line = line(in);
