--- a/src/test/java/dappleseam/proxy/LongValuesTest.java
+++ b/src/test/java/dappleseam/proxy/LongValuesTest.java
@@ -45,13 +45,15 @@
     private static Thread send(Sockets.Told asked, String head, byte[] value, int bytes, String tail) {
         Thread sender = new Thread(() -> {
             try {
-                OutputStream out = asked.from().getOutputStream();
-                out.write(head.getBytes(StandardCharsets.ISO_8859_1));
-                out.write(value, 0, bytes);
-                if (tail == null) {
-                    asked.from().close();
-                } else {
-                    out.write(tail.getBytes(StandardCharsets.ISO_8859_1));
+                synchronized (asked.from()) { // commands that share a connection are answered one after the other
+                    OutputStream out = asked.from().getOutputStream();
+                    out.write(head.getBytes(StandardCharsets.ISO_8859_1));
+                    out.write(value, 0, bytes);
+                    if (tail == null) {
+                        asked.from().close();
+                    } else {
+                        out.write(tail.getBytes(StandardCharsets.ISO_8859_1));
+                    }
                 }
             } catch (IOException e) {
                 // the proxy has closed the connection
