--- /dev/null
+++ b/src/main/java/dappleseam/lab/FleetRun.java
@@ -0,0 +1,407 @@
+package dappleseam.lab;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dappleseam.fleet.membership.Notice.State;
+import dappleseam.lab.check.Ledger;
+import dappleseam.lab.check.RuleChecker;
+import dappleseam.lab.emulator.Fleet;
+import dappleseam.lab.fault.LinkTool;
+import dappleseam.lab.fleet.Planted;
+import dappleseam.lab.fleet.Sight;
+import dappleseam.lab.fleet.Truth;
+import dappleseam.lab.fleet.ViewChecker;
+import dappleseam.lab.load.LoadTool;
+import dappleseam.lab.proxies.Ports;
+import dappleseam.lab.proxies.ProxyProcess;
+import dappleseam.lab.report.FleetReport;
+import dappleseam.lab.report.Report;
+import dappleseam.lab.scenario.FleetScenario;
+import dappleseam.lab.scenario.FleetScenario.LinkFault;
+import dappleseam.lab.scenario.FleetScenario.LinkHow;
+import dappleseam.lab.scenario.FleetScenario.ProcessEvent;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Plays a rehearsal of many proxies: real processes, every datagram between them through a fault tool, and takes all of it down again. */
+final class FleetRun implements AutoCloseable {
+    private static final double NANOS_PER_MS = 1e6;
+    private static final double MS_PER_S = 1000;
+    private static final String FLEET = "lab";
+    private static final int SEEDS = 2;
+    /** From a process's spawning until a slow start stands still, in ms: in the middle of its way up. */
+    private static final long SLOW_FROM_MS = 300;
+    private static final int READY_S = 60;
+    /** Periods from an end until all know it; after a trouble in which failures are still told; until a new process is known to all. */
+    private static final double LATE_PERIODS = 60;
+    private static final double GRACE_PERIODS = 60;
+    private static final double RUMOUR_PERIODS = 10;
+    /** Proxies from which on one link that is cut is no reason to fail anybody. */
+    private static final int ENOUGH_TO_HELP = 5;
+    /** Share of a period from which a delay is a trouble. */
+    private static final double LONG_DELAY = 0.2;
+
+    private final FleetScenario scenario;
+    private final String serve;
+    private final Path home;
+    private final Ledger ledger = new Ledger();
+    private final Fleet peers;
+    private final LinkTool links;
+    private final Ports ports = new Ports();
+    private final List<Seat> seats = new ArrayList<>();
+    private final Queue<Instance> instances = new ConcurrentLinkedQueue<>();
+    private final Queue<String> timeline = new ConcurrentLinkedQueue<>();
+    private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(4, FleetRun::daemon);
+    private final ExecutorService hands = Executors.newCachedThreadPool(FleetRun::daemon);
+    private final Truth truth = new Truth();
+    private double beganMs;
+    private volatile boolean failed;
+    private volatile boolean stopped;
+
+    /** One member's place: where it listens and is reached, whatever process is there. */
+    private final class Seat {
+        final int number;
+        final ObjectNode config;
+        final int clients;
+        final int bindPort;
+        final int reachedAt;
+        int processes;
+        Instance now;
+
+        Seat(int number) throws IOException {
+            this.number = number;
+            clients = ports.take();
+            config = ProxyProcess.config(scenario.play(), peers, scenario.proxies(), number, clients);
+            ((ObjectNode) config.get("limits")).put("memory_mb", scenario.memoryMb());
+            bindPort = ports.take();
+            reachedAt = links.add(number, bindPort);
+        }
+
+        Path home() {
+            return home.resolve("proxy-" + number);
+        }
+
+        /** A process in this place; {@code bind} and {@code reached} differ for a twin. */
+        Instance spawn(int bind, int reached, ObjectNode told) throws IOException {
+            String name = "process-" + processes++;
+            int control = ports.take();
+            ObjectNode own = told.deepCopy().put("control", "127.0.0.1:" + control);
+            Files.createDirectories(home());
+            ObjectNode fleet = new ObjectMapper().createObjectNode().put("fleet", FLEET).put("bind", "127.0.0.1:" + bind)
+                    .put("advertise", "127.0.0.1:" + reached).put("period_ms", scenario.periodMs());
+            fleet.put("record", home().resolve(name + "-views").toString());
+            ArrayNode known = fleet.putArray("seeds");
+            seats.stream().limit(SEEDS).forEach(seat -> known.add("127.0.0.1:" + seat.reachedAt));
+            Path file = home().resolve(name + "-fleet.json");
+            Files.writeString(file, fleet.toString());
+            ProxyProcess process = new ProxyProcess(serve + " --fleet " + file, home(), own, name);
+            Instance instance = new Instance(this, process, control, home().resolve(name + "-views"));
+            instances.add(instance);
+            if (stopped) { // it came between the look at all and its own end
+                process.close();
+            }
+            return instance;
+        }
+    }
+
+    /** One process, and when it was taken down. */
+    private static final class Instance {
+        final Seat seat;
+        final ProxyProcess process;
+        final int control;
+        final Path views;
+        volatile double endedMs = Double.POSITIVE_INFINITY;
+        volatile boolean shouldRun = true;
+
+        Instance(Seat seat, ProxyProcess process, int control, Path views) {
+            this.seat = seat;
+            this.process = process;
+            this.control = control;
+            this.views = views;
+        }
+
+        void down() {
+            shouldRun = false;
+            endedMs = Math.min(endedMs, nowMs());
+        }
+    }
+
+    FleetRun(FleetScenario scenario, String serve, Path home, Planted planted) throws IOException {
+        this.scenario = scenario;
+        this.serve = serve;
+        this.home = home;
+        peers = new Fleet(scenario.play(), ledger);
+        links = new LinkTool(FLEET, scenario.play().seed(), planted);
+    }
+
+    private static Thread daemon(Runnable work) {
+        Thread thread = new Thread(work, "rehearsal");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private static double nowMs() {
+        return System.nanoTime() / NANOS_PER_MS;
+    }
+
+    private interface Work {
+        void run() throws IOException, InterruptedException;
+    }
+
+    private Runnable safely(Work work) {
+        return () -> {
+            try {
+                work.run();
+            } catch (IOException | RuntimeException e) {
+                ledger.notes.add("the run is incomplete: " + e);
+                failed = true;
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        };
+    }
+
+    private void note(String what) {
+        timeline.add(String.format("%8.2f s  %s", (nowMs() - beganMs) / MS_PER_S, what));
+    }
+
+    FleetReport play() throws IOException, InterruptedException {
+        for (int i = 0; i < scenario.proxies(); i++) {
+            seats.add(new Seat(i));
+        }
+        links.start();
+        double spawned = nowMs();
+        for (Seat seat : seats) {
+            seat.now = seat.spawn(seat.bindPort, seat.reachedAt, seat.config);
+        }
+        for (Seat seat : seats) {
+            awaitReady(seat.now);
+        }
+        double readyMs = nowMs() - spawned;
+        LoadTool load = new LoadTool(scenario.play(), ledger, seats.stream().map(s -> s.clients).toList());
+        Thread metronome = Lab.metronome(ledger);
+        beganMs = nowMs();
+        links.play(scenario.links());
+        peers.begin();
+        scenario.links().forEach(this::mark);
+        for (ProcessEvent event : scenario.processes()) {
+            clock.schedule(safely(() -> begin(event)), Math.round(event.atS() * MS_PER_S), TimeUnit.MILLISECONDS);
+        }
+        load.play();
+        double settled = beganMs + MS_PER_S * (scenario.troublesEndS() + scenario.settleS());
+        Thread.sleep((long) Math.max(0, settled - nowMs()));
+        double settledMs = nowMs();
+        for (Instance instance : instances) {
+            if (instance.shouldRun && !instance.process.isAlive()) {
+                ledger.notes.add("a proxy crashed: the run is incomplete");
+            }
+        }
+        endAll();
+        metronome.interrupt();
+        List<Sight> sights = new ArrayList<>();
+        List<ViewChecker.Counted> counts = new ArrayList<>();
+        for (Instance instance : instances) {
+            read(instance, sights, counts);
+        }
+        double period = scenario.periodMs();
+        List<ViewChecker.Breach> broken = ViewChecker.check(truth, sights, counts, new ViewChecker.Bounds(LATE_PERIODS * period, GRACE_PERIODS * period,
+                settledMs, RUMOUR_PERIODS * period));
+        links.close();
+        Report played = new Report(scenario.play(), ledger, load, RuleChecker.check(scenario.play(), ledger, false), 0, 0);
+        return new FleetReport(scenario, played, truth, sights, broken, List.copyOf(timeline), beganMs, settledMs, readyMs, links, !failed);
+    }
+
+    private void endAll() throws InterruptedException {
+        List<Future<?>> ends = new ArrayList<>();
+        for (Instance instance : instances) {
+            if (instance.shouldRun) {
+                ends.add(hands.submit(safely(() -> {
+                    if (!instance.process.end()) {
+                        ledger.notes.add("a proxy did not end at SIGTERM");
+                    }
+                })));
+            }
+        }
+        for (Future<?> end : ends) {
+            try {
+                end.get();
+            } catch (ExecutionException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+
+    private void awaitReady(Instance instance) throws IOException, InterruptedException {
+        if (!instance.process.awaitYes(instance.control, READY_S)) {
+            throw new IOException("proxy " + instance.seat.number + " was not ready in " + READY_S + " s");
+        }
+    }
+
+    /** What the checker has to know of a fault on links. */
+    private void mark(LinkFault fault) {
+        double from = beganMs + MS_PER_S * fault.atS();
+        double to = from + MS_PER_S * fault.forS();
+        boolean oneLink = fault.from().size() == 1 && fault.to().size() == 1 && scenario.proxies() >= ENOUGH_TO_HELP;
+        boolean slight = fault.how() == LinkHow.DOUBLE || (fault.how() == LinkHow.DELAY || fault.how() == LinkHow.REORDER)
+                && fault.size() < LONG_DELAY * scenario.periodMs();
+        if (slight || oneLink) {
+            return;
+        }
+        if (fault.from().isEmpty() == fault.to().isEmpty() ) {
+            truth.troubled(null, from, to);
+        } else {
+            (fault.from().isEmpty() ? fault.to() : fault.from()).forEach(n -> truth.troubled("lab-" + n, from, to));
+        }
+    }
+
+    private void begin(ProcessEvent event) {
+        note(event.kind() + " " + event.proxies() + (event.forS() > 0 ? " for " + event.forS() + " s" : ""));
+        for (int number : event.proxies()) {
+            hands.execute(safely(() -> befall(event, seats.get(number))));
+        }
+    }
+
+    private void befall(ProcessEvent event, Seat seat) throws IOException, InterruptedException {
+        Instance instance = seat.now;
+        String name = "lab-" + seat.number;
+        double now = nowMs();
+        switch (event.kind()) {
+            case KILL -> kill(seat);
+            case END -> {
+                ledger.isAvoided(seat.clients);
+                instance.down();
+                instance.process.end();
+                links.isUp(seat.reachedAt, false);
+            }
+            case RESTART -> {
+                kill(seat);
+                after(event.forS(), () -> {
+                    start(seat);
+                    awaitReady(seat.now);
+                    ledger.isBack(seat.clients);
+                });
+            }
+            case SLOW_START -> {
+                kill(seat);
+                start(seat);
+                Thread.sleep(SLOW_FROM_MS);
+                truth.troubled(name, now, now + SLOW_FROM_MS + event.forS() * MS_PER_S);
+                seat.now.process.signal("STOP");
+                after(event.forS(), () -> {
+                    seat.now.process.signal("CONT");
+                    awaitReady(seat.now);
+                    ledger.isBack(seat.clients);
+                });
+            }
+            case STOP -> {
+                truth.troubled(name, now, now + event.forS() * MS_PER_S);
+                ledger.isDown(seat.clients);
+                instance.process.signal("STOP");
+                after(event.forS(), () -> {
+                    instance.process.signal("CONT");
+                    ledger.isBack(seat.clients);
+                });
+            }
+            case UPGRADE -> {
+                Instance next = seat.spawn(seat.bindPort, seat.reachedAt, seat.config);
+                awaitReady(next);
+                seat.now = next;
+                instance.down();
+                instance.process.end();
+            }
+            case TWIN -> {
+                ObjectNode other = ProxyProcess.config(scenario.play(), peers, scenario.proxies(), seat.number, ports.take());
+                int bind = ports.take();
+                int reached = links.addWhileRunning(seat.number, bind);
+                truth.troubled(name, now, now + event.forS() * MS_PER_S);
+                Instance twin = seat.spawn(bind, reached, other);
+                after(event.forS(), () -> {
+                    twin.down();
+                    twin.process.close();
+                    links.isUp(reached, false);
+                });
+            }
+        }
+    }
+
+    private void after(double seconds, Work work) {
+        clock.schedule(() -> hands.execute(safely(work)), Math.round(seconds * MS_PER_S), TimeUnit.MILLISECONDS);
+    }
+
+    private void kill(Seat seat) throws InterruptedException {
+        ledger.isDown(seat.clients);
+        seat.now.down();
+        seat.now.process.close();
+        seat.now.process.awaitEnd();
+        links.isUp(seat.reachedAt, false);
+    }
+
+    /** From nothing: as on a machine whose disk does not last. */
+    private void start(Seat seat) throws IOException {
+        Path tmp = seat.home().resolve("tmp");
+        try (var files = Files.walk(tmp)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+        links.isUp(seat.reachedAt, true);
+        seat.now = seat.spawn(seat.bindPort, seat.reachedAt, seat.config);
+    }
+
+    /** A process's own record of its view; what it has no line for, it never came to. */
+    private void read(Instance instance, List<Sight> sights, List<ViewChecker.Counted> counts) throws IOException {
+        if (!Files.exists(instance.views)) {
+            return;
+        }
+        ObjectMapper json = new ObjectMapper();
+        long viewer = 0;
+        for (String line : Files.readAllLines(instance.views)) {
+            JsonNode one;
+            try {
+                one = json.readTree(line);
+            } catch (IOException e) {
+                continue; // it was killed in the middle of a line
+            }
+            double ms = one.path("ms").asDouble();
+            if (one.has("began")) {
+                viewer = one.path("nonce").asLong();
+                truth.began(one.path("began").asText(), viewer, ms, instance.endedMs);
+            } else if (one.has("saw")) {
+                sights.add(new Sight(ms, viewer, one.path("saw").asText(), one.path("nonce").asLong(), one.path("incarnation").asInt(),
+                        State.valueOf(one.path("state").asText())));
+            } else if (one.has("counted")) {
+                counts.add(new ViewChecker.Counted(ms, viewer, one.path("counted").asInt()));
+            }
+        }
+    }
+
+    /** Nothing is left running. */
+    void stopAll() {
+        stopped = true;
+        instances.forEach(i -> i.process.close());
+    }
+
+    @Override
+    public void close() throws IOException {
+        clock.shutdownNow();
+        hands.shutdownNow();
+        stopAll();
+        links.close();
+        peers.close();
+        ports.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/lab/HistoriesCommand.java
@@ -0,0 +1,64 @@
+package dappleseam.lab;
+
+import dappleseam.lab.fleet.History;
+import dappleseam.lab.fleet.Planted;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ConcurrentSkipListSet;
+import java.util.stream.LongStream;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Many drawn histories of a fleet in simulated time; a seed that fails is replayed by itself, and shrunk. */
+@Command(name = "histories", mixinStandardHelpOptions = true, description = "Play drawn histories of a fleet in simulated time; status 1 where one breaks a promise.")
+final class HistoriesCommand implements Callable<Integer> {
+    private static final int MOST_SHRUNK = 5;
+
+    @Option(names = "--from", defaultValue = "1", description = "First seed (default: 1).")
+    private long from;
+
+    @Option(names = "--seeds", defaultValue = "1000", description = "How many (default: 1000).")
+    private int seeds;
+
+    @Option(names = "--members", defaultValue = "6", description = "Members of each fleet (default: 6).")
+    private int members;
+
+    @Option(names = "--steps", defaultValue = "8", description = "Troubles in each history (default: 8).")
+    private int steps;
+
+    @Option(names = "--planted", defaultValue = "NONE", description = "A defence that is taken out: ${COMPLETION-CANDIDATES}.")
+    private Planted planted;
+
+    @Override
+    public Integer call() {
+        ConcurrentSkipListSet<Long> failing = new ConcurrentSkipListSet<>();
+        Queue<Double> agreed = new ConcurrentLinkedQueue<>();
+        LongStream.range(from, from + seeds).parallel().forEach(seed -> {
+            History.Verdict verdict = History.draw(seed, members, steps).play(planted);
+            if (!verdict.breaches().isEmpty()) {
+                failing.add(seed);
+            }
+            agreed.add(verdict.agreedMs());
+        });
+        double[] sorted = agreed.stream().mapToDouble(d -> d).sorted().toArray();
+        System.out.printf("%d histories of %d members and %d troubles, seeds %d to %d, planted %s: %d break a promise%n", seeds, members, steps, from,
+                from + seeds - 1, planted, failing.size());
+        System.out.printf("all views right after the last trouble: median %.1f s, 99 of 100 %.1f s, most %.1f s%n", at(sorted, 0.5), at(sorted, 0.99),
+                at(sorted, 1));
+        for (long seed : List.copyOf(failing).subList(0, Math.min(MOST_SHRUNK, failing.size()))) {
+            History least = History.draw(seed, members, steps).shrink(planted);
+            System.out.printf("seed %d: %s%n", seed, least.play(planted).breaches().get(0));
+            least.steps().forEach(step -> System.out.println("    " + step));
+        }
+        return failing.isEmpty() ? 0 : 1;
+    }
+
+    private static double at(double[] sorted, double share) {
+        double[] numbers = Arrays.stream(sorted).filter(d -> !Double.isNaN(d)).toArray();
+        return numbers.length < sorted.length && share == 1 || numbers.length == 0 ? Double.NaN
+                : numbers[(int) Math.min(numbers.length - 1, Math.ceil(share * numbers.length) - 1)] / 1000;
+    }
+}
--- a/src/main/java/dappleseam/lab/Lab.java
+++ b/src/main/java/dappleseam/lab/Lab.java
@@ -5,9 +5,14 @@
 import dappleseam.lab.check.RuleChecker.Breach;
 import dappleseam.lab.emulator.Fleet;
 import dappleseam.lab.fault.FaultTool;
+import dappleseam.lab.fleet.Planted;
 import dappleseam.lab.load.LoadTool;
+import dappleseam.lab.proxies.Ports;
+import dappleseam.lab.proxies.ProxyProcess;
+import dappleseam.lab.report.FleetReport;
 import dappleseam.lab.report.Report;
 import dappleseam.lab.scenario.FaultyScenarioException;
+import dappleseam.lab.scenario.FleetScenario;
 import dappleseam.lab.scenario.Scenario;
 import dappleseam.lab.scenario.Scenario.Fault;
 import dappleseam.lab.scenario.Scenario.Where;
@@ -24,13 +29,13 @@
 
 /** The laboratory's sub-commands. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Rehearse troubles against stand-ins.",
-        subcommands = Lab.Run.class, synopsisSubcommandLabel = "COMMAND")
+        subcommands = {Lab.Run.class, Lab.FleetCommand.class, HistoriesCommand.class, SizesCommand.class}, synopsisSubcommandLabel = "COMMAND")
 public final class Lab implements Callable<Integer> {
     private static final int BEAT_MS = 2;
 
     @Override
     public Integer call() {
-        System.err.println("dappleseam lab: say which: run");
+        System.err.println("dappleseam lab: say which: run, fleet, histories, sizes");
         return 2;
     }
 
@@ -77,15 +82,65 @@
         }
     }
 
+    /** Plays one scenario of many proxies, whole. */
+    @Command(name = "fleet", mixinStandardHelpOptions = true, description = "Play a scenario of many proxies; status 1 where a promise is broken, 3 where that cannot be told.")
+    static final class FleetCommand implements Callable<Integer> {
+        @Parameters(paramLabel = "SCENARIO", description = "The scenario's file.")
+        private Path file;
+
+        @Option(names = "--serve", defaultValue = "exec sh deploy/serve.sh", description = "How a proxy is started.")
+        private String serve;
+
+        @Option(names = "--json", description = "Where the report goes as JSON, too.")
+        private Path json;
+
+        @Option(names = "--plot", description = "Where a picture of how many views were right goes, as PNG.")
+        private Path plot;
+
+        @Option(names = "--planted", defaultValue = "NONE", description = "A defence that the fault tool takes out: ${COMPLETION-CANDIDATES}.")
+        private Planted planted;
+
+        @Option(names = "--folder", description = "Where the proxies' files and logs go (default: a new one).")
+        private Path folder;
+
+        @Override
+        public Integer call() throws Exception {
+            FleetScenario scenario;
+            try {
+                scenario = ScenarioReader.readFleet(file);
+            } catch (FaultyScenarioException | IOException e) {
+                System.err.println("dappleseam lab: " + e.getMessage());
+                return 2;
+            }
+            Path home = folder == null ? Files.createTempDirectory("dappleseam-lab") : Files.createDirectories(folder);
+            FleetReport report;
+            try (FleetRun run = new FleetRun(scenario, serve, home, planted)) {
+                Runtime.getRuntime().addShutdownHook(new Thread(run::stopAll)); // also after Ctrl-C
+                report = run.play();
+            } catch (IOException e) {
+                System.err.println("dappleseam lab: " + e.getMessage() + "; logs are in " + home);
+                return 2;
+            }
+            System.out.print(report.text());
+            if (json != null) {
+                Files.writeString(json, report.json());
+            }
+            if (plot != null) {
+                report.plot(plot);
+            }
+            return report.status();
+        }
+    }
+
     /** Peers, faults, proxies and load; all are down again when it returns. */
     static Report play(Scenario scenario, String serve, int proxies, Path home) throws IOException, InterruptedException {
         Ledger ledger = new Ledger();
         List<ProxyProcess> started = new ArrayList<>();
         List<FaultTool> atClients = new ArrayList<>();
         List<Fault> clientFaults = scenario.faults().stream().filter(f -> f.where() == Where.CLIENTS).toList();
-        try (Fleet fleet = new Fleet(scenario, ledger)) {
+        try (Fleet fleet = new Fleet(scenario, ledger); Ports free = new Ports()) {
             for (int i = 0; i < proxies; i++) {
-                started.add(new ProxyProcess(serve, home, scenario, fleet, proxies, i));
+                started.add(new ProxyProcess(serve, home.resolve("proxy-" + i), ProxyProcess.config(scenario, fleet, proxies, i, free.take())));
             }
             List<Integer> ports = new ArrayList<>();
             for (ProxyProcess proxy : started) {
@@ -122,7 +177,7 @@
     }
 
     /** Measures how late a thread of this process is run, as all stand-ins are. */
-    private static Thread metronome(Ledger ledger) {
+    static Thread metronome(Ledger ledger) {
         Thread thread = new Thread(() -> {
             try {
                 while (true) {
--- /dev/null
+++ b/src/main/java/dappleseam/lab/SizesCommand.java
@@ -0,0 +1,49 @@
+package dappleseam.lab;
+
+import dappleseam.lab.fleet.Sizes;
+import dappleseam.lab.fleet.SimulatedFleet.Module;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** What membership costs and how soon it knows, by the size of a fleet, beside baselines, in simulated time. */
+@Command(name = "sizes", mixinStandardHelpOptions = true, description = "Measure membership by the size of a fleet in simulated time.")
+final class SizesCommand implements Callable<Integer> {
+    @Option(names = "--members", split = ",", defaultValue = "10,100,1000", description = "Sizes (default: 10,100,1000).")
+    private List<Integer> members;
+
+    @Option(names = "--modules", split = ",", defaultValue = "SHIPPED,WITHOUT_LOCAL_HEALTH,HEARTBEATS", description = "Which: ${COMPLETION-CANDIDATES}.")
+    private List<Module> modules;
+
+    @Option(names = "--runs", defaultValue = "5", description = "Seeds for each (default: 5).")
+    private int runs;
+
+    @Option(names = "--minutes", defaultValue = "10", description = "Simulated time in which false failures are counted (default: 10).")
+    private double minutes;
+
+    @Option(names = "--only", description = "Only one part: deaths, false, heal.")
+    private String only;
+
+    @Override
+    public Integer call() {
+        for (int size : members) {
+            for (Module module : modules) {
+                Sizes sizes = new Sizes(module, size, runs);
+                if (only == null || only.equals("deaths")) {
+                    System.out.println(sizes.deaths());
+                }
+                if (only == null || only.equals("heal")) {
+                    System.out.println(sizes.heal());
+                }
+                if (only == null || only.equals("false")) {
+                    for (double loss : new double[] {0, 0.1, 0.3}) {
+                        System.out.println(sizes.falseFailures(loss, 0, minutes));
+                    }
+                    System.out.println(sizes.falseFailures(0, 0.1, minutes));
+                }
+            }
+        }
+        return 0;
+    }
+}
--- a/src/main/java/dappleseam/lab/check/Ledger.java
+++ b/src/main/java/dappleseam/lab/check/Ledger.java
@@ -1,6 +1,8 @@
 package dappleseam.lab.check;
 
 import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -9,7 +11,8 @@
     /** An execution whose last byte came to a node; {@code effect} where it ran and was no repeat that is dropped. */
     public record Execution(String query, String node, double atMs, String mark, boolean effect, boolean turnedAway) {}
 
-    public enum Verdict { COMPLETED, REJECTED, ABORTED, SPOILT, CUT, UNANSWERED, LEFT }
+    /** {@code TAKEN_DOWN}: had no answer in time, and the scenario killed or stopped its proxy meanwhile. */
+    public enum Verdict { COMPLETED, REJECTED, ABORTED, SPOILT, CUT, UNANSWERED, LEFT, TAKEN_DOWN }
 
     /** A query as its client saw it; {@code answers} counts whole answers to it. */
     public record Query(String id, String grade, boolean write, double sentMs, double timeoutMs, double endedMs,
@@ -27,6 +30,9 @@
     public final Queue<Started> started = new ConcurrentLinkedQueue<>();
     public final Queue<String> notes = new ConcurrentLinkedQueue<>();
     public final AtomicInteger listCalls = new AtomicInteger();
+    /** By a proxy's port, when the scenario took it down, and when it was there again. */
+    private final Set<Integer> avoided = ConcurrentHashMap.newKeySet();
+    private final Queue<double[]> outages = new ConcurrentLinkedQueue<>();
     private final long bornNanos = System.nanoTime();
 
     private volatile double latenessMs;
@@ -41,6 +47,33 @@
         return latenessMs;
     }
 
+    /** The scenario takes a proxy down, or stops it, until {@link #isBack}. */
+    public void isDown(int port) {
+        outages.add(new double[] {port, nowMs(), Double.POSITIVE_INFINITY});
+    }
+
+    public void isBack(int port) {
+        outages.forEach(o -> o[2] = o[0] == port ? Math.min(o[2], nowMs()) : o[2]);
+    }
+
+    /** It is about to end, as a front sees: nobody comes to it any more. */
+    public void isAvoided(int port) {
+        avoided.add(port);
+    }
+
+    /** Whether a client may go there now. */
+    public boolean takesClients(int port) {
+        return !avoided.contains(port) && !wasDown(port, nowMs(), nowMs());
+    }
+
+    public boolean wasDown(int port, double fromMs, double toMs) {
+        return outages.stream().anyMatch(o -> o[0] == port && o[1] <= toMs && o[2] >= fromMs);
+    }
+
+    public boolean wasAnyDown(double fromMs, double toMs) {
+        return outages.stream().anyMatch(o -> o[1] <= toMs && o[2] >= fromMs);
+    }
+
     /** Ms since the ledger began. */
     public double nowMs() {
         return (System.nanoTime() - bornNanos) / 1e6;
--- a/src/main/java/dappleseam/lab/check/RuleChecker.java
+++ b/src/main/java/dappleseam/lab/check/RuleChecker.java
@@ -63,6 +63,9 @@
     }
 
     private void oneAnswer(Query q, List<Execution> executions, boolean clientsAreCut) {
+        if (q.verdict() == Verdict.TAKEN_DOWN) {
+            return;
+        }
         boolean lost = q.verdict() == Verdict.UNANSWERED || q.verdict() == Verdict.CUT || q.verdict() == Verdict.SPOILT;
         if (lost && !clientsAreCut) {
             breach(1, "query " + q.id() + " ended " + q.verdict() + " after "
--- /dev/null
+++ b/src/main/java/dappleseam/lab/fault/LinkTool.java
@@ -0,0 +1,280 @@
+package dappleseam.lab.fault;
+
+import dappleseam.fleet.membership.MemberName;
+import dappleseam.fleet.peers.Envelope;
+import dappleseam.fleet.peers.Letter;
+import dappleseam.fleet.peers.Unreadable;
+import dappleseam.lab.fleet.Planted;
+import dappleseam.lab.scenario.FleetScenario.LinkFault;
+import dappleseam.lab.scenario.FleetScenario.LinkHow;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/**
+ * Stands between proxies: each is reached at a port of this tool, which passes datagrams on from the sender's own port here, so that
+ * every link is known both ways. Faults by a script; the same seed does the same to the same datagram of a link.
+ */
+public final class LinkTool implements AutoCloseable {
+    private static final double NANOS_PER_MS = 1e6;
+    private static final int GARBLED_BYTES = 8;
+    private static final int ROOM = 512 << 10;
+
+    private final Envelope envelope;
+    private final long seed;
+    private final Planted planted;
+    private final Selector selector = Selector.open();
+    private final Map<Integer, Place> byPort = new HashMap<>();
+    private final Map<Long, SplittableRandom> links = new HashMap<>();
+    private final PriorityQueue<Waiting> waiting = new PriorityQueue<>();
+    private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
+    private final Map<LinkHow, Long> done = new EnumMap<>(LinkHow.class);
+    private final ByteBuffer in = ByteBuffer.allocate(2048);
+    private volatile List<LinkFault> script = List.of();
+    private volatile long beganNanos;
+    private volatile boolean over;
+    private volatile long passed;
+    private volatile long passedBytes;
+    private long count;
+    private final Thread thread;
+
+    /** One proxy as others reach it. */
+    private static final class Place {
+        final int number;
+        final int port;
+        final int bindPort;
+        DatagramChannel channel;
+
+        Place(int number, int port, int bindPort) {
+            this.number = number;
+            this.port = port;
+            this.bindPort = bindPort;
+        }
+    }
+
+    private record Waiting(long atNanos, long order, Place from, Place to, byte[] bytes) implements Comparable<Waiting> {
+        @Override
+        public int compareTo(Waiting other) {
+            return atNanos != other.atNanos ? Long.compare(atNanos, other.atNanos) : Long.compare(order, other.order);
+        }
+    }
+
+    public LinkTool(String fleet, long seed, Planted planted) throws IOException {
+        this.seed = seed;
+        this.planted = planted;
+        envelope = new Envelope(fleet);
+        thread = new Thread(this::run, "links");
+        thread.setDaemon(true);
+    }
+
+    /** A proxy that listens on that port of its own; returns where it is to be reached. Before {@link #start}. */
+    public int add(int number, int bindPort) throws IOException {
+        DatagramChannel channel = open(0);
+        int port = ((InetSocketAddress) channel.getLocalAddress()).getPort();
+        Place place = new Place(number, port, bindPort);
+        place.channel = channel;
+        byPort.put(port, place);
+        return port;
+    }
+
+    /** The same at any time, from any thread. */
+    public int addWhileRunning(int number, int bindPort) throws IOException {
+        CompletableFuture<Integer> port = new CompletableFuture<>();
+        posted.add(() -> {
+            try {
+                port.complete(add(number, bindPort));
+            } catch (IOException e) {
+                port.completeExceptionally(e);
+            }
+        });
+        selector.wakeup();
+        return port.join();
+    }
+
+    private DatagramChannel open(int port) throws IOException {
+        DatagramChannel channel = DatagramChannel.open();
+        channel.setOption(java.net.StandardSocketOptions.SO_RCVBUF, ROOM);
+        channel.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port));
+        channel.configureBlocking(false);
+        channel.register(selector, SelectionKey.OP_READ);
+        return channel;
+    }
+
+    public void start() {
+        beganNanos = System.nanoTime();
+        thread.start();
+    }
+
+    /** From now on, times in the script count from here. */
+    public void play(List<LinkFault> faults) {
+        beganNanos = System.nanoTime();
+        script = faults;
+    }
+
+    /** Its process has gone or come: a host without it denies, as hosts do. */
+    public void isUp(int port, boolean up) {
+        posted.add(() -> {
+            Place place = byPort.get(port);
+            try {
+                if (!up && place.channel != null) {
+                    place.channel.close();
+                    place.channel = null;
+                } else if (up && place.channel == null) {
+                    place.channel = open(port);
+                }
+            } catch (IOException e) {
+                throw new IllegalStateException("a port of the link tool is lost", e);
+            }
+        });
+        selector.wakeup();
+    }
+
+    private void run() {
+        try {
+            while (!over) {
+                long sleep = waiting.isEmpty() ? 50 : (long) Math.ceil((waiting.peek().atNanos - System.nanoTime()) / NANOS_PER_MS);
+                if (sleep > 0) {
+                    selector.select(sleep);
+                } else {
+                    selector.selectNow();
+                }
+                selector.selectedKeys().clear();
+                for (Runnable task = posted.poll(); task != null; task = posted.poll()) {
+                    task.run();
+                }
+                for (Place place : List.copyOf(byPort.values())) {
+                    receive(place);
+                }
+                while (!waiting.isEmpty() && waiting.peek().atNanos <= System.nanoTime()) {
+                    Waiting due = waiting.poll();
+                    send(due.from, due.to, due.bytes);
+                }
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException("the link tool has failed", e);
+        }
+    }
+
+    private void receive(Place to) throws IOException {
+        for (int i = 0; i < 64 && to.channel != null; i++) {
+            in.clear();
+            InetSocketAddress source = (InetSocketAddress) to.channel.receive(in);
+            if (source == null) {
+                return;
+            }
+            try {
+                Letter letter = envelope.read(in.array(), in.position());
+                Place from = byPort.get(letter.self().address().getPort());
+                if (from != null) {
+                    // What comes from another port than its own is a try of a member that failed.
+                    pass(from, to, letter, Arrays.copyOf(in.array(), in.position()), source.getPort() != from.bindPort);
+                }
+            } catch (Unreadable e) {
+                continue; // no proxy of this rehearsal sends such
+            }
+        }
+    }
+
+    private void pass(Place from, Place to, Letter letter, byte[] sent, boolean isCall) {
+        byte[] bytes = sent;
+        if (planted != Planted.NONE) {
+            Letter left = planted.passed(letter, new MemberName("lab-" + to.number), isCall);
+            if (left == null) {
+                return;
+            }
+            bytes = left.equals(letter) ? sent : envelope.write(left);
+        }
+        double atS = (System.nanoTime() - beganNanos) / NANOS_PER_MS / 1000;
+        SplittableRandom random = links.computeIfAbsent(((long) from.port << 32) + to.port, k -> new SplittableRandom(seed ^ from.number * 1_000_003L ^ to.number));
+        double delayMs = 0;
+        int copies = 1;
+        for (LinkFault fault : script) {
+            if (atS < fault.atS() || atS >= fault.atS() + fault.forS() || !fault.concerns(from.number, to.number)) {
+                continue;
+            }
+            boolean hits = fault.how() == LinkHow.CUT || fault.how() == LinkHow.DELAY || fault.how() == LinkHow.REORDER
+                    || random.nextDouble() < fault.size();
+            if (!hits) {
+                continue;
+            }
+            done.merge(fault.how(), 1L, Long::sum);
+            switch (fault.how()) {
+                case CUT, LOSS -> {
+                    return;
+                }
+                case DELAY -> delayMs += fault.size();
+                case REORDER -> delayMs += fault.size() * random.nextDouble();
+                case DOUBLE -> copies = 2;
+                case GARBLE -> {
+                    bytes = bytes.clone();
+                    for (int i = 0; i < GARBLED_BYTES; i++) {
+                        bytes[random.nextInt(bytes.length)] ^= (byte) (1 + random.nextInt(255));
+                    }
+                }
+            }
+        }
+        for (int i = 0; i < copies; i++) {
+            waiting.add(new Waiting(System.nanoTime() + (long) (delayMs * NANOS_PER_MS), count++, from, to, bytes));
+        }
+    }
+
+    private void send(Place from, Place to, byte[] bytes) {
+        try {
+            if (from.channel != null && to.channel != null) {
+                from.channel.send(ByteBuffer.wrap(bytes), new InetSocketAddress(InetAddress.getByName("127.0.0.1"), to.bindPort));
+                passed++;
+                passedBytes += bytes.length;
+            }
+        } catch (IOException e) {
+            done.merge(LinkHow.LOSS, 1L, Long::sum); // it did not arrive
+        }
+    }
+
+    /** Datagrams passed on, their bytes, and how many each fault hit. */
+    public long passed() {
+        return passed;
+    }
+
+    public long passedBytes() {
+        return passedBytes;
+    }
+
+    /** After {@link #close}. */
+    public Map<LinkHow, Long> done() {
+        return done;
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (over) {
+            return;
+        }
+        over = true;
+        selector.wakeup();
+        try {
+            thread.join(2000);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        for (Place place : byPort.values()) {
+            if (place.channel != null) {
+                place.channel.close();
+            }
+        }
+        selector.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/lab/fleet/Sizes.java
@@ -0,0 +1,131 @@
+package dappleseam.lab.fleet;
+
+import dappleseam.fleet.membership.Notice.State;
+import dappleseam.fleet.membership.Terms;
+import dappleseam.lab.fleet.SimulatedFleet.Module;
+import dappleseam.lab.fleet.SimulatedFleet.Node;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+/** Figures of a module at one size, over seeds from 1 on, played at once. Simulated, a period of 1 s. */
+public record Sizes(Module module, int members, int runs) {
+    private static final double SECOND = 1000;
+    private static final double MINUTE = 60 * SECOND;
+    /** Time in ms in which all know each other and the news of that has been told. */
+    private static final double QUIET_MS = 3 * MINUTE;
+    /** Of a member that stands still by turns, in ms: how long, and how long not; long enough to fail without more. */
+    private static final double STOPPED_MS = 4 * SECOND;
+    private static final double RUNNING_MS = 8 * SECOND;
+
+    private SimulatedFleet begun(long seed) {
+        SimulatedFleet fleet = new SimulatedFleet(module, Terms.usual(members), members, seed);
+        fleet.startAll(2);
+        fleet.runFor(QUIET_MS);
+        return fleet;
+    }
+
+    private String line(String what, Object... of) {
+        return String.format(Locale.ROOT, "%-20s N %5d  ", module, members) + String.format(Locale.ROOT, what, of);
+    }
+
+    private static double at(List<Double> values, double share) {
+        double[] sorted = values.stream().mapToDouble(d -> d).sorted().toArray();
+        return sorted.length == 0 ? Double.NaN : sorted[(int) Math.max(0, Math.ceil(share * sorted.length) - 1)];
+    }
+
+    /** One dies, so many times: who knows when; and what a quiet member sends. */
+    public String deaths() {
+        List<Double> first = new ArrayList<>();
+        List<Double> spread = new ArrayList<>();
+        double[] wire = new double[2];
+        IntStream.rangeClosed(1, runs).parallel().forEach(seed -> {
+            SimulatedFleet fleet = begun(seed);
+            long datagrams = fleet.datagrams;
+            long bytes = fleet.bytes;
+            fleet.runFor(MINUTE);
+            synchronized (wire) {
+                wire[0] += (fleet.datagrams - datagrams) / 60.0 / members / runs;
+                wire[1] += (fleet.bytes - bytes) / 60.0 / members / runs;
+            }
+            for (int i = 0; i < 5; i++) {
+                Node dead = fleet.node(2 + i);
+                dead.kill();
+                Set<Integer> knew = new HashSet<>();
+                double[] times = {Double.NaN, Double.NaN};
+                fleet.watch((now, viewer, before, after) -> {
+                    if (after.name().equals(dead.name) && after.state() == State.FAILED && knew.add(viewer.number)) {
+                        times[0] = Double.isNaN(times[0]) ? now - dead.downSince : times[0];
+                        times[1] = now - dead.downSince;
+                    }
+                });
+                fleet.runFor(MINUTE);
+                synchronized (wire) {
+                    first.add(times[0] / SECOND);
+                    spread.add((times[1] - times[0]) / SECOND);
+                }
+            }
+        });
+        return line("quiet %.1f datagrams and %.0f bytes a second; one dies (%d times): first knows after %.1f s median, %.1f s 99 of 100; last %.1f and %.1f s later; log2 N %.1f",
+                wire[0], wire[1], first.size(), at(first, 0.5), at(first, 0.99), at(spread, 0.5), at(spread, 0.99), Math.log(members) / Math.log(2));
+    }
+
+    /** Cut in two for two minutes: time until all views are right again. */
+    public String heal() {
+        List<Double> healed = new ArrayList<>();
+        IntStream.rangeClosed(1, runs).parallel().forEach(seed -> {
+            SimulatedFleet fleet = begun(seed);
+            fleet.nodes().forEach(n -> n.group = n.number % 2);
+            fleet.runFor(2 * MINUTE);
+            fleet.nodes().forEach(n -> n.group = 0);
+            double ms = fleet.untilAgreed(5 * MINUTE);
+            synchronized (healed) {
+                healed.add(ms / SECOND);
+            }
+        });
+        return line("a split in two heals in %.1f s median, %.1f s at most of %d", at(healed, 0.5), at(healed, 1), runs);
+    }
+
+    /** Nobody dies: how often a view holds for failed who runs; a share is lost everywhere, or a share of the members stands still by turns. */
+    public String falseFailures(double loss, double stopping, double minutes) {
+        double[] events = new double[runs];
+        double[] subjects = new double[runs];
+        IntStream.range(0, runs).parallel().forEach(run -> {
+            SimulatedFleet fleet = begun(run + 1);
+            fleet.loss = loss;
+            int stopped = (int) Math.ceil(stopping * members);
+            for (int i = 0; i < stopped; i++) {
+                stopByTurns(fleet, fleet.node(i));
+            }
+            int turn = run;
+            Set<Integer> failed = new HashSet<>();
+            fleet.watch((now, viewer, before, after) -> {
+                int number = Integer.parseInt(after.name().text().substring(1));
+                // Those that stand still are away; what counts is what is said of those that are not.
+                if (after.state() == State.FAILED && number >= stopped) {
+                    events[turn]++;
+                    failed.add(number);
+                }
+            });
+            fleet.runFor(minutes * MINUTE);
+            subjects[turn] = failed.size();
+        });
+        double hours = runs * minutes / 60;
+        return line("loss %.0f%%, standing still by turns %.0f%%: false failures in views an hour %.1f, members ever failed %.1f a run (%d runs of %.0f min)",
+                100 * loss, 100 * stopping, Arrays.stream(events).sum() / hours, Arrays.stream(subjects).average().orElse(0), runs, minutes);
+    }
+
+    private static void stopByTurns(SimulatedFleet fleet, Node node) {
+        fleet.after(fleet.random().nextDouble() * (STOPPED_MS + RUNNING_MS), new Runnable() {
+            @Override
+            public void run() {
+                node.stop(STOPPED_MS);
+                fleet.after(STOPPED_MS + RUNNING_MS, this);
+            }
+        });
+    }
+}
--- a/src/main/java/dappleseam/lab/fleet/Truth.java
+++ b/src/main/java/dappleseam/lab/fleet/Truth.java
@@ -28,6 +28,11 @@
         processes.put(nonce, new Process(member, nonce, ms, Double.POSITIVE_INFINITY));
     }
 
+    /** One whose end is known already; infinite for one that ran on. */
+    public synchronized void began(String member, long nonce, double fromMs, double toMs) {
+        processes.put(nonce, new Process(member, nonce, fromMs, toMs));
+    }
+
     public synchronized void ended(String member, double ms) {
         processes.replaceAll((nonce, p) -> p.member.equals(member) && p.runsAt(ms) ? new Process(member, nonce, p.fromMs, ms) : p);
     }
--- a/src/main/java/dappleseam/lab/fleet/ViewChecker.java
+++ b/src/main/java/dappleseam/lab/fleet/ViewChecker.java
@@ -17,6 +17,8 @@
         LATE,
         /** A process that ran, with nothing wrong with it or with whom says so, was held for failed. */
         FALSE_FAILURE,
+        /** A process that ran, with nothing wrong with it, was suspected again and again: nobody probed in another's stead. */
+        SUSPECTED_AGAIN,
         /** A process that ran was said to be proved ended. */
         FALSE_END,
         /** One that ended, and was held for failed, came back by old news. */
@@ -41,6 +43,8 @@
     public record Bounds(double lateMs, double graceMs, double settledMs, double rumourMs) {}
 
     private static final int MOST_TOLD = 50;
+    /** Suspicions of one process that one view may hold within the time of grace: chance brings one, not so many. */
+    private static final int MOST_SUSPICIONS = 4;
 
     private final Truth truth;
     private final Bounds bounds;
@@ -82,6 +86,11 @@
                 && isCalm(seen, from, sight.ms())) {
             breach(Promise.FALSE_FAILURE, sight.ms(), "%s held %s for failed, which ran", viewer.member(), seen.member());
         }
+        if (sight.state() == State.SUSPECT && seen.runsAt(sight.ms()) && isCalm(viewer, from, sight.ms()) && isCalm(seen, from, sight.ms())
+                && past.subMap(from, true, sight.ms(), true).values().stream()
+                .filter(s -> s.state() == State.SUSPECT && s.nonce() == sight.nonce()).count() >= MOST_SUSPICIONS) {
+            breach(Promise.SUSPECTED_AGAIN, sight.ms(), "%s held %s for suspect again and again", viewer.member(), seen.member());
+        }
         if (sight.state() == State.ENDED && seen.runsAt(sight.ms())) {
             breach(Promise.FALSE_END, sight.ms(), "%s held %s for ended, which ran", viewer.member(), seen.member());
         }
--- /dev/null
+++ b/src/main/java/dappleseam/lab/report/FleetReport.java
@@ -0,0 +1,158 @@
+package dappleseam.lab.report;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dappleseam.lab.fault.LinkTool;
+import dappleseam.lab.fleet.Sight;
+import dappleseam.lab.fleet.Truth;
+import dappleseam.lab.fleet.ViewChecker;
+import dappleseam.lab.scenario.FleetScenario;
+import java.awt.BasicStroke;
+import java.awt.Color;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.jfree.chart.ChartFactory;
+import org.jfree.chart.ChartUtils;
+import org.jfree.chart.JFreeChart;
+import org.jfree.chart.plot.PlotOrientation;
+import org.jfree.chart.plot.ValueMarker;
+import org.jfree.chart.plot.XYPlot;
+import org.jfree.chart.ui.RectangleAnchor;
+import org.jfree.chart.ui.TextAnchor;
+import org.jfree.data.xy.XYSeries;
+import org.jfree.data.xy.XYSeriesCollection;
+
+/** What a rehearsal of many proxies showed: their views against what was done, beside what one of any size shows. */
+public final class FleetReport {
+    private static final double MS_PER_S = 1000;
+    private static final double SAMPLE_MS = 500;
+    private static final int WIDTH = 1100;
+    private static final int HEIGHT = 420;
+
+    private final FleetScenario scenario;
+    private final Report played;
+    private final ObjectNode tree = new ObjectMapper().createObjectNode();
+    private final List<double[]> right = new ArrayList<>();
+    private final boolean complete;
+    private final int broken;
+
+    public FleetReport(FleetScenario scenario, Report played, Truth truth, List<Sight> sights, List<ViewChecker.Breach> breaches,
+                       List<String> timeline, double beganMs, double settledMs, double readyMs, LinkTool links, boolean complete) {
+        this.scenario = scenario;
+        this.played = played;
+        this.complete = complete;
+        broken = breaches.size();
+        double seconds = (settledMs - beganMs) / MS_PER_S;
+        tree.put("scenario", scenario.play().name()).put("seed", scenario.play().seed()).put("proxies", scenario.proxies())
+                .put("period_ms", scenario.periodMs()).put("all_ready_ms", Math.round(readyMs));
+        timeline.forEach(tree.putArray("timeline")::add);
+        deaths(truth, sights, settledMs);
+        for (double ms = beganMs; ms < settledMs; ms += SAMPLE_MS) {
+            int[] now = ViewChecker.right(truth, sights, ms);
+            right.add(new double[] {(ms - beganMs) / MS_PER_S, now[1] == 0 ? 0 : 100.0 * now[0] / now[1]});
+        }
+        double over = scenario.troublesEndS();
+        tree.put("all_views_right_s_after_last_trouble", right.stream().filter(r -> r[0] >= over && isRightFrom(r[0])).mapToDouble(r -> r[0] - over)
+                .findFirst().orElse(-1));
+        ObjectNode wire = tree.putObject("datagrams").put("passed", links.passed())
+                .put("a_proxy_and_second", round(links.passed() / seconds / scenario.proxies()))
+                .put("bytes_a_proxy_and_second", round(links.passedBytes() / seconds / scenario.proxies()));
+        links.done().forEach((how, count) -> wire.put(how.name().toLowerCase(Locale.ROOT), count));
+        ObjectNode promises = tree.putObject("promises").put("broken", broken);
+        ArrayNode told = promises.putArray("breaches");
+        breaches.forEach(b -> told.addObject().put("promise", b.promise().name()).put("at_s", round((b.ms() - beganMs) / MS_PER_S)).put("what", b.what()));
+        tree.set("play", played.tree());
+    }
+
+    private boolean isRightFrom(double s) {
+        return right.stream().filter(r -> r[0] >= s).allMatch(r -> r[1] >= 100);
+    }
+
+    /** For each process that ended: when the first and the last of those that ran throughout knew it. */
+    private void deaths(Truth truth, List<Sight> sights, double settledMs) {
+        ArrayNode deaths = tree.putArray("ends");
+        for (Truth.Process over : truth.processes()) {
+            if (over.toMs() >= settledMs) {
+                continue;
+            }
+            double first = Double.POSITIVE_INFINITY;
+            double last = 0;
+            Set<Long> knew = new HashSet<>();
+            for (Sight sight : sights) {
+                boolean knows = sight.who().equals(over.member()) && sight.ms() > over.toMs()
+                        && (sight.nonce() == over.nonce() ? !sight.state().isPresent() : true);
+                if (knows && knew.add(sight.viewer())) {
+                    first = Math.min(first, sight.ms());
+                    last = Math.max(last, sight.ms());
+                }
+            }
+            deaths.addObject().put("member", over.member()).put("first_knew_ms", knew.isEmpty() ? -1 : Math.round(first - over.toMs()))
+                    .put("last_knew_ms", knew.isEmpty() ? -1 : Math.round(last - over.toMs())).put("knew", knew.size());
+        }
+    }
+
+    private static double round(double value) {
+        return Math.round(value * 100) / 100.0;
+    }
+
+    public String json() throws IOException {
+        ObjectNode all = tree.deepCopy();
+        ArrayNode samples = all.putArray("right_views_percent");
+        right.forEach(r -> samples.addArray().add(round(r[0])).add(round(r[1])));
+        return new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(all) + "\n";
+    }
+
+    /** One line a thing. */
+    public String text() {
+        return Report.text(tree);
+    }
+
+    /** How many views were right over time, with the times at which something was done. */
+    public void plot(Path file) throws IOException {
+        System.setProperty("java.awt.headless", "true");
+        XYSeries series = new XYSeries("right");
+        right.forEach(r -> series.add(r[0], r[1]));
+        JFreeChart chart = ChartFactory.createXYLineChart(scenario.play().name() + ", " + scenario.proxies() + " proxies", "s", "% of views that are right",
+                new XYSeriesCollection(series), PlotOrientation.VERTICAL, false, false, false);
+        XYPlot plot = chart.getXYPlot();
+        plot.setBackgroundPaint(Color.WHITE);
+        plot.getRangeAxis().setRange(0, 105);
+        plot.getRenderer().setSeriesPaint(0, new Color(0x1F5FA8));
+        plot.getRenderer().setSeriesStroke(0, new BasicStroke(2));
+        Map<Double, Set<String>> begins = new TreeMap<>();
+        scenario.processes().forEach(e -> begins.computeIfAbsent(e.atS(), at -> new TreeSet<>()).add(e.kind().name()));
+        scenario.links().forEach(l -> {
+            begins.computeIfAbsent(l.atS(), at -> new TreeSet<>()).add(l.how().name());
+            mark(plot, l.atS() + l.forS(), "", new Color(0x2E7D32));
+        });
+        begins.forEach((at, what) -> mark(plot, at, String.join(" ", what), new Color(0xB03A2E)));
+        ChartUtils.saveChartAsPNG(file.toFile(), chart, WIDTH, HEIGHT);
+    }
+
+    private static void mark(XYPlot plot, double atS, String label, Color color) {
+        ValueMarker marker = new ValueMarker(atS, color, new BasicStroke(1));
+        marker.setLabel(label.toLowerCase(Locale.ROOT));
+        marker.setLabelAnchor(RectangleAnchor.TOP_RIGHT);
+        marker.setLabelTextAnchor(TextAnchor.TOP_LEFT);
+        plot.addDomainMarker(marker);
+    }
+
+    /** As the command ends: 0 where all is kept, 1 where a rule or a promise is broken, 3 where that cannot be told. */
+    public int status() {
+        return broken > 0 ? 1 : complete ? played.status() : 3;
+    }
+
+    /** Broken promises. */
+    public int broken() {
+        return broken;
+    }
+}
--- a/src/main/java/dappleseam/lab/report/Report.java
+++ b/src/main/java/dappleseam/lab/report/Report.java
@@ -72,12 +72,21 @@
         return Math.round(value * 100) / 100.0;
     }
 
+    /** All of it; what a rehearsal of many proxies adds goes beside it. */
+    public ObjectNode tree() {
+        return tree;
+    }
+
     public String json() throws IOException {
         return new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(tree) + "\n";
     }
 
     /** One line a thing. */
     public String text() {
+        return text(tree);
+    }
+
+    static String text(JsonNode tree) {
         StringBuilder text = new StringBuilder();
         lines(text, "", tree);
         return text.toString();
--- /dev/null
+++ b/src/main/java/dappleseam/lab/scenario/FleetScenario.java
@@ -0,0 +1,51 @@
+package dappleseam.lab.scenario;
+
+import java.util.List;
+import java.util.Set;
+
+/**
+ * One rehearsal of many proxies: {@code play} is what any rehearsal has, beside it stand faults between the proxies and what befalls their
+ * processes. {@code memoryMb}: limit of each; {@code settleS}: time after the last trouble until all views have to be right.
+ */
+public record FleetScenario(Scenario play, int proxies, int memoryMb, double periodMs, double settleS, List<LinkFault> links,
+                            List<ProcessEvent> processes) {
+    /** What happens to datagrams between proxies. */
+    public enum LinkHow { CUT, LOSS, DELAY, DOUBLE, REORDER, GARBLE }
+
+    /**
+     * On all datagrams from one of {@code from} to one of {@code to}; an empty set is all, and members of both are among themselves not
+     * concerned when the sets differ. {@code size}: a share, or ms of a delay.
+     */
+    public record LinkFault(double atS, double forS, LinkHow how, Set<Integer> from, Set<Integer> to, double size) {
+        public boolean concerns(int sender, int receiver) {
+            return (from.isEmpty() || from.contains(sender)) && (to.isEmpty() || to.contains(receiver));
+        }
+    }
+
+    /** What happens to a process. */
+    public enum ProcessKind {
+        /** SIGKILL, and it stays away. */
+        KILL,
+        /** SIGTERM, and it stays away. */
+        END,
+        /** SIGKILL, and after {@code forS} a new process with nothing but its configuration. */
+        RESTART,
+        /** As RESTART, at once, but the new one stands still for {@code forS} on its way up. */
+        SLOW_START,
+        /** SIGSTOP, and SIGCONT after {@code forS}. */
+        STOP,
+        /** A new process beside it; SIGTERM to the old one once the new one is ready. */
+        UPGRADE,
+        /** Another process by its name, elsewhere, for {@code forS}. */
+        TWIN
+    }
+
+    /** To those proxies, all at once. */
+    public record ProcessEvent(double atS, double forS, ProcessKind kind, Set<Integer> proxies) {}
+
+    /** When the last trouble of links and processes is over, in s; SIGKILL and SIGTERM count from when they come. */
+    public double troublesEndS() {
+        double links = this.links.stream().mapToDouble(f -> f.atS + f.forS).max().orElse(0);
+        return Math.max(links, processes.stream().mapToDouble(e -> e.atS + e.forS).max().orElse(0));
+    }
+}
--- a/src/main/java/dappleseam/lab/scenario/ScenarioReader.java
+++ b/src/main/java/dappleseam/lab/scenario/ScenarioReader.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.TreeSet;
 
 /** Reads a scenario and checks all of it before anything is started. */
 public final class ScenarioReader {
@@ -39,6 +40,51 @@
             throw new FaultyScenarioException(what, "is not JSON: " + e.getOriginalMessage());
         }
         Keys top = new Keys(root, "");
+        Scenario scenario = scenario(top);
+        top.noMore();
+        return scenario;
+    }
+
+    /** A rehearsal of many proxies: a scenario with a part {@code fleet}. */
+    public static FleetScenario readFleet(Path file) throws IOException {
+        return readFleet(Files.readString(file), file.getFileName().toString());
+    }
+
+    public static FleetScenario readFleet(String json, String what) {
+        JsonNode root;
+        try {
+            root = new ObjectMapper().readTree(json);
+        } catch (JsonProcessingException e) {
+            throw new FaultyScenarioException(what, "is not JSON: " + e.getOriginalMessage());
+        }
+        Keys top = new Keys(root, "");
+        Scenario scenario = scenario(top);
+        Keys fleet = top.part("fleet");
+        int proxies = (int) fleet.number("proxies", 2, 400);
+        FleetScenario read = new FleetScenario(scenario, proxies, (int) fleet.number("memory_mb", 32, 1024), fleet.number("period_ms", 20, 60_000),
+                fleet.number("settle_s", 1, 600),
+                fleet.list("links").stream().map(keys -> link(keys, proxies)).toList(),
+                fleet.list("processes").stream().map(keys -> event(keys, proxies)).toList());
+        List.of(top, fleet).forEach(Keys::noMore);
+        return read;
+    }
+
+    private static FleetScenario.LinkFault link(Keys keys, int proxies) {
+        FleetScenario.LinkFault fault = new FleetScenario.LinkFault(keys.number("at_s", 0, 3600), keys.number("for_s", 0, 3600),
+                keys.oneOf("how", FleetScenario.LinkHow.class), keys.numbers("from", proxies - 1), keys.numbers("to", proxies - 1),
+                keys.number("size", 0, 60_000));
+        keys.noMore();
+        return fault;
+    }
+
+    private static FleetScenario.ProcessEvent event(Keys keys, int proxies) {
+        FleetScenario.ProcessEvent event = new FleetScenario.ProcessEvent(keys.number("at_s", 0, 3600), keys.number("for_s", 0, 3600),
+                keys.oneOf("kind", FleetScenario.ProcessKind.class), keys.numbers("proxies", proxies - 1));
+        keys.noMore();
+        return event;
+    }
+
+    private static Scenario scenario(Keys top) {
         Keys caches = top.part("caches");
         Keys origin = top.part("origin");
         Keys load = top.part("load");
@@ -58,7 +104,7 @@
                         load.number("skew", 0, 3), grades),
                 top.list("troubles").stream().map(t -> trouble(t, c.count())).toList(),
                 top.list("faults").stream().map(ScenarioReader::fault).toList());
-        List.of(top, caches, origin, load).forEach(Keys::noMore);
+        List.of(caches, origin, load).forEach(Keys::noMore);
         return scenario;
     }
 
@@ -131,6 +177,22 @@
             return found.asDouble();
         }
 
+        /** Whole numbers from 0 up to that one. */
+        Set<Integer> numbers(String name, int most) {
+            JsonNode found = need(name);
+            Set<Integer> numbers = new TreeSet<>();
+            for (JsonNode one : found) {
+                if (!one.isInt() || one.asInt() < 0 || one.asInt() > most) {
+                    throw new FaultyScenarioException(at + name, "holds something other than numbers from 0 to " + most);
+                }
+                numbers.add(one.asInt());
+            }
+            if (!found.isArray()) {
+                throw new FaultyScenarioException(at + name, "is no list");
+            }
+            return numbers;
+        }
+
         String text(String name) {
             JsonNode found = need(name);
             if (!found.isTextual() || !found.asText().matches("[A-Za-z0-9._-]{1,64}")) {
--- /dev/null
+++ b/src/test/java/dappleseam/lab/FleetRunTest.java
@@ -0,0 +1,116 @@
+package dappleseam.lab;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import dappleseam.lab.fleet.Planted;
+import dappleseam.lab.proxies.Ports;
+import dappleseam.lab.report.FleetReport;
+import dappleseam.lab.scenario.FaultyScenarioException;
+import dappleseam.lab.scenario.FleetScenario;
+import dappleseam.lab.scenario.ScenarioReader;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Several real processes with faults between them; and the same with a defence taken out, to show that it is missed. */
+class FleetRunTest {
+    private static final Path SHIPPED = Path.of("deploy/fleet-scenarios");
+    private static final Path PLAYED = SHIPPED.resolve("faults-between-proxies.json");
+
+    @TempDir
+    Path folder;
+
+    private FleetReport play(Planted planted) throws Exception {
+        FleetScenario scenario = ScenarioReader.readFleet(PLAYED);
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        try (FleetRun run = new FleetRun(scenario, "exec " + java + " -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx64m -cp "
+                + System.getProperty("java.class.path") + " dappleseam.proxy.Serve", folder.resolve(planted.name()), planted)) {
+            return run.play();
+        }
+    }
+
+    /** Dropped links, a stall, restarts, a split that heals, an upgrade and a kill; all four at once, for they wait most of the time. */
+    @Test
+    void sixProcessesKeepWhatMembershipPromisesAndTheRulesAndFailWithoutADefence() throws Exception {
+        Map<Planted, Future<FleetReport>> runs = new EnumMap<>(Planted.class);
+        ExecutorService hands = Executors.newCachedThreadPool();
+        try {
+            for (Planted planted : Planted.values()) {
+                runs.put(planted, hands.submit(() -> play(planted)));
+            }
+            FleetReport sound = runs.get(Planted.NONE).get();
+            assertThat(sound.broken()).as(sound.text()).isZero();
+            JsonNode tree = new ObjectMapper().readTree(sound.json());
+            assertThat(tree.path("play").path("rules").path("broken").asInt()).as(sound.text()).isZero();
+            assertThat(tree.path("play").path("complete").asBoolean()).as(sound.text()).isTrue();
+            assertThat(tree.path("all_views_right_s_after_last_trouble").asDouble()).as(sound.text()).isBetween(0.0, 10.0);
+            assertThat(tree.path("datagrams").path("cut").asInt()).isPositive();
+            assertThat(runs.get(Planted.NO_REFUTATION).get().text()).contains("NO_AGREEMENT");
+            assertThat(runs.get(Planted.NO_MERGE).get().text()).contains("NO_AGREEMENT");
+            assertThat(runs.get(Planted.NO_INDIRECT_PROBE).get().text()).contains("SUSPECTED_AGAIN");
+        } finally {
+            hands.shutdownNow();
+        }
+    }
+
+    /** Else two rehearsals beside each other share a proxy's port without a word, and each sees the other's queries. */
+    @Test
+    void aPortThatWasTakenIsGivenToNobodyElseAndAProxyMayListenThere() throws Exception {
+        try (Ports ports = new Ports(); ServerSocketChannel proxy = ServerSocketChannel.open()) {
+            Set<Integer> taken = new HashSet<>();
+            for (int i = 0; i < 300; i++) {
+                assertThat(taken.add(ports.take())).isTrue();
+            }
+            InetSocketAddress first = new InetSocketAddress("127.0.0.1", taken.iterator().next());
+            for (int i = 0; i < 300; i++) {
+                try (ServerSocket other = new ServerSocket(0)) {
+                    assertThat(taken).doesNotContain(other.getLocalPort());
+                }
+            }
+            proxy.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            proxy.bind(first);
+            assertThat(proxy.getLocalAddress()).isEqualTo(first);
+        }
+    }
+
+    @Test
+    void allShippedScenariosAreSound() throws Exception {
+        try (Stream<Path> files = Files.list(SHIPPED)) {
+            for (Path file : files.toList()) {
+                assertThat(ScenarioReader.readFleet(file).play().name() + ".json").isEqualTo(file.getFileName().toString());
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"\"proxies\": 6 | \"proxies\": 1 | fleet.proxies: is no number from 2.0 to 400.0",
+        "\"how\": \"garble\" | \"how\": \"chew\" | fleet.links[6].how: is not known: chew",
+        "\"proxies\": [5] | \"proxies\": [6] | fleet.processes[3].proxies: holds something other than numbers from 0 to 5",
+        "\"kind\": \"stop\" | \"kind\": \"freeze\" | fleet.processes[0].kind: is not known: freeze",
+        "\"settle_s\": 15 | \"settle\": 15 | fleet.settle_s: is missing", "\"links\": [ | \"wires\": [], \"links\": [ | fleet.wires: is not known",
+        "\"fleet\": | \"flotilla\": | fleet: is missing"})
+    void aFaultNamesItsKey(String sound, String faulty, String message) throws Exception {
+        String shipped = Files.readString(PLAYED);
+        assertThat(shipped).contains(sound);
+        assertThatThrownBy(() -> ScenarioReader.readFleet(shipped.replace(sound, faulty), "s")).isInstanceOf(FaultyScenarioException.class)
+                .hasMessageContaining(message);
+    }
+}
--- a/src/test/java/dappleseam/lab/fleet/ViewCheckerTest.java
+++ b/src/test/java/dappleseam/lab/fleet/ViewCheckerTest.java
@@ -87,6 +87,18 @@
         assertThat(broken()).containsExactly(Promise.FALSE_END);
     }
 
+    @Test
+    void whoSuspectsAGoodOneAgainAndAgainIsSeen() {
+        for (int i = 0; i < 3; i++) {
+            see(500 + i, 1, 2, State.SUSPECT);
+            see(500.5 + i, 1, 2, State.ALIVE);
+        }
+        assertThat(broken()).isEmpty();
+        see(504, 1, 2, State.SUSPECT);
+        see(504.5, 1, 2, State.ALIVE);
+        assertThat(broken()).containsExactly(Promise.SUSPECTED_AGAIN);
+    }
+
     @Test
     void whoRaisesTheDeadIsSeen() {
         truth.ended("p3", 500);
