--- a/src/main/java/dappleseam/fleet/peers/PeerSocket.java
+++ b/src/main/java/dappleseam/fleet/peers/PeerSocket.java
@@ -51,8 +51,8 @@
     private static final int AT_ONCE = 256;
     private static final int A_SECOND = 2000;
     private static final int BUFFER_BYTES = 256 << 10;
-    /** Time in ms that an end waits for the last words to go out. */
-    private static final long LAST_WORDS_MS = 200;
+    /** Time in ms that an end waits for the last words to go out: well under what the program has left then. */
+    private static final long LAST_WORDS_MS = 50;
 
     private final Path left;
     private final long seed;
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -438,8 +438,8 @@
         boolean handOver = seats != null && seats.otherListens();
         LOG.log(Level.INFO, "told to end: answering what was taken, {0}",
                 handOver ? "another process takes the clients" : "no other process is here");
-        if (fleet != null) {
-            fleet.end(handOver);
+        if (fleet != null && handOver) {
+            fleet.end(true);
         }
         CountDownLatch done = new CountDownLatch(1);
         worker.getIoThread().execute(() -> {
@@ -460,6 +460,9 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (fleet != null && !handOver) {
+            fleet.end(false); // not before: until here it takes its share of what the fleet may send
+        }
         LOG.log(Level.INFO, "ended");
         BackgroundLog.written(LAST_LINES_MS);
         Runtime.getRuntime().halt(0);
