Explore every order of events of three members, to a depth

Need: the membership is to be explored exhaustively for three members and a few steps, with the count of states told. The shipped module is played again from its start for each way; datagrams arrive in any order, are lost or come twice, members die, return from nothing with a lower start, or stand still. Held at each step: a view never goes back, nobody is held for what it never said, nobody is raised by old news, nobody counts less than are alive; and in the quiet after each way all views are right.

--- a/src/main/java/dappleseam/fleet/membership/Membership.java
+++ b/src/main/java/dappleseam/fleet/membership/Membership.java
@@ -195,7 +195,7 @@
         }
     }
 
-    private record Due(double at, long order, Runnable run) implements Comparable<Due> {
+    private record Due(double at, long order, String what, Runnable run) implements Comparable<Due> {
         @Override
         public int compareTo(Due other) {
             int byTime = Double.compare(at, other.at);
@@ -345,7 +345,7 @@
             errands.put(mine, new Errand(from, number, target.name()));
             Peer peer = peers.get(target.name());
             host.ping(peer == null ? target.address() : peer.notice.address(), self, mine, target.name(), news(target));
-            due(NACK_SHARE * terms.periodMs(), () -> {
+            due(NACK_SHARE * terms.periodMs(), "errand", () -> {
                 Errand errand = errands.remove(mine);
                 if (errand != null) {
                     host.nack(errand.from, self, errand.number);
@@ -433,8 +433,8 @@
         }
     }
 
-    private void due(double inMs, Runnable run) {
-        dues.add(new Due(now + inMs, duesMade++, run));
+    private void due(double inMs, String what, Runnable run) {
+        dues.add(new Due(now + inMs, duesMade++, what, run));
     }
 
     private void worse() {
@@ -450,7 +450,7 @@
             judge();
         }
         double every = everyMs();
-        due(every, this::period);
+        due(every, "period", this::period);
         periods++;
         looks = 0;
         probeNext(every);
@@ -491,8 +491,8 @@
         Probe begun = new Probe(++numbers, present.get(nextProbed++));
         probe = begun;
         host.ping(begun.peer.notice.address(), self, begun.number, begun.peer.notice.name(), news(begun.peer.notice));
-        due(ASK_SHARE * every, () -> askOthers(begun));
-        due(JUDGE_SHARE * every, () -> {
+        due(ASK_SHARE * every, "ask", () -> askOthers(begun));
+        due(JUDGE_SHARE * every, "judge", () -> {
             if (probe == begun) {
                 judge();
             }
@@ -547,7 +547,7 @@
     }
 
     private void watch(Peer peer, Suspicion suspicion) {
-        due(Math.max(0, suspicion.beganAt + suspicionMs(suspicion) - now), () -> {
+        due(Math.max(0, suspicion.beganAt + suspicionMs(suspicion) - now), "suspicion", () -> {
             if (peer.suspicion == suspicion && now + GRAIN_MS >= suspicion.beganAt + suspicionMs(suspicion)) {
                 change(peer, peer.notice.with(State.FAILED, 0));
             }
@@ -766,7 +766,7 @@
         leastTold.add(rumour);
         if (!telling) {
             telling = true;
-            due(TELL_SHARE * terms.periodMs(), this::tellSome);
+            due(TELL_SHARE * terms.periodMs(), "tell", this::tellSome);
         }
     }
 
@@ -776,7 +776,7 @@
             for (Peer peer : some(TOLD_AT_ONCE, null)) {
                 host.tell(peer.notice.address(), self, news(peer.notice));
             }
-            due(TELL_SHARE * terms.periodMs(), this::tellSome);
+            due(TELL_SHARE * terms.periodMs(), "tell", this::tellSome);
         }
     }
 
@@ -1005,4 +1005,26 @@
     public int[] sums() {
         return sums.clone();
     }
+
+    /** All that decides what it does next but chance, times from now on: for a checker that has to tell states apart. */
+    public String state() {
+        StringBuilder text = new StringBuilder(256);
+        text.append(self).append(health).append(' ').append(caughtUp).append(heardAny).append(' ').append(compareIn).append(' ')
+                .append(periods % (RETRY_PERIODS * SEED_PERIODS)).append(' ').append(nextProbed).append(' ').append(Math.ceil(counted));
+        for (Peer peer : present) {
+            text.append('\n').append(peer.notice).append(peer.viaOthers);
+            if (peer.suspicion != null) {
+                text.append(peer.suspicion.accusers).append(peer.suspicion.foundFailed).append(Math.round(now - peer.suspicion.beganAt));
+            }
+        }
+        failed.forEach(peer -> text.append('\n').append(peer.notice).append(peer.refusals));
+        peers.values().stream().filter(peer -> !peer.notice.state().isCounted()).forEach(peer -> text.append('\n').append(peer.notice));
+        leastTold.forEach(rumour -> text.append('\n').append(rumour.told).append(rumour.notice));
+        dues.stream().sorted().forEach(due -> text.append('\n').append(due.what).append(Math.round(due.at - now)));
+        if (probe != null) {
+            text.append('\n').append(probe.peer.notice.name()).append(probe.answered).append(probe.directly).append(probe.asked).append(probe.nacks);
+        }
+        errands.values().forEach(errand -> text.append('\n').append(errand.target));
+        return text.toString();
+    }
 }
--- /dev/null
+++ b/src/main/java/dappleseam/lab/ExploreCommand.java
@@ -0,0 +1,28 @@
+package dappleseam.lab;
+
+import dappleseam.lab.fleet.Exploration;
+import dappleseam.lab.fleet.Planted;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Every order of events of three members, to a depth. */
+@Command(name = "explore", mixinStandardHelpOptions = true, description = "Play every order of events of three members; status 1 where one breaks a promise.")
+final class ExploreCommand implements Callable<Integer> {
+    @Option(names = "--depth", defaultValue = "6", description = "Events in a row (default: 6).")
+    private int depth;
+
+    @Option(names = "--faults", defaultValue = "2", description = "Losses, repeats, deaths and stalls among them, at most (default: 2).")
+    private int faults;
+
+    @Option(names = "--planted", defaultValue = "NONE", description = "A defence that is taken out: ${COMPLETION-CANDIDATES}.")
+    private Planted planted;
+
+    @Override
+    public Integer call() {
+        Exploration.Found found = new Exploration(depth, faults, true, planted).run();
+        System.out.printf("depth %d, faults %d, planted %s: %d states in %d ways, %s%n", depth, faults, planted, found.states(), found.ways(),
+                found.broken() == null ? "nothing broken" : found.broken());
+        return found.broken() == null ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/lab/fleet/Exploration.java
@@ -0,0 +1,349 @@
+package dappleseam.lab.fleet;
+
+import dappleseam.fleet.membership.FleetHost;
+import dappleseam.fleet.membership.Life;
+import dappleseam.fleet.membership.MemberName;
+import dappleseam.fleet.membership.Membership;
+import dappleseam.fleet.membership.Notice;
+import dappleseam.fleet.membership.Notice.State;
+import dappleseam.fleet.membership.Standing;
+import dappleseam.fleet.membership.Terms;
+import dappleseam.fleet.peers.Letter;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Every order of events of a small fleet, to a depth: which datagram arrives next, is lost or comes twice, whether time goes on, who dies, returns
+ * from nothing, or stands still. The module is the shipped one; states that are alike are gone on from once.
+ */
+public final class Exploration {
+    /** What is done next; {@code which} is a datagram's place or a member's number. */
+    public record Move(Kind kind, int which) {}
+
+    public enum Kind { DELIVER, LOSE, REPEAT, TIME, KILL, START, STALL }
+
+    /** States told apart, ways played, and what broke, with the moves that led there. */
+    public record Found(long states, long ways, String broken) {}
+
+    private static final int MEMBERS = 3;
+    private static final double PERIOD_MS = 1000;
+    private static final double STALL_MS = 900;
+    /** Datagrams under way that are chosen from: the oldest. */
+    private static final int CHOICE = 4;
+    /** Quiet time in ms after which all views have to be right, however it began. */
+    private static final double SETTLE_MS = 120_000;
+
+    private final int depth;
+    private final int faults;
+    private final boolean settle;
+    private final Planted planted;
+    private final Set<String> seen = new HashSet<>();
+    private long ways;
+    private String broken;
+
+    /** At most so many losses, repeats, deaths and stalls on one way; {@code settle}: play each way on to its quiet end. */
+    public Exploration(int depth, int faults, boolean settle, Planted planted) {
+        this.planted = planted;
+        this.depth = depth;
+        this.faults = faults;
+        this.settle = settle;
+    }
+
+    public Found run() {
+        explore(new ArrayList<>(), 0);
+        return new Found(seen.size(), ways, broken);
+    }
+
+    private void explore(List<Move> path, int faultsUsed) {
+        if (broken != null) {
+            return;
+        }
+        World world = new World(planted);
+        path.forEach(world::play);
+        ways++;
+        if (world.broken != null) {
+            broken = world.broken + " after " + path;
+            return;
+        }
+        if (!seen.add((depth - path.size()) + "/" + (faults - faultsUsed) + "/" + world.state())) {
+            return;
+        }
+        if (path.size() == depth) {
+            if (settle) {
+                world.settle();
+                if (world.broken != null) {
+                    broken = world.broken + " in the quiet after " + path;
+                }
+            }
+            return;
+        }
+        for (Move move : world.moves()) {
+            boolean isFault = move.kind != Kind.DELIVER && move.kind != Kind.TIME && move.kind != Kind.START;
+            if (!isFault || faultsUsed < faults) {
+                path.add(move);
+                explore(path, faultsUsed + (isFault ? 1 : 0));
+                path.remove(path.size() - 1);
+            }
+        }
+    }
+
+    /** Three members that know each other, and what is under way between them. */
+    private static final class World {
+        final Planted planted;
+        final List<Member> members = new ArrayList<>();
+        final List<Sent> underWay = new ArrayList<>();
+        final Map<Life, Notice> said = new HashMap<>();
+        double now;
+        String broken;
+
+        record Sent(int to, InetSocketAddress from, Letter letter) {
+            String text() {
+                return "\n" + to + from + letter.kind() + letter.self() + letter.target() + letter.about() + letter.news();
+            }
+        }
+
+        World(Planted planted) {
+            this.planted = planted;
+            for (int i = 0; i < MEMBERS; i++) {
+                members.add(new Member(this, i));
+            }
+            members.forEach(m -> m.start(0));
+            // They get to know each other and fall quiet: what is explored begins here.
+            while (now < 12 * PERIOD_MS) {
+                deliverAll();
+                time();
+            }
+            deliverAll();
+        }
+
+        void deliverAll() {
+            for (int i = 0; i < 10_000 && !underWay.isEmpty(); i++) {
+                deliver(underWay.remove(0));
+            }
+        }
+
+        void deliver(Sent sent) {
+            Member to = members.get(sent.to);
+            if (to.up) {
+                sent.letter.tell(sent.from, to.membership.heard(now));
+            }
+        }
+
+        double next() {
+            return members.stream().filter(m -> m.up).mapToDouble(m -> m.wakeAt).min().orElse(now + PERIOD_MS);
+        }
+
+        void time() {
+            now = Math.max(now, next());
+            for (Member member : members) {
+                if (member.up && member.wakeAt <= now) {
+                    member.wakeAt = Double.POSITIVE_INFINITY;
+                    member.membership.woken(now);
+                }
+            }
+        }
+
+        List<Move> moves() {
+            List<Move> moves = new ArrayList<>();
+            for (int i = 0; i < Math.min(CHOICE, underWay.size()); i++) {
+                moves.add(new Move(Kind.DELIVER, i));
+                moves.add(new Move(Kind.LOSE, i));
+                moves.add(new Move(Kind.REPEAT, i));
+            }
+            moves.add(new Move(Kind.TIME, 0));
+            for (Member member : members) {
+                moves.add(new Move(member.up ? Kind.KILL : Kind.START, member.number));
+            }
+            moves.add(new Move(Kind.STALL, 0));
+            return moves;
+        }
+
+        void play(Move move) {
+            switch (move.kind) {
+                case DELIVER -> deliver(underWay.remove(move.which));
+                case LOSE -> underWay.remove(move.which);
+                case REPEAT -> deliver(underWay.get(move.which));
+                case TIME -> time();
+                case KILL -> {
+                    Member member = members.get(move.which);
+                    member.up = false;
+                    underWay.removeIf(s -> s.to == move.which);
+                }
+                case START -> members.get(move.which).start(now);
+                // All but the first run; it finds out when it wakes.
+                case STALL -> {
+                    double until = now + STALL_MS;
+                    Member stopped = members.get(0);
+                    while (next() < until && members.stream().anyMatch(m -> m.up && m != stopped)) {
+                        double kept = stopped.wakeAt;
+                        stopped.wakeAt = Double.POSITIVE_INFINITY;
+                        time();
+                        stopped.wakeAt = kept;
+                        if (next() == kept) {
+                            break;
+                        }
+                    }
+                    now = Math.max(now, until);
+                }
+            }
+        }
+
+        void settle() {
+            double until = now + SETTLE_MS;
+            while (now < until) {
+                deliverAll();
+                time();
+            }
+            deliverAll();
+            for (Member viewer : members) {
+                for (Member other : members) {
+                    if (viewer.up && viewer != other) {
+                        Notice held = viewer.membership.of(other.name);
+                        boolean present = held != null && held.state().isPresent();
+                        if (present != other.up || other.up && !held.life().equals(other.membership.self().life())) {
+                            breaks(viewer.name + " holds " + held + " for " + other.name + ", up " + other.up);
+                        }
+                    }
+                }
+            }
+        }
+
+        void breaks(String what) {
+            broken = broken == null ? what : broken;
+        }
+
+        String state() {
+            StringBuilder text = new StringBuilder();
+            for (Member member : members) {
+                text.append(member.up).append(member.up ? member.membership.state() + Math.round(member.wakeAt - now) + ' ' + member.chance.count % 64 : "").append('|');
+            }
+            underWay.forEach(sent -> text.append(sent.text()));
+            return text.toString();
+        }
+    }
+
+    /** A chance that can be told apart by how often it was asked. */
+    private static final class Counter implements RandomGenerator {
+        long count;
+
+        @Override
+        public long nextLong() {
+            count++;
+            long mixed = count * 0x9E3779B97F4A7C15L;
+            return mixed ^ (mixed >>> 29);
+        }
+    }
+
+    private static final class Member implements FleetHost {
+        final World world;
+        final int number;
+        final MemberName name;
+        Counter chance;
+        Membership membership;
+        boolean up;
+        double wakeAt = Double.POSITIVE_INFINITY;
+        int starts;
+
+        Member(World world, int number) {
+            this.world = world;
+            this.number = number;
+            name = new MemberName("p" + number);
+        }
+
+        /** From nothing, by a clock that stands: the greater start is not always the later one. */
+        void start(double now) {
+            chance = new Counter();
+            Notice self = new Notice(name, SimulatedFleet.address(number), new Life(1000, 10L * (starts % 2 == 0 ? 5 + starts : 5 - starts) + number), 0, State.ALIVE, 0);
+            starts++;
+            up = true;
+            wakeAt = Double.POSITIVE_INFINITY;
+            membership = new Membership(Terms.usual(MEMBERS).withPeriod(PERIOD_MS), self, this, chance, now);
+            membership.begin(now, List.of(SimulatedFleet.address((number + 1) % MEMBERS), SimulatedFleet.address((number + 2) % MEMBERS)));
+        }
+
+        private void send(InetSocketAddress to, Letter letter) {
+            world.said.merge(letter.self().life(), letter.self(), (a, b) -> a.compareTo(b) >= 0 ? a : b);
+            for (Member other : world.members) {
+                Letter passed = world.planted.passed(letter, other.name, false);
+                if (other.up && SimulatedFleet.address(other.number).equals(to) && passed != null) {
+                    world.underWay.add(new World.Sent(other.number, SimulatedFleet.address(number), passed));
+                }
+            }
+        }
+
+        @Override
+        public void ping(InetSocketAddress peer, Notice self, long count, MemberName target, List<Notice> news) {
+            send(peer, new Letter(Letter.Kind.PING, self, count, target, null, news, false, null));
+        }
+
+        @Override
+        public void ack(InetSocketAddress peer, Notice self, long count, Notice about, List<Notice> news) {
+            send(peer, new Letter(Letter.Kind.ACK, self, count, null, about, news, false, null));
+        }
+
+        @Override
+        public void nack(InetSocketAddress peer, Notice self, long count) {
+            send(peer, new Letter(Letter.Kind.NACK, self, count, null, null, List.of(), false, null));
+        }
+
+        @Override
+        public void ask(InetSocketAddress peer, Notice self, long count, Notice target, List<Notice> news) {
+            send(peer, new Letter(Letter.Kind.ASK, self, count, null, target, news, false, null));
+        }
+
+        @Override
+        public void sums(InetSocketAddress peer, Notice self, boolean answer, int[] sums) {
+            send(peer, new Letter(Letter.Kind.SUMS, self, 0, null, null, List.of(), answer, sums));
+        }
+
+        @Override
+        public void tell(InetSocketAddress peer, Notice self, List<Notice> news) {
+            send(peer, new Letter(Letter.Kind.TELL, self, 0, null, null, news, false, null));
+        }
+
+        @Override
+        public void call(InetSocketAddress peer, Notice self, long count, MemberName target, List<Notice> news) {
+            ping(peer, self, count, target, news);
+        }
+
+        @Override
+        public void wakeAt(double ms) {
+            wakeAt = ms;
+        }
+
+        /** What no order of events may bring about. */
+        @Override
+        public void seen(Notice before, Notice now) {
+            if (before != null && now.compareTo(before) <= 0) {
+                world.breaks(name + "'s view went back from " + before + " to " + now);
+            }
+            Notice own = world.said.get(now.life());
+            if (now.state() == State.LEFT || own == null || now.incarnation() > own.incarnation()) {
+                world.breaks(name + " holds " + now + ", which its process never said");
+            }
+            if (before != null && before.life().equals(now.life()) && !before.state().isPresent() && now.state().isPresent()
+                    && now.incarnation() <= before.incarnation()) {
+                world.breaks(name + " raised " + before + " to " + now);
+            }
+            if (membership.counted() < membership.alive()) {
+                world.breaks(name + " counts less than those alive");
+            }
+        }
+
+        @Override
+        public void stands(Standing standing) {
+            // as it may
+        }
+
+        @Override
+        public void log(String text) {
+            // nobody reads it
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/dappleseam/lab/fleet/ExplorationTest.java
@@ -0,0 +1,20 @@
+package dappleseam.lab.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Every order of events of three members, to a small depth; {@code lab explore} goes deeper. */
+class ExplorationTest {
+    @Test
+    void noOrderOfEventsBreaksAPromise() {
+        Exploration.Found found = new Exploration(5, 2, true, Planted.NONE).run();
+        assertThat(found.broken()).isNull();
+        assertThat(found.states()).isGreaterThan(800);
+    }
+
+    @Test
+    void aDefenceTakenOutIsFound() {
+        assertThat(new Exploration(3, 2, true, Planted.NO_REFUTATION).run().broken()).contains("in the quiet after");
+    }
+}
