Leases for tasks of the whole fleet: voters, candidates, and their model checking

Need: some work is to be done by one proxy for all, and two must never act at once. dappleseam.fleet.lease is PaxosLease with a bound on the clocks, with tokens that a resource checks, rounds that grow over restarts, and files for voters that have a disk; free of I/O, no process uses it yet. docs/fleet-design.md has the options and what is assumed. Model checking plays the shipped modules: every order of events to a depth, random ones from seeds, shrunk. It found: tokens that fell where all voters forgot (rounds begin at the wall clock now); a holder that made the same ballot twice after it gave a lease up; two holders by an old copy of a voter's file from within its last life, which no count of starts can tell (a voter speaks at once only by a file that an orderly end closed). Ruled out on paper before: acceptances of an earlier renewal counted for a later one, acquisitions reckoned from the proposal. Found as planted: no drift margin, forgetting voters, early check, no fence, late force, minority, ever closed file; over the bound two think so and the resource stays right.

--- /dev/null
+++ b/src/main/java/dappleseam/fleet/lease/LeaseHost.java
@@ -0,0 +1,18 @@
+package dappleseam.fleet.lease;
+
+/** What a candidate can do beside sending ballots. Every call takes effect at the time of the event being handled. */
+public interface LeaseHost extends Ballots {
+    /** Calls {@link Candidate#woken} at that time; an earlier wish for a wake-up is void. */
+    void wakeAt(double ms);
+
+    /** The task may act from now on, by {@link Candidate#act}. */
+    void taken(LeaseName lease, Token token);
+
+    /** The task has to stop; {@code act} says no already. */
+    void lost(LeaseName lease, Token token, String why);
+
+    /** This process's place in the order of trying, by its view: 0 is the first; -1 where it is not to try. */
+    int rank(LeaseName lease);
+
+    void log(String text);
+}
--- /dev/null
+++ b/src/main/java/dappleseam/fleet/lease/Ranking.java
@@ -0,0 +1,35 @@
+package dappleseam.fleet.lease;
+
+import dappleseam.fleet.membership.MemberName;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.List;
+
+/** The order in which members try a lease: rendezvous hashing (Thaler, Ravishankar 1998), so that leases spread and few move with a member. */
+public final class Ranking {
+    private Ranking() {}
+
+    /** How many of those come before that member; -1 where it is not among them. */
+    public static int rank(LeaseName lease, MemberName member, List<MemberName> members) {
+        long own = weight(lease, member);
+        int before = 0;
+        boolean found = false;
+        for (MemberName other : members) {
+            long weight = weight(lease, other);
+            found |= other.equals(member);
+            before += weight > own || weight == own && other.text().compareTo(member.text()) > 0 ? 1 : 0;
+        }
+        return found ? before : -1;
+    }
+
+    private static long weight(LeaseName lease, MemberName member) {
+        try {
+            byte[] hash = MessageDigest.getInstance("SHA-256").digest((lease.text() + '/' + member.text()).getBytes(StandardCharsets.US_ASCII));
+            return ByteBuffer.wrap(hash).getLong();
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java has it", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/fleet/lease/Token.java
@@ -0,0 +1,28 @@
+package dappleseam.fleet.lease;
+
+/**
+ * A ballot, and once it is won what fences all that its holder does: a resource refuses a lower one than it has seen (Burrows 2006,
+ * sequencers). {@code round}: 0 to {@link #LAST}; {@code nonce}: the process's, so that no two make the same.
+ */
+public record Token(long round, long nonce) implements Comparable<Token> {
+    /** Below all that are ever made. */
+    public static final Token NONE = new Token(0, Long.MIN_VALUE);
+    /** More rounds than a thousand a second for a thousand years; what is beyond was never made. */
+    public static final long LAST = 1L << 45;
+
+    public Token {
+        if (round < 0 || round > LAST) {
+            throw new IllegalArgumentException("no round");
+        }
+    }
+
+    @Override
+    public int compareTo(Token other) {
+        int byRound = Long.compare(round, other.round);
+        return byRound != 0 ? byRound : Long.compare(nonce, other.nonce);
+    }
+
+    public boolean isBelow(Token other) {
+        return compareTo(other) < 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/lab/LeasesCommand.java
@@ -0,0 +1,59 @@
+package dappleseam.lab;
+
+import dappleseam.lab.fleet.LeaseExploration;
+import dappleseam.lab.fleet.LeaseExploration.Walk;
+import dappleseam.lab.fleet.LeaseWorld.Planted;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.stream.LongStream;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Model checking of leases. */
+@Command(name = "leases", mixinStandardHelpOptions = true, description = "Check leases: every order of events to a depth, then random ones; status 1 where one breaks.")
+final class LeasesCommand implements Callable<Integer> {
+    @Option(names = "--depth", defaultValue = "5", description = "Large steps in a row of the exhaustive search (default: 5; 0: none).")
+    private int depth;
+
+    @Option(names = "--troubles", defaultValue = "1", description = "Restarts and the like among them, at most (default: 1).")
+    private int troubles;
+
+    @Option(names = "--from", defaultValue = "1", description = "First seed of random ways (default: 1).")
+    private long from;
+
+    @Option(names = "--seeds", defaultValue = "20000", description = "How many (default: 20000).")
+    private int seeds;
+
+    @Option(names = "--steps", defaultValue = "400", description = "Steps of each (default: 400).")
+    private int steps;
+
+    @Option(names = "--candidates", defaultValue = "2", description = "Candidates, 1 to 3 (default: 2).")
+    private int candidates;
+
+    @Option(names = "--disks", description = "Voters have disks, and some get old copies back.")
+    private boolean disks;
+
+    @Option(names = "--planted", defaultValue = "NONE", description = "A fault that is built in: ${COMPLETION-CANDIDATES}.")
+    private Planted planted;
+
+    @Override
+    public Integer call() {
+        LeaseExploration exploration = new LeaseExploration(candidates, disks, planted);
+        boolean broke = false;
+        if (depth > 0) {
+            LeaseExploration.Found found = exploration.exhaust(depth, troubles, true);
+            System.out.printf("depth %d, troubles %d: %d states in %d ways, up to %d takes, %s%n", depth, troubles, found.states(), found.ways(), found.takes(),
+                    found.broken() == null ? "nothing broken" : found.broken());
+            broke = found.broken() != null;
+        }
+        List<Walk> walks = LongStream.range(from, from + seeds).parallel().mapToObj(seed -> exploration.walk(seed, steps)).toList();
+        List<Walk> broken = walks.stream().filter(w -> w.broken() != null).toList();
+        System.out.printf("%d random ways from seed %d on, %d steps, %d takes, %d overlaps, %d broken%n", seeds, from,
+                walks.stream().mapToLong(Walk::steps).sum(), walks.stream().mapToLong(Walk::takes).sum(), walks.stream().mapToLong(Walk::overlaps).sum(), broken.size());
+        if (!broken.isEmpty()) {
+            System.out.println("seed " + broken.get(0).seed() + ": " + broken.get(0).broken());
+            exploration.shrink(broken.get(0)).forEach(move -> System.out.println("    " + move));
+        }
+        return broke || !broken.isEmpty() ? 1 : 0;
+    }
+}
--- /dev/null
+++ b/src/test/java/dappleseam/fleet/lease/RankingTest.java
@@ -0,0 +1,52 @@
+package dappleseam.fleet.lease;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dappleseam.fleet.membership.MemberName;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Who tries first: spread evenly, and few move. */
+class RankingTest {
+    private static List<MemberName> members(int count) {
+        List<MemberName> members = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            members.add(new MemberName("proxy-" + i));
+        }
+        return members;
+    }
+
+    private static Map<Integer, MemberName> firsts(List<MemberName> members) {
+        Map<Integer, MemberName> firsts = new HashMap<>();
+        for (int i = 0; i < 1000; i++) {
+            LeaseName lease = new LeaseName("lease-" + i);
+            firsts.put(i, members.stream().filter(m -> Ranking.rank(lease, m, members) == 0).findFirst().orElseThrow());
+        }
+        return firsts;
+    }
+
+    @Test
+    void aThousandLeasesSpreadOverFiftyMembers() {
+        Map<MemberName, Integer> counts = new HashMap<>();
+        firsts(members(50)).values().forEach(m -> counts.merge(m, 1, Integer::sum));
+        assertThat(counts).hasSize(50);
+        assertThat(counts.values()).allMatch(c -> c >= 5 && c <= 40);
+    }
+
+    @Test
+    void onlyTheLeasesOfOneThatGoesMove() {
+        List<MemberName> all = members(50);
+        Map<Integer, MemberName> before = firsts(all);
+        MemberName gone = all.remove(17);
+        firsts(all).forEach((lease, first) -> assertThat(before.get(lease)).isIn(first, gone));
+    }
+
+    @Test
+    void whoIsNotThereHasNoRank() {
+        assertThat(Ranking.rank(new LeaseName("a"), new MemberName("x"), members(3))).isEqualTo(-1);
+        assertThat(members(3).stream().map(m -> Ranking.rank(new LeaseName("a"), m, members(3)))).containsExactlyInAnyOrder(0, 1, 2);
+    }
+}
--- /dev/null
+++ b/src/test/java/dappleseam/lab/fleet/LeaseExplorationTest.java
@@ -0,0 +1,62 @@
+package dappleseam.lab.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dappleseam.lab.fleet.LeaseExploration.Walk;
+import dappleseam.lab.fleet.LeaseWorld.Planted;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Leases by model checking of the shipped modules; {@code lab leases} goes deeper and longer. */
+class LeaseExplorationTest {
+    private static final int STEPS = 400;
+
+    private static List<Walk> walks(int candidates, boolean disks, Planted planted, int seeds) {
+        LeaseExploration exploration = new LeaseExploration(candidates, disks, planted);
+        return LongStream.rangeClosed(1, seeds).parallel().mapToObj(seed -> exploration.walk(seed, STEPS)).toList();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"2, false", "3, false", "2, true", "3, true"})
+    void noRandomWayBreaksALease(int candidates, boolean disks) {
+        List<Walk> walks = walks(candidates, disks, Planted.NONE, 3000);
+        assertThat(walks).allMatch(w -> w.broken() == null, "unbroken");
+        assertThat(walks.stream().mapToInt(Walk::takes).sum()).as("leases were taken").isGreaterThan(3000);
+    }
+
+    @Test
+    void noOrderOfEventsBreaksALease() {
+        LeaseExploration.Found large = new LeaseExploration(2, false, Planted.NONE).exhaust(4, 1, true);
+        assertThat(large.broken()).isNull();
+        assertThat(large.states()).isGreaterThan(15_000);
+        LeaseExploration.Found small = new LeaseExploration(2, false, Planted.NONE).exhaust(5, 1, false);
+        assertThat(small.broken()).isNull();
+    }
+
+    /** Each fault that is built in is found, or the check could not fail. */
+    @ParameterizedTest
+    @CsvSource({"NO_MARGIN, false, 5000, two act at once", "FORGETFUL, false, 5000, two act at once", "EARLY_CHECK, false, 5000, two act at once",
+        "MINORITY, false, 500, two act at once", "NO_FENCE, false, 8000, the resource took", "LATE_FORCE, true, 3000, a token did not grow",
+        "EVER_CLOSED, true, 20000, two act at once"})
+    void aPlantedFaultIsFound(Planted planted, boolean disks, int seeds, String what) {
+        assertThat(walks(2, disks, planted, seeds)).anyMatch(w -> w.broken() != null && w.broken().startsWith(what));
+    }
+
+    @Test
+    void clocksOverTheirBoundLeaveTheResourceRight() {
+        List<Walk> walks = walks(2, false, Planted.OVER_BOUND, 5000);
+        assertThat(walks.stream().mapToInt(Walk::overlaps).sum()).as("two did think that they hold it").isPositive();
+        assertThat(walks).allMatch(w -> w.broken() == null, "the resource took nothing older");
+    }
+
+    @Test
+    void whatBreaksIsShrunkAndStillBreaks() {
+        LeaseExploration exploration = new LeaseExploration(2, false, Planted.MINORITY);
+        Walk failed = walks(2, false, Planted.MINORITY, 500).stream().filter(w -> w.broken() != null).findFirst().orElseThrow();
+        assertThat(exploration.shrink(failed).size()).isLessThan(failed.path().size());
+        assertThat(exploration.walk(failed.seed(), STEPS).broken()).as("a seed replays exactly").isEqualTo(failed.broken());
+    }
+}
