--- a/src/main/java/dappleseam/fleet/lease/Candidate.java
+++ b/src/main/java/dappleseam/fleet/lease/Candidate.java
@@ -262,10 +262,8 @@
         claim.failures = 0;
         claim.freeSince = Double.NaN;
         claim.dueAt = Math.min(nowMs + terms.heldMs() * RENEW_SHARE, claim.until - span(STOP_SHARE));
-        if (claim.stage == Stage.PROPOSING) {
-            claim.stage = Stage.HOLDING;
-            host.taken(lease, ballot);
-        }
+        claim.stage = Stage.HOLDING;
+        host.held(lease, ballot, claim.until);
         leave();
     }
 
--- a/src/main/java/dappleseam/fleet/lease/LeaseHost.java
+++ b/src/main/java/dappleseam/fleet/lease/LeaseHost.java
@@ -5,8 +5,8 @@
     /** Calls {@link Candidate#woken} at that time; an earlier wish for a wake-up is void. */
     void wakeAt(double ms);
 
-    /** The task may act from now on, by {@link Candidate#act}. */
-    void taken(LeaseName lease, Token token);
+    /** The task may act until that time by this process's clock, from now on or for longer than before. To be asked for at the instant of acting. */
+    void held(LeaseName lease, Token token, double untilMs);
 
     /** The task has to stop; {@code act} says no already. */
     void lost(LeaseName lease, Token token, String why);
--- a/src/main/java/dappleseam/fleet/membership/Membership.java
+++ b/src/main/java/dappleseam/fleet/membership/Membership.java
@@ -230,6 +230,7 @@
         enter(nowMs);
         terms = other;
         seeds = List.copyOf(known);
+        counted = Math.max(counted, actual());
         leave();
     }
 
--- /dev/null
+++ b/src/main/java/dappleseam/fleet/peers/Ballot.java
@@ -0,0 +1,56 @@
+package dappleseam.fleet.peers;
+
+import dappleseam.fleet.lease.Ballots;
+import dappleseam.fleet.lease.Ballots.Refusal;
+import dappleseam.fleet.lease.Candidate;
+import dappleseam.fleet.lease.LeaseName;
+import dappleseam.fleet.lease.Token;
+import dappleseam.fleet.lease.Voter;
+import dappleseam.fleet.membership.MemberName;
+
+/** What passes between candidates and voters in one datagram, as {@link Ballots} names it. Fields that its kind has no use for hold nothing. */
+public record Ballot(Op op, int set, LeaseName lease, Token ballot, Token other, MemberName holder, double leftMs, long count, long known, Refusal why) {
+    /** Their order is what goes out; new ones come at the end. */
+    public enum Op { PREPARE, ASK, PROPOSE, RELEASE, RECALL, PROMISED, TOLD, ACCEPTED, REFUSED, RECALLED }
+
+    /** Of a recall, which is of no lease. */
+    private static final LeaseName NO_LEASE = new LeaseName("-");
+
+    static Ballot to(Op op, int set, LeaseName lease, Token ballot, long count) {
+        return new Ballot(op, set, lease, ballot, Token.NONE, null, 0, count, 0, Refusal.LOWER);
+    }
+
+    static Ballot of(Op op, LeaseName lease, Token ballot, Token other, MemberName holder, double leftMs) {
+        return new Ballot(op, 0, lease, ballot, other, holder, leftMs, 0, 0, Refusal.LOWER);
+    }
+
+    static Ballot recall(Op op, int set, long start, long nonce, long known) {
+        return new Ballot(op, set, NO_LEASE, new Token(0, nonce), Token.NONE, null, 0, start, known, Refusal.LOWER);
+    }
+
+    /** Passes it on; {@code voter} is null where this process is none. */
+    void tell(double nowMs, MemberName from, Voter voter, Candidate candidate, Ballots back) {
+        if (op.compareTo(Op.RECALL) <= 0 && voter == null) {
+            if (op != Op.RECALL && op != Op.RELEASE) {
+                back.refused(from, lease, ballot, Refusal.NO_VOTER, Token.NONE);
+            }
+            return;
+        }
+        switch (op) {
+            case PREPARE -> voter.prepare(nowMs, from, set, lease, ballot);
+            case ASK -> voter.ask(nowMs, from, set, lease);
+            case PROPOSE -> voter.propose(nowMs, from, set, lease, ballot, count);
+            case RELEASE -> voter.release(nowMs, from, set, lease, ballot);
+            case RECALL -> voter.recall(from, set, count, ballot.nonce());
+            case PROMISED -> candidate.promised(nowMs, from, lease, ballot, other, leftMs);
+            case TOLD -> candidate.told(nowMs, from, lease, ballot, other, leftMs);
+            case ACCEPTED -> candidate.accepted(nowMs, from, lease, ballot, count);
+            case REFUSED -> candidate.refused(nowMs, from, lease, ballot, why, other);
+            case RECALLED -> {
+                if (voter != null) {
+                    voter.recalled(from, count, ballot.nonce(), known);
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/dappleseam/fleet/peers/Envelope.java
+++ b/src/main/java/dappleseam/fleet/peers/Envelope.java
@@ -5,6 +5,9 @@
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
+import dappleseam.fleet.lease.Ballots;
+import dappleseam.fleet.lease.LeaseName;
+import dappleseam.fleet.lease.Token;
 import dappleseam.fleet.membership.Life;
 import dappleseam.fleet.membership.MemberName;
 import dappleseam.fleet.membership.Membership;
@@ -29,12 +32,17 @@
     public static final int LONGEST = 1400;
     private static final int HEAD = 6;
     private static final byte PROGRAM = (byte) 0xD5;
-    private static final byte VERSION = 1;
+    private static final byte VERSION = 2;
     private static final int NESTING = 3;
     private static final int LONGEST_NAME = 48;
     private static final int ADDRESS_BYTES = 6;
     /** Notices in a datagram at most: each takes over thirty bytes. */
     private static final int MOST_NOTICES = 64;
+    private static final int BALLOT_FIELDS = 12;
+    /** A day: longer than any lease. */
+    private static final long LONGEST_LEFT_MS = 86_400_000;
+    private static final Ballot.Op[] OPS = Ballot.Op.values();
+    private static final Ballots.Refusal[] REFUSALS = Ballots.Refusal.values();
     private static final Kind[] KINDS = Kind.values();
     private static final Notice.State[] STATES = Notice.State.values();
 
@@ -52,7 +60,7 @@
         ByteArrayOutputStream out = new ByteArrayOutputStream(LONGEST);
         out.writeBytes(new byte[HEAD]);
         try (CBORGenerator cbor = format.createGenerator(out)) {
-            cbor.writeStartArray(null, 9);
+            cbor.writeStartArray(null, 10);
             cbor.writeNumber(fleet);
             cbor.writeNumber(letter.kind().ordinal());
             write(cbor, letter.self());
@@ -80,6 +88,11 @@
                 bytes.asIntBuffer().put(letter.sums());
                 cbor.writeBinary(bytes.array());
             }
+            if (letter.ballot() == null) {
+                cbor.writeNull();
+            } else {
+                write(cbor, letter.ballot());
+            }
             cbor.writeEndArray();
         } catch (IOException e) {
             throw new IllegalStateException("memory cannot be written to", e);
@@ -89,6 +102,48 @@
         return bytes;
     }
 
+    private static void write(CBORGenerator cbor, Ballot ballot) throws IOException {
+        cbor.writeStartArray(null, BALLOT_FIELDS);
+        cbor.writeNumber(ballot.op().ordinal());
+        cbor.writeNumber(ballot.set());
+        cbor.writeString(ballot.lease().text());
+        write(cbor, ballot.ballot());
+        write(cbor, ballot.other());
+        cbor.writeString(ballot.holder() == null ? "" : ballot.holder().text());
+        cbor.writeNumber(Math.round(ballot.leftMs()));
+        cbor.writeNumber(ballot.count());
+        cbor.writeNumber(ballot.known());
+        cbor.writeNumber(ballot.why().ordinal());
+        cbor.writeEndArray();
+    }
+
+    private static void write(CBORGenerator cbor, Token token) throws IOException {
+        cbor.writeNumber(token.round());
+        cbor.writeNumber(token.nonce());
+    }
+
+    private static Ballot ballot(JsonParser cbor) throws IOException {
+        need(cbor.currentToken() == JsonToken.START_ARRAY);
+        Ballot.Op op = OPS[(int) whole(cbor, 0, OPS.length - 1)];
+        int set = (int) whole(cbor, Integer.MIN_VALUE, Integer.MAX_VALUE);
+        need(cbor.nextToken() == JsonToken.VALUE_STRING);
+        LeaseName lease = new LeaseName(cbor.getText());
+        Token ballot = token(cbor);
+        Token other = token(cbor);
+        need(cbor.nextToken() == JsonToken.VALUE_STRING);
+        MemberName holder = cbor.getText().isEmpty() ? null : new MemberName(cbor.getText());
+        long left = whole(cbor, 0, LONGEST_LEFT_MS);
+        long count = whole(cbor, 0, Long.MAX_VALUE);
+        long known = whole(cbor, -1, Long.MAX_VALUE);
+        Ballots.Refusal why = REFUSALS[(int) whole(cbor, 0, REFUSALS.length - 1)];
+        need(cbor.nextToken() == JsonToken.END_ARRAY);
+        return new Ballot(op, set, lease, ballot, other, holder, left, count, known, why);
+    }
+
+    private static Token token(JsonParser cbor) throws IOException {
+        return new Token(whole(cbor, 0, Token.LAST), whole(cbor, Long.MIN_VALUE, Long.MAX_VALUE));
+    }
+
     private static void write(CBORGenerator cbor, Notice notice) throws IOException {
         cbor.writeStartArray(null, 7);
         cbor.writeString(notice.name().text());
@@ -141,9 +196,10 @@
             boolean answer = cbor.nextToken() == JsonToken.VALUE_TRUE;
             need(answer || cbor.currentToken() == JsonToken.VALUE_FALSE);
             int[] sums = cbor.nextToken() == JsonToken.VALUE_NULL ? null : sums(cbor);
+            Ballot ballot = cbor.nextToken() == JsonToken.VALUE_NULL ? null : ballot(cbor);
             need(cbor.nextToken() == JsonToken.END_ARRAY && cbor.nextToken() == null);
-            need((kind == Kind.SUMS) == (sums != null) && (kind != Kind.ASK || about != null));
-            return new Letter(kind, self, number, target, about, news, answer, sums);
+            need((kind == Kind.BALLOT) == (ballot != null) && (kind == Kind.SUMS) == (sums != null) && (kind != Kind.ASK || about != null));
+            return new Letter(kind, self, number, target, about, news, answer, sums, ballot);
         } catch (Unreadable e) {
             throw e;
         } catch (IOException | RuntimeException e) { // whatever the parser makes of garbage
--- a/src/main/java/dappleseam/fleet/peers/Letter.java
+++ b/src/main/java/dappleseam/fleet/peers/Letter.java
@@ -6,20 +6,26 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 
-/** One datagram, read: what {@link Correspondent} has a method for each kind of. Fields that its kind has no use for are null or empty. */
-public record Letter(Kind kind, Notice self, long number, MemberName target, Notice about, List<Notice> news, boolean answer, int[] sums) {
+/** One datagram, read: a ballot (docs/fleet-design.md, leases), or what {@link Correspondent} has a method for each kind of. Fields that its kind has no use for are null or empty. */
+public record Letter(Kind kind, Notice self, long number, MemberName target, Notice about, List<Notice> news, boolean answer, int[] sums,
+                     Ballot ballot) {
     /** Their order is what goes out; new ones come at the end. */
-    public enum Kind { PING, ACK, NACK, ASK, SUMS, TELL }
+    public enum Kind { PING, ACK, NACK, ASK, SUMS, TELL, BALLOT }
+
+    /** One that is no ballot. */
+    public Letter(Kind kind, Notice self, long number, MemberName target, Notice about, List<Notice> news, boolean answer, int[] sums) {
+        this(kind, self, number, target, about, news, answer, sums, null);
+    }
 
     static Letter of(Kind kind, Notice self, long number, List<Notice> news) {
         return new Letter(kind, self, number, null, null, news, false, null);
     }
 
     public Letter with(List<Notice> other) {
-        return new Letter(kind, self, number, target, about, other, answer, sums);
+        return new Letter(kind, self, number, target, about, other, answer, sums, ballot);
     }
 
-    /** Passes it on to whom it concerns. */
+    /** Passes it on to whom it concerns; a ballot concerns none of these. */
     public void tell(InetSocketAddress from, Correspondent to) {
         switch (kind) {
             case PING -> to.ping(from, self, number, target, news);
@@ -28,6 +34,7 @@
             case ASK -> to.ask(from, self, number, about, news);
             case SUMS -> to.sums(from, self, answer, sums);
             case TELL -> to.tell(from, self, news);
+            case BALLOT -> to.tell(from, self, List.of());
         }
     }
 }
--- a/src/main/java/dappleseam/lab/fleet/LeaseWorld.java
+++ b/src/main/java/dappleseam/lab/fleet/LeaseWorld.java
@@ -156,6 +156,7 @@
         final int number;
         Candidate candidate;
         double wakeAt;
+        Token holds;
         Token checked;
         double checkedAt;
         /** Nothing goes to it or from it. */
@@ -168,6 +169,7 @@
 
         void start() {
             wakeAt = Double.POSITIVE_INFINITY;
+            holds = null;
             LeaseTerms own = planted == Planted.NO_MARGIN ? new LeaseTerms(terms.voters(), terms.number(), terms.leaseMs(), 0) : terms;
             candidate = new Candidate(++nonces, own, this, new Counter(nonces * 1000));
             candidate.want(clock(now), LEASE);
@@ -234,7 +236,11 @@
         }
 
         @Override
-        public void taken(LeaseName lease, Token token) {
+        public void held(LeaseName lease, Token token, double untilMs) {
+            if (token.equals(holds)) {
+                return; // renewed
+            }
+            holds = token;
             takes++;
             if (!lastTaken.isBelow(token)) {
                 breaks("a token did not grow: " + lastTaken + " then " + token);
@@ -244,7 +250,7 @@
 
         @Override
         public void lost(LeaseName lease, Token token, String why) {
-            // it looks at act
+            holds = null;
         }
 
         @Override
