Leases on real processes, with a first task: the fleet's last known list

Need: leases are to run in the program, off unless the fleet file has a part "leases". fleet.peers.LeaseDesk joins voter, candidate and the tasks' threads; a task asks for its permit at the instant of acting and puts the token on what it writes; one that hangs or throws loses its lease by rule. fleet.lastlist keeps the list in a folder that refuses older tokens, and a proxy that starts takes it where it is newer than its own. Voters keep promises in a forced file where one is named. lab fleet writes each process's holdings on the machine's monotonic clock and proves that none overlap and that rounds grow.

--- a/src/main/java/dappleseam/control/FleetCommand.java
+++ b/src/main/java/dappleseam/control/FleetCommand.java
@@ -70,6 +70,8 @@
         if (view.has("twin_at")) {
             text.append("another process goes by this name, at ").append(view.path("twin_at").asText()).append('\n');
         }
+        view.path("leases").forEach(lease -> text.append(String.format(Locale.ROOT, "holds %s with token %s for %d s%n", lease.path("lease").asText(),
+                lease.path("token").asText(), lease.path("held_for_s").asLong())));
         view.path("members").forEach(member -> text.append(String.format(Locale.ROOT, "%-8s %-48s %s%n", member.path("state").asText(),
                 member.path("name").asText(), member.path("address").asText())));
         return text.toString();
--- a/src/main/java/dappleseam/fleet/peers/FleetText.java
+++ b/src/main/java/dappleseam/fleet/peers/FleetText.java
@@ -43,6 +43,11 @@
         }
         drop(text, "flood", shot.flooded());
         line(text, "fleet_members_turned_away_total", "counter", shot.turnedAway());
+        if (shot.votes() != null) {
+            line(text, "fleet_voter_speaks", "gauge", shot.votes() ? 1 : 0);
+        }
+        text.append("# TYPE app_fleet_lease_held gauge\n");
+        shot.leases().forEach(l -> text.append("app_fleet_lease_held{lease=\"").append(l.lease()).append("\"} 1\n"));
         line(text, "fleet_busy_ms_total", "counter", Math.round(shot.busyMs()));
         return text.toString();
     }
@@ -79,6 +84,18 @@
                 if (shot.twin() != null) {
                     json.writeStringField("twin_at", text(shot.twin().address()));
                 }
+                if (shot.votes() != null) {
+                    json.writeBooleanField("voter_speaks", shot.votes());
+                }
+                json.writeArrayFieldStart("leases");
+                for (Snapshot.HeldLease lease : shot.leases()) {
+                    json.writeStartObject();
+                    json.writeStringField("lease", lease.lease().text());
+                    json.writeStringField("token", lease.token().round() + "." + Long.toHexString(lease.token().nonce()));
+                    json.writeNumberField("held_for_s", Math.round((nowMs - lease.sinceMs()) / MS_PER_S));
+                    json.writeEndObject();
+                }
+                json.writeEndArray();
                 json.writeArrayFieldStart("members");
                 for (Notice notice : shot.view()) {
                     json.writeStartObject();
--- /dev/null
+++ b/src/main/java/dappleseam/fleet/peers/LeaseDesk.java
@@ -0,0 +1,347 @@
+package dappleseam.fleet.peers;
+
+import dappleseam.fleet.lease.Ballots;
+import dappleseam.fleet.lease.Candidate;
+import dappleseam.fleet.lease.FleetTask;
+import dappleseam.fleet.lease.LeaseHost;
+import dappleseam.fleet.lease.LeaseName;
+import dappleseam.fleet.lease.LeaseTerms;
+import dappleseam.fleet.lease.Ranking;
+import dappleseam.fleet.lease.Token;
+import dappleseam.fleet.lease.Voter;
+import dappleseam.fleet.lease.VoterDisk;
+import dappleseam.fleet.membership.MemberName;
+import dappleseam.fleet.membership.Membership;
+import dappleseam.fleet.membership.Notice;
+import dappleseam.fleet.peers.Ballot.Op;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * This process's leases: its voter where it is one, its candidate, and the threads of the tasks that it holds. All but the tasks runs on the
+ * fleet's thread.
+ */
+final class LeaseDesk implements LeaseHost {
+    private static final Logger LOG = System.getLogger(LeaseDesk.class.getName());
+    /** Time in ms between looks at the view, at twins, at tasks that hang, and of a voter's words on its start. */
+    private static final double LOOK_MS = 500;
+    /** Leases after which a task that has not returned hangs; failures in a row after which it gives its lease up. */
+    private static final double HANGS_LEASES = 2;
+    private static final int FAILURES = 3;
+    /** Leases for which a task that hung or threw does not try again. */
+    private static final double REST_LEASES = 3;
+
+    private final Membership membership;
+    private final LeaseTerms terms;
+    private final BiConsumer<MemberName, Ballot> out;
+    private final Consumer<Runnable> onThread;
+    private final ViewRecord record;
+    private final Voter voter;
+    private final Candidate candidate;
+    private final Map<LeaseName, Runner> runners = new LinkedHashMap<>();
+    /** What this process says to itself, told once what is being told is over. */
+    private final ArrayDeque<Ballot> toSelf = new ArrayDeque<>();
+    private List<MemberName> present = List.of();
+    private double candidateAt = Double.POSITIVE_INFINITY;
+    private double lookAt;
+    private double now;
+
+    /** One task: while it is held, a thread acts by {@link #token}. */
+    private final class Runner implements FleetTask.Permit, Runnable {
+        final FleetTask task;
+        private Token token;
+        private double until;
+        private volatile double actingSince = Double.NaN;
+        private volatile boolean stopped;
+        private double restUntil;
+        private boolean wanted;
+        private double heldSince;
+        private Thread thread;
+
+        Runner(FleetTask task) {
+            this.task = task;
+        }
+
+        synchronized void holds(Token now, double untilMs) {
+            token = now;
+            until = untilMs;
+        }
+
+        @Override
+        public synchronized Token token(double forMs) {
+            return token != null && !stopped && PeerSocket.nowMs() + forMs < until ? token : null;
+        }
+
+        synchronized Token held() {
+            return token;
+        }
+
+        @Override
+        public void fenced(Token seen) {
+            onThread.accept(() -> candidate.fenced(PeerSocket.nowMs(), task.lease(), seen));
+        }
+
+        @Override
+        public void run() {
+            int failures = 0;
+            while (!stopped) {
+                try {
+                    actingSince = PeerSocket.nowMs();
+                    task.act(this);
+                    failures = 0;
+                } catch (Exception e) { // whatever a task throws is its own
+                    failures++;
+                    LOG.log(Level.WARNING, "lease {0}: the task failed: {1}", task.lease(), e.toString());
+                    if (failures >= FAILURES) {
+                        onThread.accept(() -> rest(this, "its task failed " + FAILURES + " times"));
+                    }
+                } finally {
+                    actingSince = Double.NaN;
+                }
+                try {
+                    Thread.sleep((long) Math.max(1, task.everyMs()));
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        }
+
+        void stop() {
+            stopped = true;
+            holds(null, 0);
+            if (thread != null) {
+                thread.interrupt();
+            }
+        }
+    }
+
+    LeaseDesk(Membership membership, LeaseTerms terms, VoterDisk disk, List<FleetTask> tasks, BiConsumer<MemberName, Ballot> out,
+              Consumer<Runnable> onThread, ViewRecord record, RandomGenerator random, double nowMs) {
+        this.record = record;
+        this.membership = membership;
+        this.terms = terms;
+        this.out = out;
+        this.onThread = onThread;
+        now = nowMs;
+        long nonce = membership.self().life().nonce();
+        MemberName name = membership.self().name();
+        voter = terms.voters().contains(name) ? new Voter(name, nonce, terms, this, disk, nowMs, System.currentTimeMillis()) : null;
+        candidate = new Candidate(nonce, terms, this, random);
+        tasks.forEach(task -> runners.put(task.lease(), new Runner(task)));
+        look();
+    }
+
+    /** When something is due. */
+    double wakeAt() {
+        return Math.min(candidateAt, lookAt);
+    }
+
+    void woken(double nowMs) {
+        now = nowMs;
+        if (now >= lookAt) {
+            look();
+        }
+        if (now >= candidateAt) {
+            candidateAt = Double.POSITIVE_INFINITY;
+            candidate.woken(now);
+        }
+        tellSelf();
+    }
+
+    void heard(double nowMs, MemberName from, Ballot ballot) {
+        now = nowMs;
+        ballot.tell(now, from, voter, candidate, this);
+        tellSelf();
+    }
+
+    private void tellSelf() {
+        for (Ballot ballot = toSelf.poll(); ballot != null; ballot = toSelf.poll()) {
+            ballot.tell(now, membership.self().name(), voter, candidate, this);
+        }
+    }
+
+    private void look() {
+        lookAt = now + LOOK_MS;
+        List<MemberName> names = new ArrayList<>();
+        for (Notice notice : membership.view()) {
+            if (notice.state().isPresent()) {
+                names.add(notice.name());
+            }
+        }
+        present = names;
+        if (voter != null) {
+            if (membership.twin() != null) {
+                voter.twinSeen(now);
+            }
+            voter.woken();
+        }
+        for (Runner runner : runners.values()) {
+            double acting = runner.actingSince;
+            if (runner.held() != null && acting < now - HANGS_LEASES * terms.leaseMs()) {
+                rest(runner, "its task hangs");
+            } else if (!runner.wanted && now >= runner.restUntil) {
+                runner.wanted = true;
+                candidate.want(now, runner.task.lease());
+            }
+        }
+    }
+
+    private void rest(Runner runner, String why) {
+        LOG.log(Level.WARNING, "lease {0}: given up: {1}", runner.task.lease(), why);
+        Runner next = new Runner(runner.task);
+        next.restUntil = now + REST_LEASES * terms.leaseMs();
+        runners.put(runner.task.lease(), next);
+        letGo(runner);
+        tellSelf();
+    }
+
+    private void letGo(Runner runner) {
+        Token token = runner.held();
+        runner.stop();
+        if (token != null) {
+            record.lost(now, runner.task.lease(), token);
+        }
+        candidate.give(now, runner.task.lease());
+    }
+
+    /** An orderly end, or a hand-over: tasks stop first, then others may take them. */
+    void end(double nowMs) {
+        now = nowMs;
+        for (Runner runner : List.copyOf(runners.values())) {
+            letGo(runner);
+        }
+        tellSelf();
+        if (voter != null) {
+            try {
+                voter.close(now);
+            } catch (IOException e) {
+                LOG.log(Level.WARNING, "the voter's file is not closed: {0}", e.toString());
+            }
+        }
+    }
+
+    /** What is held now: by lease the token, and since when in ms. */
+    List<Snapshot.HeldLease> held() {
+        List<Snapshot.HeldLease> held = new ArrayList<>();
+        runners.forEach((lease, runner) -> {
+            Token token = runner.held();
+            if (token != null) {
+                held.add(new Snapshot.HeldLease(lease, token, runner.heldSince));
+            }
+        });
+        return held;
+    }
+
+    /** Null where this process is no voter. */
+    Boolean votes() {
+        return voter == null ? null : voter.speaks(now);
+    }
+
+    @Override
+    public void wakeAt(double ms) {
+        candidateAt = ms;
+    }
+
+    @Override
+    public void held(LeaseName lease, Token token, double untilMs) {
+        Runner runner = runners.get(lease);
+        boolean isNew = runner.held() == null;
+        record.held(now, lease, token, untilMs); // before it may act: a record that ends too early would hide an overlap
+        runner.holds(token, untilMs);
+        if (isNew) {
+            runner.heldSince = now;
+            LOG.log(Level.INFO, "lease {0}: taken, token {1}.{2}", lease, Long.toString(token.round()), Long.toHexString(token.nonce()));
+            runner.thread = new Thread(runner, "task-" + lease);
+            runner.thread.setDaemon(true);
+            runner.thread.start();
+        }
+    }
+
+    @Override
+    public void lost(LeaseName lease, Token token, String why) {
+        LOG.log(Level.WARNING, "lease {0}: lost, token {1}.{2}: {3}", lease, Long.toString(token.round()), Long.toHexString(token.nonce()), why);
+        record.lost(now, lease, token);
+        Runner before = runners.get(lease);
+        Runner next = new Runner(before.task);
+        next.wanted = true;
+        runners.put(lease, next);
+        before.stop();
+    }
+
+    @Override
+    public int rank(LeaseName lease) {
+        return Ranking.rank(lease, membership.self().name(), present);
+    }
+
+    @Override
+    public void log(String text) {
+        LOG.log(Level.INFO, text);
+    }
+
+    private void send(MemberName to, Ballot ballot) {
+        if (to.equals(membership.self().name())) {
+            toSelf.add(ballot);
+        } else {
+            out.accept(to, ballot);
+        }
+    }
+
+    @Override
+    public void prepare(MemberName peer, int set, LeaseName lease, Token ballot) {
+        send(peer, Ballot.to(Op.PREPARE, set, lease, ballot, 0));
+    }
+
+    @Override
+    public void ask(MemberName peer, int set, LeaseName lease) {
+        send(peer, Ballot.to(Op.ASK, set, lease, Token.NONE, 0));
+    }
+
+    @Override
+    public void propose(MemberName peer, int set, LeaseName lease, Token ballot, long turn) {
+        send(peer, Ballot.to(Op.PROPOSE, set, lease, ballot, turn));
+    }
+
+    @Override
+    public void release(MemberName peer, int set, LeaseName lease, Token ballot) {
+        send(peer, Ballot.to(Op.RELEASE, set, lease, ballot, 0));
+    }
+
+    @Override
+    public void promised(MemberName peer, LeaseName lease, Token ballot, Token held, MemberName holder, double leftMs) {
+        send(peer, Ballot.of(Op.PROMISED, lease, ballot, held, holder, leftMs));
+    }
+
+    @Override
+    public void told(MemberName peer, LeaseName lease, Token highest, Token held, MemberName holder, double leftMs) {
+        send(peer, Ballot.of(Op.TOLD, lease, highest, held, holder, leftMs));
+    }
+
+    @Override
+    public void accepted(MemberName peer, LeaseName lease, Token ballot, long turn) {
+        send(peer, Ballot.to(Op.ACCEPTED, 0, lease, ballot, turn));
+    }
+
+    @Override
+    public void refused(MemberName peer, LeaseName lease, Token ballot, Ballots.Refusal why, Token highest) {
+        send(peer, new Ballot(Op.REFUSED, 0, lease, ballot, highest, null, 0, 0, 0, why));
+    }
+
+    @Override
+    public void recall(MemberName peer, int set, long start, long nonce) {
+        send(peer, Ballot.recall(Op.RECALL, set, start, nonce, 0));
+    }
+
+    @Override
+    public void recalled(MemberName peer, long start, long nonce, long known) {
+        send(peer, Ballot.recall(Op.RECALLED, 0, start, nonce, known));
+    }
+}
--- a/src/main/java/dappleseam/fleet/peers/PeerSocket.java
+++ b/src/main/java/dappleseam/fleet/peers/PeerSocket.java
@@ -1,5 +1,6 @@
 package dappleseam.fleet.peers;
 
+import dappleseam.fleet.lease.FleetTask;
 import dappleseam.fleet.membership.FleetHost;
 import dappleseam.fleet.membership.Life;
 import dappleseam.fleet.membership.MemberName;
@@ -64,6 +65,8 @@
     private DatagramChannel caller;
     private InetSocketAddress called;
     private Membership membership;
+    private LeaseDesk leases;
+    private final List<FleetTask> tasks;
     private ViewRecord views;
     private double wakeAt = Double.POSITIVE_INFINITY;
     private final ByteBuffer in = ByteBuffer.allocate(Envelope.LONGEST + 1);
@@ -85,8 +88,9 @@
     private Notice twinBefore;
     private Thread thread;
 
-    /** {@code left}: what one process leaves for the next; null for nothing. Runs from {@link #start} on. */
-    public PeerSocket(Identity identity, long seed, Path left) {
+    /** {@code tasks}: what it would do for the whole fleet. {@code left}: what one process leaves for the next; null for nothing. Runs from {@link #start} on. */
+    public PeerSocket(Identity identity, long seed, Path left, List<FleetTask> tasks) {
+        this.tasks = tasks;
         this.identity = identity;
         this.seed = seed;
         this.left = left;
@@ -100,7 +104,7 @@
         thread.start();
     }
 
-    private static double nowMs() {
+    static double nowMs() {
         return System.nanoTime() / NANOS_PER_MS;
     }
 
@@ -156,7 +160,8 @@
         try {
             bind();
             while (!ending) {
-                long sleep = (long) Math.ceil(Math.min(LONGEST_SLEEP_MS, wakeAt - nowMs()));
+                double due = leases == null ? wakeAt : Math.min(wakeAt, leases.wakeAt());
+                long sleep = (long) Math.ceil(Math.min(LONGEST_SLEEP_MS, due - nowMs()));
                 if (sleep > 0) {
                     selector.select(sleep);
                 } else {
@@ -221,6 +226,10 @@
         }
         LOG.log(Level.INFO, "fleet: {0} of {1} listens on {2}", identity.name(), identity.fleet(), identity.bind());
         membership.begin(now, List.copyOf(known));
+        if (identity.leases() != null) {
+            leases = new LeaseDesk(membership, identity.leases(), identity.voterFile() == null ? null : new VoterFile(identity.voterFile()), tasks,
+                    this::sendBallot, this::post, views, random.split(), now);
+        }
         publish(now);
     }
 
@@ -236,6 +245,9 @@
             wakeAt = Double.POSITIVE_INFINITY;
             membership.woken(now);
         }
+        if (leases != null && now >= leases.wakeAt()) {
+            leases.woken(now);
+        }
         if (now >= publishAt) {
             publish(now);
         }
@@ -270,7 +282,11 @@
             }
             received++;
             try {
-                envelope.read(in.array(), in.position()).tell(sender, membership.heard(now));
+                Letter letter = envelope.read(in.array(), in.position());
+                letter.tell(sender, membership.heard(now));
+                if (letter.ballot() != null && leases != null) {
+                    leases.heard(now, letter.self().name(), letter.ballot());
+                }
             } catch (Unreadable e) {
                 dropped.merge(e.why(), 1L, Long::sum);
             }
@@ -292,6 +308,13 @@
         }
     }
 
+    private void sendBallot(MemberName to, Ballot ballot) {
+        Notice peer = membership.of(to);
+        if (peer != null) {
+            send(peer.address(), new Letter(Kind.BALLOT, membership.self(), 0, null, null, List.of(), false, null, ballot));
+        }
+    }
+
     @Override
     public void ping(InetSocketAddress peer, Notice self, long number, MemberName target, List<Notice> news) {
         send(peer, new Letter(Kind.PING, self, number, target, null, news, false, null));
@@ -364,7 +387,8 @@
     private void publish(double now) {
         publishAt = now + PUBLISH_MS;
         snapshot = new Snapshot(now, membership.view(), membership.standing(), membership.counted(), membership.health(), membership.twin(),
-                sent, received, Map.copyOf(dropped), flooded, membership.turnedAway(), busyMs);
+                sent, received, Map.copyOf(dropped), flooded, membership.turnedAway(), busyMs,
+                leases == null ? List.of() : leases.held(), leases == null ? null : leases.votes());
         if (membership.counted() != countedBefore) {
             countedBefore = membership.counted();
             views.counts(now, countedBefore);
@@ -402,6 +426,9 @@
         if (membership == null) {
             return;
         }
+        if (leases != null) {
+            leases.end(nowMs());
+        }
         publish(nowMs());
         if (handsOver) {
             keep();
--- a/src/main/java/dappleseam/fleet/peers/Snapshot.java
+++ b/src/main/java/dappleseam/fleet/peers/Snapshot.java
@@ -1,5 +1,7 @@
 package dappleseam.fleet.peers;
 
+import dappleseam.fleet.lease.LeaseName;
+import dappleseam.fleet.lease.Token;
 import dappleseam.fleet.membership.Notice;
 import dappleseam.fleet.membership.Standing;
 import java.util.List;
@@ -10,7 +12,11 @@
  * {@code standing} goes by. {@code twin}: another process by its name, or null.
  */
 public record Snapshot(double takenAtMs, List<Notice> view, Standing standing, int counted, int health, Notice twin, long sent,
-                       long received, Map<Unreadable.Why, Long> dropped, long flooded, long turnedAway, double busyMs) {
+                       long received, Map<Unreadable.Why, Long> dropped, long flooded, long turnedAway, double busyMs,
+                       List<HeldLease> leases, Boolean votes) {
+    /** A lease that this process holds since that time. */
+    public record HeldLease(LeaseName lease, Token token, double sinceMs) {}
+
     public long in(Notice.State state) {
         return view.stream().filter(n -> n.state() == state).count();
     }
--- a/src/main/java/dappleseam/fleet/peers/ViewRecord.java
+++ b/src/main/java/dappleseam/fleet/peers/ViewRecord.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import dappleseam.fleet.lease.LeaseName;
+import dappleseam.fleet.lease.Token;
 import dappleseam.fleet.membership.Notice;
 import dappleseam.fleet.membership.Standing;
 import java.io.IOException;
@@ -93,6 +95,21 @@
         line(nowMs, to -> to.writeNumberField("twin", twin.life().nonce()));
     }
 
+    void held(double nowMs, LeaseName lease, Token token, double untilMs) {
+        line(nowMs, to -> {
+            to.writeStringField("held", lease.text());
+            to.writeNumberField("round", token.round());
+            to.writeNumberField("until", untilMs);
+        });
+    }
+
+    void lost(double nowMs, LeaseName lease, Token token) {
+        line(nowMs, to -> {
+            to.writeStringField("lost", lease.text());
+            to.writeNumberField("round", token.round());
+        });
+    }
+
     void close() {
         try {
             if (json != null) {
--- /dev/null
+++ b/src/main/java/dappleseam/fleet/peers/VoterFile.java
@@ -0,0 +1,70 @@
+package dappleseam.fleet.peers;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dappleseam.fleet.lease.LeaseName;
+import dappleseam.fleet.lease.Token;
+import dappleseam.fleet.lease.VoterDisk;
+import dappleseam.fleet.membership.MemberName;
+import dappleseam.list.SealedFile;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** A voter's promises in a file, replaced as a whole and forced to the disk; a line with the format's version and a sum proves it. */
+public final class VoterFile implements VoterDisk {
+    private static final String VERSION = "dappleseam-voter-1";
+
+    private final Path file;
+
+    public VoterFile(Path file) {
+        this.file = file;
+    }
+
+    @Override
+    public Kept read() throws IOException {
+        try {
+            JsonNode root = SealedFile.read(file, VERSION);
+            Map<LeaseName, Vote> votes = new LinkedHashMap<>();
+            for (JsonNode vote : root.path("votes")) {
+                String holder = vote.path("holder").asText();
+                votes.put(new LeaseName(vote.path("lease").asText()), new Vote(token(vote.path("promised")), token(vote.path("accepted")),
+                        holder.isEmpty() ? null : new MemberName(holder)));
+            }
+            return new Kept(new MemberName(root.path("voter").asText()), root.path("set").asInt(), root.path("start").asLong(),
+                    root.path("closed").asBoolean(), votes);
+        } catch (IllegalArgumentException e) {
+            throw new IOException("damaged: " + e.getMessage(), e);
+        }
+    }
+
+    private static Token token(JsonNode parts) {
+        return new Token(parts.path(0).asLong(), parts.path(1).asLong());
+    }
+
+    @Override
+    public void write(Kept kept) throws IOException {
+        SealedFile.writeForced(file, VERSION, json -> {
+            json.writeStartObject();
+            json.writeStringField("voter", kept.voter().text());
+            json.writeNumberField("set", kept.set());
+            json.writeNumberField("start", kept.start());
+            json.writeBooleanField("closed", kept.closed());
+            json.writeArrayFieldStart("votes");
+            for (Map.Entry<LeaseName, Vote> entry : kept.votes().entrySet()) {
+                json.writeStartObject();
+                json.writeStringField("lease", entry.getKey().text());
+                for (Map.Entry<String, Token> token : Map.of("promised", entry.getValue().promised(), "accepted", entry.getValue().accepted()).entrySet()) {
+                    json.writeArrayFieldStart(token.getKey());
+                    json.writeNumber(token.getValue().round());
+                    json.writeNumber(token.getValue().nonce());
+                    json.writeEndArray();
+                }
+                json.writeStringField("holder", entry.getValue().holder() == null ? "" : entry.getValue().holder().text());
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+            json.writeEndObject();
+        });
+    }
+}
--- a/src/main/java/dappleseam/lab/FleetRun.java
+++ b/src/main/java/dappleseam/lab/FleetRun.java
@@ -9,6 +9,7 @@
 import dappleseam.lab.check.RuleChecker;
 import dappleseam.lab.emulator.Fleet;
 import dappleseam.lab.fault.LinkTool;
+import dappleseam.lab.fleet.LeaseChecker;
 import dappleseam.lab.fleet.Planted;
 import dappleseam.lab.fleet.Sight;
 import dappleseam.lab.fleet.Truth;
@@ -106,6 +107,10 @@
             fleet.put("record", home().resolve(name + "-views").toString());
             ArrayNode known = fleet.putArray("seeds");
             seats.stream().limit(SEEDS).forEach(seat -> known.add("127.0.0.1:" + seat.reachedAt));
+            if (scenario.leaseMs() > 0) {
+                ObjectNode leases = fleet.putObject("leases").put("lease_ms", scenario.leaseMs()).put("list_store", home.resolve("store").toString());
+                leases.putArray("voters").add("lab-0").add("lab-1").add("lab-2");
+            }
             Path file = home().resolve(name + "-fleet.json");
             Files.writeString(file, fleet.toString());
             ProxyProcess process = new ProxyProcess(serve + " --fleet " + file, home(), own, name);
@@ -214,15 +219,17 @@
         metronome.interrupt();
         List<Sight> sights = new ArrayList<>();
         List<ViewChecker.Counted> counts = new ArrayList<>();
+        List<LeaseChecker.Line> leases = new ArrayList<>();
         for (Instance instance : instances) {
-            read(instance, sights, counts);
+            read(instance, sights, counts, leases);
         }
         double period = scenario.periodMs();
         List<ViewChecker.Breach> broken = ViewChecker.check(truth, sights, counts, new ViewChecker.Bounds(LATE_PERIODS * period, GRACE_PERIODS * period,
                 settledMs, RUMOUR_PERIODS * period));
         links.close();
         Report played = new Report(scenario.play(), ledger, load, RuleChecker.check(scenario.play(), ledger, false), 0, 0);
-        return new FleetReport(scenario, played, truth, sights, broken, List.copyOf(timeline), beganMs, settledMs, readyMs, links, !failed);
+        return new FleetReport(scenario, played, truth, sights, broken, List.copyOf(timeline), beganMs, settledMs, readyMs, links, !failed,
+                LeaseChecker.check(leases.stream().filter(l -> l.ms() <= settledMs).toList()));
     }
 
     private void endAll() throws InterruptedException {
@@ -363,7 +370,7 @@
     }
 
     /** A process's own record of its view; what it has no line for, it never came to. */
-    private void read(Instance instance, List<Sight> sights, List<ViewChecker.Counted> counts) throws IOException {
+    private void read(Instance instance, List<Sight> sights, List<ViewChecker.Counted> counts, List<LeaseChecker.Line> leases) throws IOException {
         if (!Files.exists(instance.views)) {
             return;
         }
@@ -383,6 +390,9 @@
             } else if (one.has("saw")) {
                 sights.add(new Sight(ms, viewer, one.path("saw").asText(), one.path("nonce").asLong(), one.path("incarnation").asInt(),
                         State.valueOf(one.path("state").asText())));
+            } else if (one.has("held") || one.has("lost")) {
+                leases.add(new LeaseChecker.Line("lab-" + instance.seat.number + '/' + instance.views.getFileName(), one.path(one.has("held") ? "held" : "lost").asText(),
+                        one.path("round").asLong(), ms, one.has("held") ? one.path("until").asDouble() : Double.NaN, instance.endedMs));
             } else if (one.has("counted")) {
                 counts.add(new ViewChecker.Counted(ms, viewer, one.path("counted").asInt()));
             }
--- a/src/main/java/dappleseam/lab/SizesCommand.java
+++ b/src/main/java/dappleseam/lab/SizesCommand.java
@@ -40,7 +40,9 @@
                     for (double loss : new double[] {0, 0.1, 0.3}) {
                         System.out.println(sizes.falseFailures(loss, 0, minutes));
                     }
-                    System.out.println(sizes.falseFailures(0, 0.1, minutes));
+                    for (double loss : new double[] {0, 0.1, 0.3}) {
+                        System.out.println(sizes.falseFailures(loss, 0.1, minutes));
+                    }
                 }
             }
         }
--- /dev/null
+++ b/src/main/java/dappleseam/lab/fleet/LeaseChecker.java
@@ -0,0 +1,69 @@
+package dappleseam.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Proves from the processes' own records, on one machine's monotonic clock, that no two hold a lease at an instant, and that tokens grow. Free of I/O. */
+public final class LeaseChecker {
+    /** One line of a process's record: it holds until then, or ({@code untilMs} NaN) lost it. {@code endedMs}: when that process was taken down. */
+    public record Line(String process, String lease, long round, double ms, double untilMs, double endedMs) {}
+
+    /** A time in which one process might act. */
+    public record Holding(String process, long round, double fromMs, double toMs) {}
+
+    /** What was found: breaches in words, the times without a holder in ms, each from the end of one to the begin of the next. */
+    public record Found(List<String> breaches, List<Holding> holdings, List<Double> gapsMs) {}
+
+    private LeaseChecker() {}
+
+    public static Map<String, Found> check(List<Line> lines) {
+        Map<String, List<Line>> byLease = new TreeMap<>();
+        lines.stream().sorted(Comparator.comparingDouble(Line::ms)).forEach(l -> byLease.computeIfAbsent(l.lease(), k -> new ArrayList<>()).add(l));
+        Map<String, Found> found = new TreeMap<>();
+        byLease.forEach((lease, of) -> found.put(lease, check(holdings(of), lease)));
+        return found;
+    }
+
+    private static List<Holding> holdings(List<Line> lines) {
+        Map<String, Holding> open = new LinkedHashMap<>();
+        for (Line line : lines) {
+            String key = line.process() + '/' + line.round();
+            Holding before = open.get(key);
+            if (Double.isNaN(line.untilMs())) {
+                if (before != null) {
+                    open.put(key, new Holding(before.process(), before.round(), before.fromMs(), Math.min(before.toMs(), line.ms())));
+                }
+            } else {
+                double to = Math.min(line.untilMs(), line.endedMs());
+                open.put(key, new Holding(line.process(), line.round(), before == null ? line.ms() : before.fromMs(), before == null ? to : Math.max(before.toMs(), to)));
+            }
+        }
+        return open.values().stream().sorted(Comparator.comparingDouble(Holding::fromMs)).toList();
+    }
+
+    private static Found check(List<Holding> holdings, String lease) {
+        List<String> breaches = new ArrayList<>();
+        List<Double> gaps = new ArrayList<>();
+        Holding last = null;
+        for (Holding holding : holdings) {
+            if (last != null && holding.fromMs() < last.toMs()) {
+                breaches.add(String.format(Locale.ROOT, "%s: %s held it from %.1f to %.1f ms, and %s from %.1f ms", lease, last.process(), last.fromMs(),
+                        last.toMs(), holding.process(), holding.fromMs()));
+            }
+            if (last != null && holding.round() <= last.round()) {
+                breaches.add(String.format(Locale.ROOT, "%s: round %d of %s after round %d of %s", lease, holding.round(), holding.process(), last.round(),
+                        last.process()));
+            }
+            if (last != null) {
+                gaps.add(Math.max(0, holding.fromMs() - last.toMs()));
+            }
+            last = last == null || holding.toMs() > last.toMs() ? holding : last;
+        }
+        return new Found(breaches, holdings, gaps);
+    }
+}
--- a/src/main/java/dappleseam/lab/report/FleetReport.java
+++ b/src/main/java/dappleseam/lab/report/FleetReport.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dappleseam.lab.fault.LinkTool;
+import dappleseam.lab.fleet.LeaseChecker;
 import dappleseam.lab.fleet.Sight;
 import dappleseam.lab.fleet.Truth;
 import dappleseam.lab.fleet.ViewChecker;
@@ -46,11 +47,12 @@
     private final int broken;
 
     public FleetReport(FleetScenario scenario, Report played, Truth truth, List<Sight> sights, List<ViewChecker.Breach> breaches,
-                       List<String> timeline, double beganMs, double settledMs, double readyMs, LinkTool links, boolean complete) {
+                       List<String> timeline, double beganMs, double settledMs, double readyMs, LinkTool links, boolean complete,
+                       Map<String, LeaseChecker.Found> leases) {
         this.scenario = scenario;
         this.played = played;
         this.complete = complete;
-        broken = breaches.size();
+        broken = breaches.size() + leases.values().stream().mapToInt(l -> l.breaches().size()).sum();
         double seconds = (settledMs - beganMs) / MS_PER_S;
         tree.put("scenario", scenario.play().name()).put("seed", scenario.play().seed()).put("proxies", scenario.proxies())
                 .put("period_ms", scenario.periodMs()).put("all_ready_ms", Math.round(readyMs));
@@ -70,6 +72,16 @@
         ObjectNode promises = tree.putObject("promises").put("broken", broken);
         ArrayNode told = promises.putArray("breaches");
         breaches.forEach(b -> told.addObject().put("promise", b.promise().name()).put("at_s", round((b.ms() - beganMs) / MS_PER_S)).put("what", b.what()));
+        leases.forEach((name, found) -> {
+            ObjectNode lease = tree.putObject("lease_" + name).put("broken", found.breaches().size()).put("holders", found.holdings().size());
+            double[] gaps = found.gapsMs().stream().mapToDouble(g -> g).sorted().toArray();
+            lease.put("without_holder_ms_median", gaps.length == 0 ? 0 : Math.round(gaps[gaps.length / 2]))
+                    .put("without_holder_ms_most", gaps.length == 0 ? 0 : Math.round(gaps[gaps.length - 1]));
+            ArrayNode held = lease.putArray("held");
+            found.holdings().forEach(h -> held.addObject().put("process", h.process()).put("round", h.round()).put("from_s", round((h.fromMs() - beganMs) / MS_PER_S))
+                    .put("to_s", round((h.toMs() - beganMs) / MS_PER_S)));
+            found.breaches().forEach(lease.putArray("breaches")::add);
+        });
         tree.set("play", played.tree());
     }
 
--- a/src/main/java/dappleseam/lab/scenario/FleetScenario.java
+++ b/src/main/java/dappleseam/lab/scenario/FleetScenario.java
@@ -5,9 +5,10 @@
 
 /**
  * One rehearsal of many proxies: {@code play} is what any rehearsal has, beside it stand faults between the proxies and what befalls their
- * processes. {@code memoryMb}: limit of each; {@code settleS}: time after the last trouble until all views have to be right.
+ * processes. {@code memoryMb}: limit of each; {@code settleS}: time after the last trouble until all views have to be right;
+ * {@code leaseMs}: of the lease for the last list, 0 for no leases; the first three proxies are voters.
  */
-public record FleetScenario(Scenario play, int proxies, int memoryMb, double periodMs, double settleS, List<LinkFault> links,
+public record FleetScenario(Scenario play, int proxies, int memoryMb, double periodMs, double settleS, double leaseMs, List<LinkFault> links,
                             List<ProcessEvent> processes) {
     /** What happens to datagrams between proxies. */
     public enum LinkHow { CUT, LOSS, DELAY, DOUBLE, REORDER, GARBLE }
--- a/src/main/java/dappleseam/list/ListFile.java
+++ b/src/main/java/dappleseam/list/ListFile.java
@@ -22,7 +22,8 @@
         return SealedFile.read(file, VERSION);
     }
 
-    private static void write(JsonGenerator json, NodeList list) throws IOException {
+    /** In the list service's form, as one object. */
+    public static void write(JsonGenerator json, NodeList list) throws IOException {
         json.writeStartObject();
         json.writeNumberField("rev", list.version());
         json.writeBooleanField("all", list.whole());
--- a/src/main/java/dappleseam/list/SealedFile.java
+++ b/src/main/java/dappleseam/list/SealedFile.java
@@ -6,10 +6,13 @@
 import dappleseam.wire.Json;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
 import java.util.Arrays;
 import java.util.zip.CRC32;
 
@@ -20,6 +23,15 @@
 
     private SealedFile() {}
 
+    /** What is there was never written so. */
+    public static final class DamagedException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        public DamagedException(String what) {
+            super(what);
+        }
+    }
+
     /** Writes the JSON of one file. */
     public interface Content {
         void write(JsonGenerator json) throws IOException;
@@ -27,6 +39,18 @@
 
     /** Replaces the file as a whole. */
     public static void write(Path file, String version, Content content) throws IOException {
+        write(file, version, content, false);
+    }
+
+    /** Returns once file and folder are on the disk. */
+    public static void writeForced(Path file, String version, Content content) throws IOException {
+        write(file, version, content, true);
+        try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
+            folder.force(true);
+        }
+    }
+
+    private static void write(Path file, String version, Content content, boolean forced) throws IOException {
         ByteArrayOutputStream written = new ByteArrayOutputStream();
         try (JsonGenerator json = new JsonFactory().createGenerator(written)) {
             content.write(json);
@@ -36,7 +60,14 @@
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         all.write((version + ' ' + checkSum(body) + '\n').getBytes(StandardCharsets.US_ASCII));
         all.write(body);
-        Files.write(beside, all.toByteArray());
+        try (FileChannel out = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+            for (ByteBuffer left = ByteBuffer.wrap(all.toByteArray()); left.hasRemaining();) {
+                out.write(left);
+            }
+            if (forced) {
+                out.force(true);
+            }
+        }
         Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     }
 
@@ -52,7 +83,7 @@
         }
         byte[] body = Arrays.copyOfRange(all, Math.min(all.length, end + 1), all.length);
         if (!new String(all, 0, end, StandardCharsets.US_ASCII).equals(version + ' ' + checkSum(body))) {
-            throw new IOException("of another version, or damaged");
+            throw new DamagedException("of another version, or damaged");
         }
         return Json.read(body);
     }
--- a/src/main/java/dappleseam/proxy/InFleet.java
+++ b/src/main/java/dappleseam/proxy/InFleet.java
@@ -1,29 +1,68 @@
 package dappleseam.proxy;
 
 import dappleseam.control.FleetDesk;
+import dappleseam.fleet.lastlist.FolderStore;
+import dappleseam.fleet.lastlist.KeepList;
+import dappleseam.fleet.lastlist.ListStore;
 import dappleseam.fleet.membership.MemberName;
 import dappleseam.fleet.peers.FleetText;
 import dappleseam.fleet.peers.Identity;
 import dappleseam.fleet.peers.PeerSocket;
+import dappleseam.list.NodeList;
 import dappleseam.site.FleetFileReader;
 import dappleseam.site.Post;
 import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.function.Supplier;
 
 /** This proxy's place in its fleet, where the operator's file gives it one. Queries pass it by. */
 final class InFleet implements FleetDesk {
     static final int DESCRIPTORS = PeerSocket.DESCRIPTORS;
+    private static final Logger LOG = System.getLogger(InFleet.class.getName());
+    /** Age in ms from which a kept list says nothing any more: caches come and go by the hour. */
+    private static final double OLDEST_MS = 3_600_000;
+    private static final double MS_PER_S = 1000;
     private static final double NANOS_PER_MS = 1e6;
 
     private final Path file;
     private final Post post;
     private final PeerSocket socket;
+    private final ListStore store;
 
-    /** Checks the file; nothing runs before {@link #start}. {@code left}: what one process of this proxy leaves for the next. */
-    InFleet(Path file, Post post, Path left) throws IOException {
+    /**
+     * Checks the file; nothing runs before {@link #start}. {@code left}: what one process of this proxy leaves for the next; {@code last}: the list
+     * as this proxy last had it, null before the first, for any thread.
+     */
+    InFleet(Path file, Post post, Path left, Supplier<NodeList> last) throws IOException {
         this.file = file;
         this.post = post;
-        socket = new PeerSocket(read(), post.seed(), left);
+        Identity identity = read();
+        store = identity.listStore() == null ? null : new FolderStore(identity.listStore());
+        socket = new PeerSocket(identity, post.seed(), left, store == null ? List.of() : List.of(new KeepList(last, store)));
+    }
+
+    /** Guards a start while the list service is down: the fleet's last known list, where it is newer than this proxy's own, drains included. */
+    Post withKept(Post told) {
+        if (store == null) {
+            return told;
+        }
+        try {
+            ListStore.Stored kept = store.read();
+            long version = told.known().path("rev").asLong(-1);
+            double age = System.currentTimeMillis() - kept.writtenMs();
+            if (age > OLDEST_MS) {
+                LOG.log(Level.INFO, "the fleet''s last list is not taken: written {0} s ago", Math.round(age / MS_PER_S));
+            } else if (kept.list().path("rev").asLong() > version) {
+                LOG.log(Level.INFO, "the fleet''s last list is taken at version {0}, the file had {1}", kept.list().path("rev").asLong(), version);
+                return told.withKnown(kept.list());
+            }
+        } catch (IOException | RuntimeException e) { // it was worth a try
+            LOG.log(Level.INFO, "the fleet''s last list is not taken: {0}", e.toString());
+        }
+        return told;
     }
 
     void start() throws IOException {
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -121,7 +121,7 @@
         Post post;
         try {
             post = reader.readPost(config);
-            fleet = fleetFile == null ? null : new InFleet(fleetFile, post, leftFile(post, FLEET));
+            fleet = fleetFile == null ? null : new InFleet(fleetFile, post, leftFile(post, FLEET), () -> proxy == null ? null : proxy.lastList());
         } catch (FaultySettingException | IOException e) {
             System.err.println("dappleseam serve: " + e.getMessage());
             return 1;
@@ -180,7 +180,8 @@
         if (post.control() != null && !openDoor(worker, post)) {
             return null;
         }
-        Post told = seats != null && seats.areShared() ? withTakenOver(post) : post;
+        Post known = seats != null && seats.areShared() ? withTakenOver(post) : post;
+        Post told = fleet == null ? known : fleet.withKept(known);
         int buffers = (int) (SHARE_FOR_BUFFERS * post.memoryMb() * (BYTES_PER_MB / BufferPool.SIZE));
         CountDownLatch begun = new CountDownLatch(1);
         Exception[] fault = new Exception[1];
--- a/src/main/java/dappleseam/site/FleetFileReader.java
+++ b/src/main/java/dappleseam/site/FleetFileReader.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import dappleseam.fleet.lease.LeaseTerms;
 import dappleseam.fleet.membership.MemberName;
 import dappleseam.fleet.membership.Terms;
 import dappleseam.fleet.peers.Identity;
@@ -19,7 +20,8 @@
 /** Reads and checks the operator's file that {@code serve --fleet} names; a fault is told by its key. */
 public final class FleetFileReader {
     private static final Set<String> KEYS = Set.of("fleet", "name", "bind", "advertise", "seeds", "period_ms", "counted", "most",
-            "forget_s", "record");
+            "forget_s", "record", "leases");
+    private static final Set<String> LEASE_KEYS = Set.of("voters", "number", "lease_ms", "drift", "voter_file", "list_store");
     private static final int MOST_SEEDS = 64;
     private static final double MS_PER_S = 1000;
     private static final String NAME_FORM = "is not 1 to 48 letters, digits, dots, dashes and underscores";
@@ -68,7 +70,42 @@
                 (int) number(root, "most", Terms.MOST, 2, 20_000), MS_PER_S * number(root, "forget_s", Terms.FORGET_MS / MS_PER_S, 10, 86_400),
                 true, Terms.HELPERS);
         return new Identity(name(root, "fleet", null).text(), name(root, "name", name), bind, advertise, List.copyOf(seeds), terms,
-                root.has("record") ? Path.of(text(root, "record", null)) : null);
+                path(root, "record"), leases(root.path("leases")), path(root.path("leases"), "voter_file"),
+                path(root.path("leases"), "list_store"));
+    }
+
+    private static LeaseTerms leases(JsonNode leases) {
+        if (leases.isMissingNode()) {
+            return null;
+        }
+        if (!leases.isObject()) {
+            throw new FaultySettingException("leases", "is no JSON object");
+        }
+        leases.fieldNames().forEachRemaining(key -> {
+            if (!LEASE_KEYS.contains(key)) {
+                throw new FaultySettingException("leases." + key, "is not known");
+            }
+        });
+        List<MemberName> voters = new ArrayList<>();
+        for (JsonNode voter : leases.path("voters")) {
+            try {
+                voters.add(new MemberName(voter.asText()));
+            } catch (IllegalArgumentException e) {
+                throw new FaultySettingException("leases.voters[" + voters.size() + "]", NAME_FORM);
+            }
+        }
+        if (voters.size() != 3 && voters.size() != 5) {
+            throw new FaultySettingException("leases.voters", "are neither three nor five");
+        }
+        if (voters.stream().distinct().count() < voters.size()) {
+            throw new FaultySettingException("leases.voters", "names one twice");
+        }
+        return new LeaseTerms(voters, (int) number(leases, "leases.", "number", 1, 0, 1_000_000),
+                number(leases, "leases.", "lease_ms", LeaseTerms.LEASE_MS, 500, 600_000), number(leases, "leases.", "drift", LeaseTerms.DRIFT, 0, 0.1));
+    }
+
+    private static Path path(JsonNode root, String key) {
+        return root.has(key) ? Path.of(text(root, key, null)) : null;
     }
 
     private static String text(JsonNode root, String key, String byDefault) {
@@ -107,12 +144,17 @@
     }
 
     private static double number(JsonNode root, String key, double byDefault, double least, double most) {
+        return number(root, "", key, byDefault, least, most);
+    }
+
+    private static double number(JsonNode root, String at, String key, double byDefault, double least, double most) {
         JsonNode found = root.path(key);
         if (found.isMissingNode()) {
             return byDefault;
         }
         if (!found.isNumber() || found.asDouble() < least || found.asDouble() > most) {
-            throw new FaultySettingException(key, "is no number from " + (long) least + " to " + (long) most);
+            throw new FaultySettingException(at + key, "is no number from " + (least % 1 == 0 ? (long) least : least) + " to "
+                    + (most % 1 == 0 ? (long) most : most));
         }
         return found.asDouble();
     }
