Test voters, their file, the list's store and the keys of leases

Store: older tokens refused and told the later one, damage seen. A whole number in a message about a range is written as one.

--- a/src/main/java/dappleseam/site/FleetFileReader.java
+++ b/src/main/java/dappleseam/site/FleetFileReader.java
@@ -153,9 +153,12 @@
             return byDefault;
         }
         if (!found.isNumber() || found.asDouble() < least || found.asDouble() > most) {
-            throw new FaultySettingException(at + key, "is no number from " + (least % 1 == 0 ? (long) least : least) + " to "
-                    + (most % 1 == 0 ? (long) most : most));
+            throw new FaultySettingException(at + key, "is no number from " + plain(least) + " to " + plain(most));
         }
         return found.asDouble();
     }
+
+    private static String plain(double number) {
+        return number == Math.rint(number) ? Long.toString((long) number) : Double.toString(number);
+    }
 }
--- /dev/null
+++ b/src/test/java/dappleseam/fleet/lastlist/FolderStoreTest.java
@@ -0,0 +1,105 @@
+package dappleseam.fleet.lastlist;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import dappleseam.fleet.lease.FleetTask.Permit;
+import dappleseam.fleet.lease.Token;
+import dappleseam.list.ListReader;
+import dappleseam.list.NodeList;
+import dappleseam.wire.Json;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The fleet's last known list in a folder, and the task that keeps it there. */
+class FolderStoreTest {
+    @TempDir
+    Path folder;
+    private FolderStore store;
+
+    @BeforeEach
+    void open() {
+        store = new FolderStore(folder.resolve("store"));
+    }
+
+    private static NodeList list(long version) throws IOException {
+        String json = "{\"rev\":" + version + ",\"all\":true,\"targets\":[{\"uid\":\"u1\",\"endpoint\":\"127.0.0.1:7\",\"az\":\"a\",\"model\":\"m\",\"pod_group\":0,"
+                + "\"state\":\"draining\",\"capacity_hint\":1,\"boot_ms\":0}]}";
+        return new ListReader(List.of("m"), List.of("a")).read(Json.read(json.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Test
+    void whatIsWrittenIsReadDrainsIncluded() throws Exception {
+        assertThatThrownBy(store::read).isInstanceOf(NoSuchFileException.class);
+        store.write(new Token(5, 7), 1000, list(3));
+        ListStore.Stored read = store.read();
+        assertThat(read.token()).isEqualTo(new Token(5, 7));
+        assertThat(read.writtenMs()).isEqualTo(1000);
+        assertThat(read.list().path("rev").asLong()).isEqualTo(3);
+        assertThat(read.list().path("targets").path(0).path("state").asText()).isEqualTo("draining");
+    }
+
+    @Test
+    void anOlderTokenIsRefusedAndToldTheLater() throws Exception {
+        store.write(new Token(5, 7), 1000, list(3));
+        store.write(new Token(5, 7), 2000, list(4));
+        store.write(new Token(6, 1), 3000, list(5));
+        assertThatThrownBy(() -> store.write(new Token(5, 7), 4000, list(9))).isInstanceOfSatisfying(ListStore.FencedException.class,
+                e -> assertThat(e.seen()).isEqualTo(new Token(6, 1)));
+        assertThat(store.read().list().path("rev").asLong()).isEqualTo(5);
+    }
+
+    @Test
+    void damageIsSeenAndWrittenOver() throws Exception {
+        store.write(new Token(5, 7), 1000, list(3));
+        Path file = folder.resolve("store").resolve("list");
+        byte[] bytes = Files.readAllBytes(file);
+        bytes[bytes.length - 3] ^= 1;
+        Files.write(file, bytes);
+        assertThatThrownBy(store::read).isInstanceOf(IOException.class);
+        store.write(new Token(6, 1), 2000, list(4));
+        assertThat(store.read().list().path("rev").asLong()).isEqualTo(4);
+    }
+
+    /** A holder that stood still between its check and its write does no harm, and hears of it. */
+    @Test
+    void theTaskWritesOnlyWithItsPermitAndHearsThatItIsFenced() throws Exception {
+        List<Token> fenced = new ArrayList<>();
+        Token[] token = {null};
+        Permit permit = new Permit() {
+            @Override
+            public Token token(double forMs) {
+                return token[0];
+            }
+
+            @Override
+            public void fenced(Token seen) {
+                fenced.add(seen);
+            }
+        };
+        NodeList[] last = {null};
+        KeepList task = new KeepList(() -> last[0], store);
+        task.act(permit);
+        last[0] = list(3);
+        task.act(permit);
+        assertThatThrownBy(store::read).as("no permit, no write").isInstanceOf(NoSuchFileException.class);
+        token[0] = new Token(2, 2);
+        task.act(permit);
+        assertThat(store.read().token()).isEqualTo(token[0]);
+        store.write(new Token(3, 3), 1, list(4));
+        task.act(permit);
+        assertThat(fenced).as("it is the same list, and not written again").isEmpty();
+        last[0] = list(5);
+        task.act(permit);
+        assertThat(fenced).containsExactly(new Token(3, 3));
+        assertThat(store.read().list().path("rev").asLong()).isEqualTo(4);
+    }
+}
--- a/src/test/java/dappleseam/site/FleetFileReaderTest.java
+++ b/src/test/java/dappleseam/site/FleetFileReaderTest.java
@@ -45,6 +45,22 @@
         assertThatThrownBy(() -> read(shipped.replace(sound, faulty))).isInstanceOf(FaultySettingException.class).hasMessageStartingWith(message);
     }
 
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"[\"a\",\"b\",\"c\"] | {} | ''", "[\"a\",\"b\"] | {} | leases.voters: are neither three nor five",
+        "[\"a\",\"b\",\"a\"] | {} | leases.voters: names one twice", "[\"a\",\"b\",\"\"] | {} | leases.voters[2]: is not 1 to 48 letters",
+        "[\"a\",\"b\",\"c\"] | {\"lease_ms\":5} | leases.lease_ms: is no number from 500 to 600000",
+        "[\"a\",\"b\",\"c\"] | {\"drift\":0.5} | leases.drift: is no number from 0 to 0.1",
+        "[\"a\",\"b\",\"c\"] | {\"lease\":5} | leases.lease: is not known"})
+    void leasesAreCheckedByKey(String voters, String more, String message) throws Exception {
+        String text = Files.readString(SHIPPED).replace("\"forget_s\": 600", "\"forget_s\": 600, \"leases\": {\"voters\": " + voters
+                + (more.equals("{}") ? "}" : ", " + more.substring(1)));
+        if (message.isEmpty()) {
+            assertThat(read(text).leases().majority()).isEqualTo(2);
+        } else {
+            assertThatThrownBy(() -> read(text)).isInstanceOf(FaultySettingException.class).hasMessageStartingWith(message);
+        }
+    }
+
     @Test
     void aFileThatIsNotThereIsSaidSo() {
         assertThatThrownBy(() -> FleetFileReader.read(folder.resolve("none"), "n1", 1)).isInstanceOf(FaultySettingException.class)
