Say once how a host sends letters, and part what candidates say from what voters say

Read over once more; behaviour stays as it is. Three hosts made the same letters (sockets, simulated time, exploration): LetterHost does. Ballots mixed both sides, so that each had methods that could only fail: Answers holds the voters'. Scenarios were parsed twice. Tests of these packages pass with the assertions they had.

--- a/src/main/java/dappleseam/fleet/lease/Ballots.java
+++ b/src/main/java/dappleseam/fleet/lease/Ballots.java
@@ -3,8 +3,8 @@
 import dappleseam.fleet.membership.MemberName;
 
 /**
- * What passes between candidates and voters, one method per kind; {@code peer} is to whom it goes where it is sent, and from whom it came where
- * it is heard. {@code set}: {@link LeaseTerms#sum}. Anything may be lost, late, doubled or out of order.
+ * What candidates say to voters, one method per kind; {@code peer} is to whom it goes. {@code set}: {@link LeaseTerms#sum}. Anything may be lost, late,
+ * doubled or out of order.
  */
 public interface Ballots {
     /** Take no lower ballot; who holds it? */
@@ -18,24 +18,4 @@
 
     /** I act no more. */
     void release(MemberName peer, int set, LeaseName lease, Token ballot);
-
-    /** No lower ballot than {@code ballot}; {@code held} runs for {@code leftMs} more, or is {@link Token#NONE}. */
-    void promised(MemberName peer, LeaseName lease, Token ballot, Token held, MemberName holder, double leftMs);
-
-    /** The answer to {@link #ask}; {@code highest} is the highest ballot that was promised. */
-    void told(MemberName peer, LeaseName lease, Token highest, Token held, MemberName holder, double leftMs);
-
-    void accepted(MemberName peer, LeaseName lease, Token ballot, long turn);
-
-    /** {@code ballot} is not taken; {@code highest} is what was promised. */
-    void refused(MemberName peer, LeaseName lease, Token ballot, Refusal why, Token highest);
-
-    /** This is my start by my count, and my process's nonce; which did you know of before? */
-    void recall(MemberName peer, int set, long start, long nonce);
-
-    /** The answer: the start that was known before that one; -1 for none. */
-    void recalled(MemberName peer, long start, long nonce, long known);
-
-    /** Why a voter does not do what it was asked. */
-    enum Refusal { LOWER, ABSTAINS, OTHER_SET, NO_VOTER, NOT_WRITTEN, TOO_MANY }
 }
--- a/src/main/java/dappleseam/fleet/lease/Candidate.java
+++ b/src/main/java/dappleseam/fleet/lease/Candidate.java
@@ -1,6 +1,6 @@
 package dappleseam.fleet.lease;
 
-import dappleseam.fleet.lease.Ballots.Refusal;
+import dappleseam.fleet.lease.Answers.Refusal;
 import dappleseam.fleet.membership.MemberName;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
--- a/src/main/java/dappleseam/fleet/lease/Voter.java
+++ b/src/main/java/dappleseam/fleet/lease/Voter.java
@@ -1,6 +1,6 @@
 package dappleseam.fleet.lease;
 
-import dappleseam.fleet.lease.Ballots.Refusal;
+import dappleseam.fleet.lease.Answers.Refusal;
 import dappleseam.fleet.lease.VoterDisk.Kept;
 import dappleseam.fleet.lease.VoterDisk.Vote;
 import dappleseam.fleet.membership.MemberName;
@@ -21,7 +21,7 @@
 
     private final MemberName name;
     private final LeaseTerms terms;
-    private final Ballots out;
+    private final Answers out;
     private final VoterDisk disk;
     private final Map<LeaseName, Held> votes = new LinkedHashMap<>();
     /** Of other voters, what they told of their starts. */
@@ -55,7 +55,7 @@
      * Starts at that time; {@code nonce} is its process's, {@code disk} is null where none lasts. {@code wallMs}: the wall clock, from which rounds
      * begin: as long as fewer ballots are made than ms pass, and it is not set back, they grow over starts at which all was forgotten.
      */
-    public Voter(MemberName name, long nonce, LeaseTerms terms, Ballots out, VoterDisk disk, double nowMs, long wallMs) {
+    public Voter(MemberName name, long nonce, LeaseTerms terms, Answers out, VoterDisk disk, double nowMs, long wallMs) {
         floor = new Token(Math.max(0, Math.min(wallMs, Token.LAST)), Long.MIN_VALUE);
         this.name = name;
         this.nonce = nonce;
--- a/src/main/java/dappleseam/fleet/peers/Ballot.java
+++ b/src/main/java/dappleseam/fleet/peers/Ballot.java
@@ -1,14 +1,15 @@
 package dappleseam.fleet.peers;
 
+import dappleseam.fleet.lease.Answers;
+import dappleseam.fleet.lease.Answers.Refusal;
 import dappleseam.fleet.lease.Ballots;
-import dappleseam.fleet.lease.Ballots.Refusal;
 import dappleseam.fleet.lease.Candidate;
 import dappleseam.fleet.lease.LeaseName;
 import dappleseam.fleet.lease.Token;
 import dappleseam.fleet.lease.Voter;
 import dappleseam.fleet.membership.MemberName;
 
-/** What passes between candidates and voters in one datagram, as {@link Ballots} names it. Fields that its kind has no use for hold nothing. */
+/** What passes between candidates and voters in one datagram, as {@link Ballots} and {@link Answers} name it. Fields that its kind has no use for hold nothing. */
 public record Ballot(Op op, int set, LeaseName lease, Token ballot, Token other, MemberName holder, double leftMs, long count, long known, Refusal why) {
     /** Their order is what goes out; new ones come at the end. */
     public enum Op { PREPARE, ASK, PROPOSE, RELEASE, RECALL, PROMISED, TOLD, ACCEPTED, REFUSED, RECALLED }
@@ -29,7 +30,7 @@
     }
 
     /** Passes it on; {@code voter} is null where this process is none. */
-    void tell(double nowMs, MemberName from, Voter voter, Candidate candidate, Ballots back) {
+    void tell(double nowMs, MemberName from, Voter voter, Candidate candidate, Answers back) {
         if (op.compareTo(Op.RECALL) <= 0 && voter == null) {
             if (op != Op.RECALL && op != Op.RELEASE) {
                 back.refused(from, lease, ballot, Refusal.NO_VOTER, Token.NONE);
--- a/src/main/java/dappleseam/fleet/peers/Envelope.java
+++ b/src/main/java/dappleseam/fleet/peers/Envelope.java
@@ -5,7 +5,7 @@
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
-import dappleseam.fleet.lease.Ballots;
+import dappleseam.fleet.lease.Answers;
 import dappleseam.fleet.lease.LeaseName;
 import dappleseam.fleet.lease.Token;
 import dappleseam.fleet.membership.Life;
@@ -42,7 +42,7 @@
     /** A day: longer than any lease. */
     private static final long LONGEST_LEFT_MS = 86_400_000;
     private static final Ballot.Op[] OPS = Ballot.Op.values();
-    private static final Ballots.Refusal[] REFUSALS = Ballots.Refusal.values();
+    private static final Answers.Refusal[] REFUSALS = Answers.Refusal.values();
     private static final Kind[] KINDS = Kind.values();
     private static final Notice.State[] STATES = Notice.State.values();
 
@@ -135,7 +135,7 @@
         long left = whole(cbor, 0, LONGEST_LEFT_MS);
         long count = whole(cbor, 0, Long.MAX_VALUE);
         long known = whole(cbor, -1, Long.MAX_VALUE);
-        Ballots.Refusal why = REFUSALS[(int) whole(cbor, 0, REFUSALS.length - 1)];
+        Answers.Refusal why = REFUSALS[(int) whole(cbor, 0, REFUSALS.length - 1)];
         need(cbor.nextToken() == JsonToken.END_ARRAY);
         return new Ballot(op, set, lease, ballot, other, holder, left, count, known, why);
     }
--- a/src/main/java/dappleseam/fleet/peers/LeaseDesk.java
+++ b/src/main/java/dappleseam/fleet/peers/LeaseDesk.java
@@ -1,6 +1,6 @@
 package dappleseam.fleet.peers;
 
-import dappleseam.fleet.lease.Ballots;
+import dappleseam.fleet.lease.Answers;
 import dappleseam.fleet.lease.Candidate;
 import dappleseam.fleet.lease.FleetTask;
 import dappleseam.fleet.lease.LeaseHost;
@@ -30,7 +30,7 @@
  * This process's leases: its voter where it is one, its candidate, and the threads of the tasks that it holds. All but the tasks runs on the
  * fleet's thread.
  */
-final class LeaseDesk implements LeaseHost {
+final class LeaseDesk implements LeaseHost, Answers {
     private static final Logger LOG = System.getLogger(LeaseDesk.class.getName());
     /** Time in ms between looks at the view, at twins, at tasks that hang, and of a voter's words on its start. */
     private static final double LOOK_MS = 500;
@@ -331,7 +331,7 @@
     }
 
     @Override
-    public void refused(MemberName peer, LeaseName lease, Token ballot, Ballots.Refusal why, Token highest) {
+    public void refused(MemberName peer, LeaseName lease, Token ballot, Answers.Refusal why, Token highest) {
         send(peer, new Ballot(Op.REFUSED, 0, lease, ballot, highest, null, 0, 0, 0, why));
     }
 
--- a/src/main/java/dappleseam/fleet/peers/Letter.java
+++ b/src/main/java/dappleseam/fleet/peers/Letter.java
@@ -17,10 +17,6 @@
         this(kind, self, number, target, about, news, answer, sums, null);
     }
 
-    static Letter of(Kind kind, Notice self, long number, List<Notice> news) {
-        return new Letter(kind, self, number, null, null, news, false, null);
-    }
-
     public Letter with(List<Notice> other) {
         return new Letter(kind, self, number, target, about, other, answer, sums, ballot);
     }
--- a/src/main/java/dappleseam/fleet/peers/PeerSocket.java
+++ b/src/main/java/dappleseam/fleet/peers/PeerSocket.java
@@ -1,7 +1,6 @@
 package dappleseam.fleet.peers;
 
 import dappleseam.fleet.lease.FleetTask;
-import dappleseam.fleet.membership.FleetHost;
 import dappleseam.fleet.membership.Life;
 import dappleseam.fleet.membership.MemberName;
 import dappleseam.fleet.membership.Membership;
@@ -36,7 +35,7 @@
  * The membership's thread and its datagrams. Nothing here runs on the I/O thread, and nothing waits for it: others read {@link #snapshot}.
  * Of two processes of one proxy the second waits until the address is free.
  */
-public final class PeerSocket implements FleetHost {
+public final class PeerSocket extends LetterHost {
     /** Descriptors: two sockets, a selector with two, a record. */
     public static final int DESCRIPTORS = 6;
     private static final Logger LOG = System.getLogger(PeerSocket.class.getName());
@@ -299,7 +298,8 @@
         }
     }
 
-    private void send(InetSocketAddress to, Letter letter) {
+    @Override
+    protected void send(InetSocketAddress to, Letter letter) {
         try {
             socket.send(ByteBuffer.wrap(envelope.write(letter)), to);
             sent++;
@@ -315,39 +315,9 @@
         }
     }
 
-    @Override
-    public void ping(InetSocketAddress peer, Notice self, long number, MemberName target, List<Notice> news) {
-        send(peer, new Letter(Kind.PING, self, number, target, null, news, false, null));
-    }
-
-    @Override
-    public void ack(InetSocketAddress peer, Notice self, long number, Notice about, List<Notice> news) {
-        send(peer, new Letter(Kind.ACK, self, number, null, about, news, false, null));
-    }
-
-    @Override
-    public void nack(InetSocketAddress peer, Notice self, long number) {
-        send(peer, Letter.of(Kind.NACK, self, number, List.of()));
-    }
-
-    @Override
-    public void ask(InetSocketAddress peer, Notice self, long number, Notice target, List<Notice> news) {
-        send(peer, new Letter(Kind.ASK, self, number, null, target, news, false, null));
-    }
-
-    @Override
-    public void sums(InetSocketAddress peer, Notice self, boolean answer, int[] sums) {
-        send(peer, new Letter(Kind.SUMS, self, 0, null, null, List.of(), answer, sums));
-    }
-
-    @Override
-    public void tell(InetSocketAddress peer, Notice self, List<Notice> news) {
-        send(peer, Letter.of(Kind.TELL, self, 0, news));
-    }
-
     @Override
     public void call(InetSocketAddress peer, Notice self, long number, MemberName target, List<Notice> news) {
-        byte[] bytes = envelope.write(new Letter(Kind.PING, self, number, target, null, news, false, null));
+        byte[] bytes = envelope.write(pingOf(self, number, target, news));
         try {
             if (!peer.equals(called)) {
                 caller.disconnect();
--- a/src/main/java/dappleseam/lab/fleet/Exploration.java
+++ b/src/main/java/dappleseam/lab/fleet/Exploration.java
@@ -1,6 +1,5 @@
 package dappleseam.lab.fleet;
 
-import dappleseam.fleet.membership.FleetHost;
 import dappleseam.fleet.membership.Life;
 import dappleseam.fleet.membership.MemberName;
 import dappleseam.fleet.membership.Membership;
@@ -9,6 +8,7 @@
 import dappleseam.fleet.membership.Standing;
 import dappleseam.fleet.membership.Terms;
 import dappleseam.fleet.peers.Letter;
+import dappleseam.fleet.peers.LetterHost;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -240,7 +240,7 @@
         }
     }
 
-    private static final class Member implements FleetHost {
+    private static final class Member extends LetterHost {
         final World world;
         final int number;
         final MemberName name;
@@ -267,7 +267,8 @@
             membership.begin(now, List.of(SimulatedFleet.address((number + 1) % MEMBERS), SimulatedFleet.address((number + 2) % MEMBERS)));
         }
 
-        private void send(InetSocketAddress to, Letter letter) {
+        @Override
+        protected void send(InetSocketAddress to, Letter letter) {
             world.said.merge(letter.self().life(), letter.self(), (a, b) -> a.compareTo(b) >= 0 ? a : b);
             for (Member other : world.members) {
                 Letter passed = world.planted.passed(letter, other.name, false);
@@ -277,36 +278,6 @@
             }
         }
 
-        @Override
-        public void ping(InetSocketAddress peer, Notice self, long count, MemberName target, List<Notice> news) {
-            send(peer, new Letter(Letter.Kind.PING, self, count, target, null, news, false, null));
-        }
-
-        @Override
-        public void ack(InetSocketAddress peer, Notice self, long count, Notice about, List<Notice> news) {
-            send(peer, new Letter(Letter.Kind.ACK, self, count, null, about, news, false, null));
-        }
-
-        @Override
-        public void nack(InetSocketAddress peer, Notice self, long count) {
-            send(peer, new Letter(Letter.Kind.NACK, self, count, null, null, List.of(), false, null));
-        }
-
-        @Override
-        public void ask(InetSocketAddress peer, Notice self, long count, Notice target, List<Notice> news) {
-            send(peer, new Letter(Letter.Kind.ASK, self, count, null, target, news, false, null));
-        }
-
-        @Override
-        public void sums(InetSocketAddress peer, Notice self, boolean answer, int[] sums) {
-            send(peer, new Letter(Letter.Kind.SUMS, self, 0, null, null, List.of(), answer, sums));
-        }
-
-        @Override
-        public void tell(InetSocketAddress peer, Notice self, List<Notice> news) {
-            send(peer, new Letter(Letter.Kind.TELL, self, 0, null, null, news, false, null));
-        }
-
         @Override
         public void call(InetSocketAddress peer, Notice self, long count, MemberName target, List<Notice> news) {
             ping(peer, self, count, target, news);
--- a/src/main/java/dappleseam/lab/fleet/LeaseWorld.java
+++ b/src/main/java/dappleseam/lab/fleet/LeaseWorld.java
@@ -1,6 +1,6 @@
 package dappleseam.lab.fleet;
 
-import dappleseam.fleet.lease.Ballots;
+import dappleseam.fleet.lease.Answers;
 import dappleseam.fleet.lease.Candidate;
 import dappleseam.fleet.lease.LeaseHost;
 import dappleseam.fleet.lease.LeaseName;
@@ -200,36 +200,6 @@
             send(peer, "release" + ballot, (v, from) -> v.voter.release(v.clock(now), from, set, lease, ballot));
         }
 
-        @Override
-        public void promised(MemberName peer, LeaseName lease, Token ballot, Token held, MemberName holder, double leftMs) {
-            throw new IllegalStateException("candidates do not promise");
-        }
-
-        @Override
-        public void told(MemberName peer, LeaseName lease, Token highest, Token held, MemberName holder, double leftMs) {
-            throw new IllegalStateException("candidates do not tell");
-        }
-
-        @Override
-        public void accepted(MemberName peer, LeaseName lease, Token ballot, long turn) {
-            throw new IllegalStateException("candidates do not accept");
-        }
-
-        @Override
-        public void refused(MemberName peer, LeaseName lease, Token ballot, Refusal why, Token highest) {
-            throw new IllegalStateException("candidates do not refuse");
-        }
-
-        @Override
-        public void recall(MemberName peer, int set, long start, long nonce) {
-            throw new IllegalStateException("candidates have no disk");
-        }
-
-        @Override
-        public void recalled(MemberName peer, long start, long nonce, long known) {
-            throw new IllegalStateException("candidates have no disk");
-        }
-
         @Override
         public void wakeAt(double ms) {
             wakeAt = ms;
@@ -264,7 +234,7 @@
         }
     }
 
-    private final class FromVoter implements Ballots {
+    private final class FromVoter implements Answers {
         final int number;
 
         FromVoter(int number) {
@@ -315,26 +285,6 @@
         public void recalled(MemberName peer, long start, long nonce, long known) {
             sendVoter(peer, "recalled" + start + nonce + known, (v, from) -> v.voter.recalled(from, start, nonce, known));
         }
-
-        @Override
-        public void prepare(MemberName peer, int set, LeaseName lease, Token ballot) {
-            throw new IllegalStateException("voters do not prepare");
-        }
-
-        @Override
-        public void ask(MemberName peer, int set, LeaseName lease) {
-            throw new IllegalStateException("voters do not ask");
-        }
-
-        @Override
-        public void propose(MemberName peer, int set, LeaseName lease, Token ballot, long turn) {
-            throw new IllegalStateException("voters do not propose");
-        }
-
-        @Override
-        public void release(MemberName peer, int set, LeaseName lease, Token ballot) {
-            throw new IllegalStateException("voters do not release");
-        }
     }
 
     /** {@code fast}: which of voters and candidates have the fast clock, a bit each; the others have the slow one. */
--- a/src/main/java/dappleseam/lab/fleet/SimulatedFleet.java
+++ b/src/main/java/dappleseam/lab/fleet/SimulatedFleet.java
@@ -1,6 +1,5 @@
 package dappleseam.lab.fleet;
 
-import dappleseam.fleet.membership.FleetHost;
 import dappleseam.fleet.membership.Life;
 import dappleseam.fleet.membership.MemberName;
 import dappleseam.fleet.membership.Membership;
@@ -8,7 +7,7 @@
 import dappleseam.fleet.membership.Standing;
 import dappleseam.fleet.membership.Terms;
 import dappleseam.fleet.peers.Letter;
-import dappleseam.fleet.peers.Letter.Kind;
+import dappleseam.fleet.peers.LetterHost;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -65,7 +64,7 @@
     }
 
     /** One member's place: its process may be killed, stopped and started anew. */
-    public final class Node implements FleetHost {
+    public final class Node extends LetterHost {
         public final int number;
         public final MemberName name;
         public InetSocketAddress address;
@@ -152,6 +151,11 @@
             return now < stoppedUntil;
         }
 
+        @Override
+        protected void send(InetSocketAddress to, Letter letter) {
+            send(to, letter, false);
+        }
+
         private void send(InetSocketAddress to, Letter sent, boolean isCall) {
             datagrams++;
             bytes += size(sent) + FRAME_BYTES;
@@ -186,39 +190,9 @@
             return group == to.group && !to.deafTo.contains(number) && (lost == 0 || random.nextDouble() >= lost);
         }
 
-        @Override
-        public void ping(InetSocketAddress peer, Notice self, long number, MemberName target, List<Notice> news) {
-            send(peer, new Letter(Kind.PING, self, number, target, null, news, false, null), false);
-        }
-
-        @Override
-        public void ack(InetSocketAddress peer, Notice self, long number, Notice about, List<Notice> news) {
-            send(peer, new Letter(Kind.ACK, self, number, null, about, news, false, null), false);
-        }
-
-        @Override
-        public void nack(InetSocketAddress peer, Notice self, long number) {
-            send(peer, new Letter(Kind.NACK, self, number, null, null, List.of(), false, null), false);
-        }
-
-        @Override
-        public void ask(InetSocketAddress peer, Notice self, long number, Notice target, List<Notice> news) {
-            send(peer, new Letter(Kind.ASK, self, number, null, target, news, false, null), false);
-        }
-
-        @Override
-        public void sums(InetSocketAddress peer, Notice self, boolean answer, int[] sums) {
-            send(peer, new Letter(Kind.SUMS, self, 0, null, null, List.of(), answer, sums), false);
-        }
-
-        @Override
-        public void tell(InetSocketAddress peer, Notice self, List<Notice> news) {
-            send(peer, new Letter(Kind.TELL, self, 0, null, null, news, false, null), false);
-        }
-
         @Override
         public void call(InetSocketAddress peer, Notice self, long number, MemberName target, List<Notice> news) {
-            send(peer, new Letter(Kind.PING, self, number, target, null, news, false, null), true);
+            send(peer, pingOf(self, number, target, news), true);
             Node there = nodeAt(peer);
             if (at.get(peer) == null && there != null && passes(there)) {
                 int mine = process;
--- a/src/main/java/dappleseam/lab/scenario/ScenarioReader.java
+++ b/src/main/java/dappleseam/lab/scenario/ScenarioReader.java
@@ -33,16 +33,18 @@
     }
 
     public static Scenario read(String json, String what) {
-        JsonNode root;
+        Keys top = top(json, what);
+        Scenario scenario = scenario(top);
+        top.noMore();
+        return scenario;
+    }
+
+    private static Keys top(String json, String what) {
         try {
-            root = new ObjectMapper().readTree(json);
+            return new Keys(new ObjectMapper().readTree(json), "");
         } catch (JsonProcessingException e) {
             throw new FaultyScenarioException(what, "is not JSON: " + e.getOriginalMessage());
         }
-        Keys top = new Keys(root, "");
-        Scenario scenario = scenario(top);
-        top.noMore();
-        return scenario;
     }
 
     /** A rehearsal of many proxies: a scenario with a part {@code fleet}. */
@@ -51,13 +53,7 @@
     }
 
     public static FleetScenario readFleet(String json, String what) {
-        JsonNode root;
-        try {
-            root = new ObjectMapper().readTree(json);
-        } catch (JsonProcessingException e) {
-            throw new FaultyScenarioException(what, "is not JSON: " + e.getOriginalMessage());
-        }
-        Keys top = new Keys(root, "");
+        Keys top = top(json, what);
         Scenario scenario = scenario(top);
         Keys fleet = top.part("fleet");
         int proxies = (int) fleet.number("proxies", 2, 400);
--- a/src/test/java/dappleseam/fleet/lease/VoterTest.java
+++ b/src/test/java/dappleseam/fleet/lease/VoterTest.java
@@ -27,7 +27,7 @@
     private final List<String> said = new ArrayList<>();
 
     /** What a voter says, in words; a candidate's calls are none of its. */
-    private final Ballots out = (Ballots) java.lang.reflect.Proxy.newProxyInstance(Ballots.class.getClassLoader(), new Class<?>[] {Ballots.class},
+    private final Answers out = (Answers) java.lang.reflect.Proxy.newProxyInstance(Answers.class.getClassLoader(), new Class<?>[] {Answers.class},
             (proxy, method, args) -> {
                 StringBuilder words = new StringBuilder(method.getName());
                 for (Object arg : args) {
--- a/src/test/java/dappleseam/fleet/peers/EnvelopeTest.java
+++ b/src/test/java/dappleseam/fleet/peers/EnvelopeTest.java
@@ -5,7 +5,7 @@
 
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
-import dappleseam.fleet.lease.Ballots;
+import dappleseam.fleet.lease.Answers;
 import dappleseam.fleet.lease.LeaseName;
 import dappleseam.fleet.lease.Token;
 import dappleseam.fleet.membership.Life;
@@ -59,7 +59,7 @@
                 new Letter(Kind.SUMS, self, 0, null, null, List.of(), true, sums), new Letter(Kind.TELL, self, 0, null, null, news, false, null),
                 new Letter(Kind.BALLOT, self, 0, null, null, List.of(), false, null, new Ballot(Ballot.Op.PROMISED, Integer.MIN_VALUE,
                         new LeaseName("l".repeat(48)), new Token(Token.LAST, Long.MIN_VALUE), Token.NONE, self.name(), 86_400_000, Long.MAX_VALUE, -1,
-                        Ballots.Refusal.TOO_MANY)));
+                        Answers.Refusal.TOO_MANY)));
     }
 
     private static byte[] sealed(byte[] bytes, int length) {
