Say once what rehearsals are told; a life above another is begun in one place

Read over once more. Lab.Run and Lab.FleetCommand had the same four options and folder: Rehearsal holds them. A member whose incarnations ran out made its next life beside the method for it, without that one's bound at the latest start. Two accessors that nothing called are gone.

--- a/src/main/java/dappleseam/fleet/membership/Membership.java
+++ b/src/main/java/dappleseam/fleet/membership/Membership.java
@@ -865,7 +865,7 @@
             if (n.compareTo(self) > 0) {
                 worse();
                 if (n.incarnation() == Notice.LAST) {
-                    say(new Notice(self.name(), self.address(), new Life(self.life().start() + 1, self.life().nonce()), 0, State.ALIVE, 0));
+                    begin(n);
                 } else {
                     say(new Notice(self.name(), self.address(), self.life(), n.incarnation() + 1, State.ALIVE, 0));
                 }
@@ -1002,11 +1002,6 @@
         return view;
     }
 
-    /** Views that agree have equal sums. */
-    public int[] sums() {
-        return sums.clone();
-    }
-
     /** All that decides what it does next but chance, times from now on: for a checker that has to tell states apart. */
     public String state() {
         StringBuilder text = new StringBuilder(256);
--- a/src/main/java/dappleseam/fleet/peers/PeerSocket.java
+++ b/src/main/java/dappleseam/fleet/peers/PeerSocket.java
@@ -112,10 +112,6 @@
         return snapshot;
     }
 
-    public Identity identity() {
-        return identity;
-    }
-
     /** New terms and seeds; all else needs a new start. */
     public void change(Identity now) {
         identity = now;
--- a/src/main/java/dappleseam/lab/Lab.java
+++ b/src/main/java/dappleseam/lab/Lab.java
@@ -39,23 +39,30 @@
         return 2;
     }
 
-    /** Plays one scenario, whole. */
-    @Command(name = "run", mixinStandardHelpOptions = true, description = "Play a scenario; status 1 where a rule is broken, 3 where that cannot be told.")
-    static final class Run implements Callable<Integer> {
+    /** What every rehearsal is told. */
+    abstract static class Rehearsal implements Callable<Integer> {
         @Parameters(paramLabel = "SCENARIO", description = "The scenario's file.")
-        private Path file;
-
-        @Option(names = "--proxies", defaultValue = "1", description = "Proxies beside each other (default: 1).")
-        private int proxies;
+        protected Path file;
 
         @Option(names = "--serve", defaultValue = "exec sh deploy/serve.sh", description = "How a proxy is started.")
-        private String serve;
+        protected String serve;
 
         @Option(names = "--json", description = "Where the report goes as JSON, too.")
-        private Path json;
+        protected Path json;
 
         @Option(names = "--folder", description = "Where the proxies' files and logs go (default: a new one).")
-        private Path folder;
+        protected Path folder;
+
+        protected final Path home() throws IOException {
+            return folder == null ? Files.createTempDirectory("dappleseam-lab") : Files.createDirectories(folder);
+        }
+    }
+
+    /** Plays one scenario, whole. */
+    @Command(name = "run", mixinStandardHelpOptions = true, description = "Play a scenario; status 1 where a rule is broken, 3 where that cannot be told.")
+    static final class Run extends Rehearsal {
+        @Option(names = "--proxies", defaultValue = "1", description = "Proxies beside each other (default: 1).")
+        private int proxies;
 
         @Override
         public Integer call() throws Exception {
@@ -66,7 +73,7 @@
                 System.err.println("dappleseam lab: " + e.getMessage());
                 return 2;
             }
-            Path home = folder == null ? Files.createTempDirectory("dappleseam-lab") : Files.createDirectories(folder);
+            Path home = home();
             Report report;
             try {
                 report = play(scenario, serve, proxies, home);
@@ -84,25 +91,13 @@
 
     /** Plays one scenario of many proxies, whole. */
     @Command(name = "fleet", mixinStandardHelpOptions = true, description = "Play a scenario of many proxies; status 1 where a promise is broken, 3 where that cannot be told.")
-    static final class FleetCommand implements Callable<Integer> {
-        @Parameters(paramLabel = "SCENARIO", description = "The scenario's file.")
-        private Path file;
-
-        @Option(names = "--serve", defaultValue = "exec sh deploy/serve.sh", description = "How a proxy is started.")
-        private String serve;
-
-        @Option(names = "--json", description = "Where the report goes as JSON, too.")
-        private Path json;
-
+    static final class FleetCommand extends Rehearsal {
         @Option(names = "--plot", description = "Where a picture of how many views were right goes, as PNG.")
         private Path plot;
 
         @Option(names = "--planted", defaultValue = "NONE", description = "A defence that the fault tool takes out: ${COMPLETION-CANDIDATES}.")
         private Planted planted;
 
-        @Option(names = "--folder", description = "Where the proxies' files and logs go (default: a new one).")
-        private Path folder;
-
         @Override
         public Integer call() throws Exception {
             FleetScenario scenario;
@@ -112,7 +107,7 @@
                 System.err.println("dappleseam lab: " + e.getMessage());
                 return 2;
             }
-            Path home = folder == null ? Files.createTempDirectory("dappleseam-lab") : Files.createDirectories(folder);
+            Path home = home();
             FleetReport report;
             try (FleetRun run = new FleetRun(scenario, serve, home, planted)) {
                 Runtime.getRuntime().addShutdownHook(new Thread(run::stopAll)); // also after Ctrl-C
