--- a/src/main/java/dappleseam/fleet/lastlist/FolderStore.java
+++ b/src/main/java/dappleseam/fleet/lastlist/FolderStore.java
@@ -1,6 +1,5 @@
 package dappleseam.fleet.lastlist;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import dappleseam.fleet.lease.Token;
 import dappleseam.list.ListFile;
 import dappleseam.list.NodeList;
@@ -15,7 +14,7 @@
 
 /** A folder that all proxies reach, whose file system has locks: looking at the token and replacing the file are one step under one. */
 public final class FolderStore implements ListStore {
-    private static final String VERSION = "dappleseam-last-list-1";
+    private static final String VERSION = "dappleseam-last-list-2";
 
     private final Path folder;
 
@@ -28,44 +27,32 @@
     }
 
     @Override
-    public void write(Token token, double nowMs, NodeList list) throws IOException {
+    public void write(Token token, long number, double nowMs, NodeList list) throws IOException {
         Files.createDirectories(folder);
         try (FileChannel locks = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE); FileLock lock = locks.lock()) {
-            Token seen = lock.isValid() ? seen() : Token.NONE;
-            if (token.isBelow(seen)) {
-                throw new FencedException(seen);
+            Stored seen = lock.isValid() ? seen() : null;
+            if (seen != null && !seen.isBefore(token, number)) {
+                throw new FencedException(seen.token());
             }
-            SealedFile.writeForced(file(), VERSION, json -> {
-                json.writeStartObject();
-                json.writeArrayFieldStart("token");
-                json.writeNumber(token.round());
-                json.writeNumber(token.nonce());
-                json.writeEndArray();
-                json.writeNumberField("written_ms", nowMs);
-                json.writeFieldName("list");
-                ListFile.write(json, list);
-                json.writeEndObject();
-            });
+            SealedFile.writeForced(file(), VERSION, json -> ListStore.write(json, token, number, nowMs, list));
         }
     }
 
-    /** Damage is no token, or a folder once spoilt would take nothing ever again. */
-    private Token seen() throws IOException {
+    /** Null for nothing; damage is nothing, or a folder once spoilt would take nothing ever again. */
+    private Stored seen() throws IOException {
         try {
-            return read().token();
+            return read();
         } catch (NoSuchFileException e) {
-            return Token.NONE;
+            return null;
         } catch (SealedFile.DamagedException e) {
-            return Token.NONE;
+            return null;
         }
     }
 
     @Override
     public Stored read() throws IOException {
-        JsonNode root = SealedFile.read(file(), VERSION);
         try {
-            return new Stored(new Token(root.path("token").path(0).asLong(), root.path("token").path(1).asLong()), root.path("written_ms").asDouble(),
-                    root.path("list"));
+            return Stored.of(SealedFile.read(file(), VERSION));
         } catch (IllegalArgumentException e) {
             throw new SealedFile.DamagedException(e.getMessage());
         }
--- a/src/main/java/dappleseam/fleet/lastlist/KeepList.java
+++ b/src/main/java/dappleseam/fleet/lastlist/KeepList.java
@@ -21,6 +21,7 @@
     private NodeList written;
     private Token writtenWith;
     private double writtenAt;
+    private long writes;
 
     /** {@code last}: the list as this proxy last had it, or null; for any thread. */
     public KeepList(Supplier<NodeList> last, ListStore store) {
@@ -49,7 +50,7 @@
         }
         try {
             // Whatever stands still between here and there, the store refuses a token that is no longer the last.
-            store.write(token, now, list);
+            store.write(token, ++writes, now, list);
             written = list;
             writtenWith = token;
             writtenAt = now;
--- a/src/main/java/dappleseam/fleet/lease/LeaseTerms.java
+++ b/src/main/java/dappleseam/fleet/lease/LeaseTerms.java
@@ -2,6 +2,7 @@
 
 import dappleseam.fleet.membership.MemberName;
 import java.util.List;
+import java.util.stream.Collectors;
 
 /**
  * What holds for all leases of a fleet, the same at all its members. {@code voters}: three or five (one to nine are taken), in the file's
@@ -30,8 +31,8 @@
         return leaseMs * (1 - drift) / (1 + drift);
     }
 
-    /** Tells sets, their order and their number apart. */
+    /** Tells sets, their order, their number and their times apart: a holder that counts by a longer lease than its voters would act beside the next. */
     public int sum() {
-        return voters.hashCode() * 31 + number;
+        return (voters.stream().map(MemberName::text).collect(Collectors.joining("/")) + '/' + number + '/' + leaseMs + '/' + drift).hashCode();
     }
 }
--- a/src/main/java/dappleseam/fleet/lease/Token.java
+++ b/src/main/java/dappleseam/fleet/lease/Token.java
@@ -22,6 +22,20 @@
         return byRound != 0 ? byRound : Long.compare(nonce, other.nonce);
     }
 
+    /** As {@link #parse} takes it, and as logs and stores have it: the round, a dot, the nonce in hexadecimal. */
+    public String text() {
+        return round + "." + Long.toHexString(nonce);
+    }
+
+    /** An {@link IllegalArgumentException} where the text is none. */
+    public static Token parse(String text) {
+        int dot = text.indexOf('.');
+        if (dot < 0) {
+            throw new IllegalArgumentException("no token");
+        }
+        return new Token(Long.parseLong(text.substring(0, dot)), Long.parseUnsignedLong(text.substring(dot + 1), 16));
+    }
+
     public boolean isBelow(Token other) {
         return compareTo(other) < 0;
     }
--- a/src/main/java/dappleseam/fleet/peers/FleetText.java
+++ b/src/main/java/dappleseam/fleet/peers/FleetText.java
@@ -91,7 +91,7 @@
                 for (Snapshot.HeldLease lease : shot.leases()) {
                     json.writeStartObject();
                     json.writeStringField("lease", lease.lease().text());
-                    json.writeStringField("token", lease.token().round() + "." + Long.toHexString(lease.token().nonce()));
+                    json.writeStringField("token", lease.token().text());
                     json.writeNumberField("held_for_s", Math.round((nowMs - lease.sinceMs()) / MS_PER_S));
                     json.writeEndObject();
                 }
--- a/src/main/java/dappleseam/fleet/peers/LeaseDesk.java
+++ b/src/main/java/dappleseam/fleet/peers/LeaseDesk.java
@@ -259,7 +259,7 @@
         runner.holds(token, untilMs);
         if (isNew) {
             runner.heldSince = now;
-            LOG.log(Level.INFO, "lease {0}: taken, token {1}.{2}", lease, Long.toString(token.round()), Long.toHexString(token.nonce()));
+            LOG.log(Level.INFO, "lease {0}: taken, token {1}", lease, token.text());
             runner.thread = new Thread(runner, "task-" + lease);
             runner.thread.setDaemon(true);
             runner.thread.start();
@@ -268,7 +268,7 @@
 
     @Override
     public void lost(LeaseName lease, Token token, String why) {
-        LOG.log(Level.WARNING, "lease {0}: lost, token {1}.{2}: {3}", lease, Long.toString(token.round()), Long.toHexString(token.nonce()), why);
+        LOG.log(Level.WARNING, "lease {0}: lost, token {1}: {2}", lease, token.text(), why);
         record.lost(now, lease, token);
         Runner before = runners.get(lease);
         Runner next = new Runner(before.task);
--- a/src/main/java/dappleseam/lab/FleetRun.java
+++ b/src/main/java/dappleseam/lab/FleetRun.java
@@ -8,6 +8,7 @@
 import dappleseam.lab.check.Ledger;
 import dappleseam.lab.check.RuleChecker;
 import dappleseam.lab.emulator.Fleet;
+import dappleseam.lab.emulator.StoreEmulator;
 import dappleseam.lab.fault.LinkTool;
 import dappleseam.lab.fleet.LeaseChecker;
 import dappleseam.lab.fleet.Planted;
@@ -23,13 +24,17 @@
 import dappleseam.lab.scenario.FleetScenario.LinkFault;
 import dappleseam.lab.scenario.FleetScenario.LinkHow;
 import dappleseam.lab.scenario.FleetScenario.ProcessEvent;
+import dappleseam.lab.scenario.FleetScenario.ProcessKind;
+import dappleseam.lab.scenario.FleetScenario.Takeover;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -62,10 +67,12 @@
     private final Ledger ledger = new Ledger();
     private final Fleet peers;
     private final LinkTool links;
+    private final StoreEmulator store;
     private final Ports ports = new Ports();
     private final List<Seat> seats = new ArrayList<>();
     private final Queue<Instance> instances = new ConcurrentLinkedQueue<>();
     private final Queue<String> timeline = new ConcurrentLinkedQueue<>();
+    private final Queue<LeaseChecker.Hit> hits = new ConcurrentLinkedQueue<>();
     private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(4, FleetRun::daemon);
     private final ExecutorService hands = Executors.newCachedThreadPool(FleetRun::daemon);
     private final Truth truth = new Truth();
@@ -107,8 +114,12 @@
             fleet.put("record", home().resolve(name + "-views").toString());
             ArrayNode known = fleet.putArray("seeds");
             seats.stream().limit(SEEDS).forEach(seat -> known.add("127.0.0.1:" + seat.reachedAt));
-            if (scenario.leaseMs() > 0) {
-                ObjectNode leases = fleet.putObject("leases").put("lease_ms", scenario.leaseMs()).put("list_store", home.resolve("store").toString());
+            if (scenario.leases() != null) {
+                ObjectNode leases = fleet.putObject("leases").put("lease_ms", scenario.leases().leaseMs())
+                        .put("list_store", "http://127.0.0.1:" + store.port() + "/last-list");
+                if (scenario.leases().disks()) {
+                    leases.put("voter_file", home().resolve("voter").toString());
+                }
                 leases.putArray("voters").add("lab-0").add("lab-1").add("lab-2");
             }
             Path file = home().resolve(name + "-fleet.json");
@@ -139,6 +150,11 @@
             this.views = views;
         }
 
+        /** As leases' records name it. */
+        String title() {
+            return "lab-" + seat.number + '/' + views.getFileName();
+        }
+
         void down() {
             shouldRun = false;
             endedMs = Math.min(endedMs, nowMs());
@@ -151,6 +167,7 @@
         this.home = home;
         peers = new Fleet(scenario.play(), ledger);
         links = new LinkTool(FLEET, scenario.play().seed(), planted);
+        store = scenario.leases() == null ? null : new StoreEmulator(scenario.leases().storeLateMs(), planted != Planted.NO_FENCE);
     }
 
     private static Thread daemon(Runnable work) {
@@ -189,6 +206,9 @@
             seats.add(new Seat(i));
         }
         links.start();
+        if (store != null) {
+            store.open();
+        }
         double spawned = nowMs();
         for (Seat seat : seats) {
             seat.now = seat.spawn(seat.bindPort, seat.reachedAt, seat.config);
@@ -206,6 +226,9 @@
         for (ProcessEvent event : scenario.processes()) {
             clock.schedule(safely(() -> begin(event)), Math.round(event.atS() * MS_PER_S), TimeUnit.MILLISECONDS);
         }
+        if (scenario.leases() != null) {
+            scenario.leases().takeovers().forEach(this::plan);
+        }
         load.play();
         double settled = beganMs + MS_PER_S * (scenario.troublesEndS() + scenario.settleS());
         Thread.sleep((long) Math.max(0, settled - nowMs()));
@@ -221,7 +244,7 @@
         List<ViewChecker.Counted> counts = new ArrayList<>();
         List<LeaseChecker.Line> leases = new ArrayList<>();
         for (Instance instance : instances) {
-            read(instance, sights, counts, leases);
+            read(instance, sights, counts, leases, true);
         }
         double period = scenario.periodMs();
         List<ViewChecker.Breach> broken = ViewChecker.check(truth, sights, counts, new ViewChecker.Bounds(LATE_PERIODS * period, GRACE_PERIODS * period,
@@ -229,7 +252,8 @@
         links.close();
         Report played = new Report(scenario.play(), ledger, load, RuleChecker.check(scenario.play(), ledger, false), 0, 0);
         return new FleetReport(scenario, played, truth, sights, broken, List.copyOf(timeline), beganMs, settledMs, readyMs, links, !failed,
-                LeaseChecker.check(leases.stream().filter(l -> l.ms() <= settledMs).toList()));
+                LeaseChecker.check(leases.stream().filter(l -> l.ms() <= settledMs).toList()), List.copyOf(hits),
+                store == null ? List.of() : List.copyOf(store.writes()));
     }
 
     private void endAll() throws InterruptedException {
@@ -275,6 +299,58 @@
         }
     }
 
+    private void plan(Takeover takeover) {
+        for (int i = 0; i < takeover.times(); i++) {
+            clock.schedule(() -> hands.execute(safely(() -> hit(takeover))), Math.round((takeover.atS() + i * takeover.everyS()) * MS_PER_S), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Whoever holds the lease by the processes' own records; nobody is hit where nobody does. */
+    private void hit(Takeover takeover) throws IOException, InterruptedException {
+        Instance holder = holder();
+        if (holder == null) {
+            note(takeover.blow() + " of a holder: there is none");
+            return;
+        }
+        Seat seat = holder.seat;
+        note(takeover.blow() + " of the holder, " + seat.number);
+        hits.add(new LeaseChecker.Hit(takeover.blow().name().toLowerCase(Locale.ROOT), nowMs(), holder.title()));
+        switch (takeover.blow()) {
+            case KILL -> befall(new ProcessEvent(0, takeover.forS(), ProcessKind.RESTART, Set.of()), seat);
+            case STOP -> befall(new ProcessEvent(0, takeover.forS(), ProcessKind.STOP, Set.of()), seat);
+            case UPGRADE -> befall(new ProcessEvent(0, takeover.forS(), ProcessKind.UPGRADE, Set.of()), seat);
+            case CUT -> {
+                truth.troubled("lab-" + seat.number, nowMs(), nowMs() + takeover.forS() * MS_PER_S);
+                links.isolate(seat.number, takeover.forS());
+            }
+            case END -> {
+                ledger.isDown(seat.clients);
+                holder.down();
+                holder.process.end();
+                links.isUp(seat.reachedAt, false);
+                after(takeover.forS(), () -> {
+                    start(seat);
+                    awaitReady(seat.now);
+                    ledger.isBack(seat.clients);
+                });
+            }
+        }
+    }
+
+    private Instance holder() throws IOException {
+        for (Instance instance : instances) {
+            List<LeaseChecker.Line> lines = new ArrayList<>();
+            if (instance.shouldRun && instance == instance.seat.now) {
+                read(instance, new ArrayList<>(), new ArrayList<>(), lines, false);
+            }
+            LeaseChecker.Line last = lines.isEmpty() ? null : lines.get(lines.size() - 1);
+            if (last != null && last.untilMs() > nowMs()) { // not for one that was lost
+                return instance;
+            }
+        }
+        return null;
+    }
+
     private void begin(ProcessEvent event) {
         note(event.kind() + " " + event.proxies() + (event.forS() > 0 ? " for " + event.forS() + " s" : ""));
         for (int number : event.proxies()) {
@@ -370,7 +446,8 @@
     }
 
     /** A process's own record of its view; what it has no line for, it never came to. */
-    private void read(Instance instance, List<Sight> sights, List<ViewChecker.Counted> counts, List<LeaseChecker.Line> leases) throws IOException {
+    private void read(Instance instance, List<Sight> sights, List<ViewChecker.Counted> counts, List<LeaseChecker.Line> leases, boolean isOver)
+            throws IOException {
         if (!Files.exists(instance.views)) {
             return;
         }
@@ -386,12 +463,14 @@
             double ms = one.path("ms").asDouble();
             if (one.has("began")) {
                 viewer = one.path("nonce").asLong();
-                truth.began(one.path("began").asText(), viewer, ms, instance.endedMs);
+                if (isOver) {
+                    truth.began(one.path("began").asText(), viewer, ms, instance.endedMs);
+                }
             } else if (one.has("saw")) {
                 sights.add(new Sight(ms, viewer, one.path("saw").asText(), one.path("nonce").asLong(), one.path("incarnation").asInt(),
                         State.valueOf(one.path("state").asText())));
             } else if (one.has("held") || one.has("lost")) {
-                leases.add(new LeaseChecker.Line("lab-" + instance.seat.number + '/' + instance.views.getFileName(), one.path(one.has("held") ? "held" : "lost").asText(),
+                leases.add(new LeaseChecker.Line(instance.title(), one.path(one.has("held") ? "held" : "lost").asText(),
                         one.path("round").asLong(), ms, one.has("held") ? one.path("until").asDouble() : Double.NaN, instance.endedMs));
             } else if (one.has("counted")) {
                 counts.add(new ViewChecker.Counted(ms, viewer, one.path("counted").asInt()));
@@ -411,6 +490,9 @@
         hands.shutdownNow();
         stopAll();
         links.close();
+        if (store != null) {
+            store.close();
+        }
         peers.close();
         ports.close();
     }
--- a/src/main/java/dappleseam/lab/LeasesCommand.java
+++ b/src/main/java/dappleseam/lab/LeasesCommand.java
@@ -1,5 +1,6 @@
 package dappleseam.lab;
 
+import dappleseam.lab.fleet.LeaseCrowd;
 import dappleseam.lab.fleet.LeaseExploration;
 import dappleseam.lab.fleet.LeaseExploration.Walk;
 import dappleseam.lab.fleet.LeaseWorld.Planted;
@@ -33,12 +34,44 @@
     @Option(names = "--disks", description = "Voters have disks, and some get old copies back.")
     private boolean disks;
 
+    @Option(names = "--changing", description = "The set of voters changes, one by one.")
+    private boolean changing;
+
     @Option(names = "--planted", defaultValue = "NONE", description = "A fault that is built in: ${COMPLETION-CANDIDATES}.")
     private Planted planted;
 
+    @Option(names = "--crowd", split = ",", description = "Instead: what so many candidates send, over some seeds.")
+    private List<Integer> crowd = List.of();
+
+    @Option(names = "--spread", description = "Instead: how a thousand leases lie over fifty members, and how many move.")
+    private boolean spread;
+
+    private static final int CROWD_DEATHS = 40;
+
+    /** Status 1 where two held one lease at once. */
+    private int crowds() {
+        long breaches = 0;
+        for (int members : crowd) {
+            for (double loss : new double[] {0, 0.1, 0.3}) {
+                LeaseCrowd one = new LeaseCrowd(members, 1, loss, from);
+                System.out.println(one.storm(CROWD_DEATHS));
+                breaches += one.breaches();
+            }
+        }
+        if (spread) {
+            LeaseCrowd many = new LeaseCrowd(50, 1000, 0, from);
+            System.out.println(many.spread());
+            breaches += many.breaches();
+        }
+        return breaches > 0 ? 1 : 0;
+    }
+
     @Override
     public Integer call() {
-        LeaseExploration exploration = new LeaseExploration(candidates, disks, planted);
+        if (!crowd.isEmpty() || spread) {
+            return crowds();
+        }
+        LeaseExploration exploration = new LeaseExploration(candidates, disks, changing, planted);
         boolean broke = false;
         if (depth > 0) {
             LeaseExploration.Found found = exploration.exhaust(depth, troubles, true);
--- /dev/null
+++ b/src/main/java/dappleseam/lab/emulator/StoreEmulator.java
@@ -0,0 +1,120 @@
+package dappleseam.lab.emulator;
+
+import dappleseam.fleet.lastlist.ListStore.Stored;
+import dappleseam.fleet.lease.Token;
+import dappleseam.lab.fleet.LeaseChecker.Write;
+import dappleseam.lab.peer.Blocking;
+import dappleseam.wire.Json;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/**
+ * A store behind HTTP for the fleet's last list, as {@link dappleseam.fleet.lastlist.HttpStore} asks for. The first write of each token is long on its way: it is
+ * looked at only {@code lateMs} after it came, whatever happened since.
+ */
+public final class StoreEmulator extends Peer {
+    private static final double NANOS_PER_MS = 1e6;
+    private static final int LONGEST = 4 << 20;
+
+    private final double lateMs;
+    private final boolean fenced;
+    private final Queue<Write> writes = new ConcurrentLinkedQueue<>();
+    private final Set<Token> begun = new HashSet<>();
+    private Stored kept;
+    private byte[] body;
+
+    /** {@code fenced}: whether it refuses what comes before what it has. */
+    public StoreEmulator(double lateMs, boolean fenced) throws IOException {
+        this.lateMs = lateMs;
+        this.fenced = fenced;
+    }
+
+    /** Begins to listen. */
+    public void open() {
+        begin();
+    }
+
+    /** All that was judged so far, in order, on the machine's monotonic clock. */
+    public Queue<Write> writes() {
+        return writes;
+    }
+
+    @Override
+    void serve(InputStream in, OutputStream out) throws IOException, InterruptedException {
+        while (true) {
+            String[] first = Blocking.line(in).split(" ");
+            Map<String, String> headers = new HashMap<>();
+            for (String line = Blocking.line(in); !line.isEmpty(); line = Blocking.line(in)) {
+                int colon = line.indexOf(':');
+                if (colon > 0) {
+                    headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
+                }
+            }
+            byte[] sent = in.readNBytes(Math.min(LONGEST, Integer.parseInt(headers.getOrDefault("content-length", "0"))));
+            if (first[0].equals("PUT")) {
+                put(headers, sent, out);
+            } else {
+                byte[] now = now();
+                answer(out, now == null ? "404 Not Found" : "200 OK", "", now == null ? new byte[0] : now);
+            }
+        }
+    }
+
+    private synchronized byte[] now() {
+        return body;
+    }
+
+    private synchronized boolean isFirst(Token token) {
+        return begun.add(token);
+    }
+
+    private void put(Map<String, String> headers, byte[] sent, OutputStream out) throws IOException, InterruptedException {
+        Token token;
+        long number;
+        Stored told;
+        try {
+            token = Token.parse(headers.getOrDefault("fencing-token", ""));
+            number = Long.parseLong(headers.getOrDefault("write-number", ""));
+            told = Stored.of(Json.read(sent));
+        } catch (IllegalArgumentException e) {
+            answer(out, "400 Bad Request", "", new byte[0]);
+            return;
+        }
+        if (lateMs > 0 && isFirst(token)) {
+            Thread.sleep(Math.round(lateMs));
+        }
+        Token seen = judge(token, number, told, sent);
+        if (seen == null) {
+            answer(out, "204 No Content", "", new byte[0]);
+        } else {
+            answer(out, "409 Conflict", "Fencing-Token: " + seen.text() + "\r\n", new byte[0]);
+        }
+    }
+
+    /** Looks and replaces in one step; the token that is there where it does not. */
+    private synchronized Token judge(Token token, long number, Stored told, byte[] sent) {
+        boolean takes = !fenced || kept == null || kept.isBefore(token, number);
+        writes.add(new Write(System.nanoTime() / NANOS_PER_MS, token, number, takes));
+        if (!takes) {
+            return kept.token();
+        }
+        kept = told;
+        body = sent;
+        return null;
+    }
+
+    private static void answer(OutputStream out, String status, String more, byte[] body) throws IOException {
+        String length = status.startsWith("204") ? "" : "Content-Length: " + body.length + "\r\n";
+        out.write(("HTTP/1.1 " + status + "\r\n" + length + more + "\r\n").getBytes(StandardCharsets.US_ASCII));
+        out.write(body);
+    }
+}
--- a/src/main/java/dappleseam/lab/fault/LinkTool.java
+++ b/src/main/java/dappleseam/lab/fault/LinkTool.java
@@ -1,6 +1,7 @@
 package dappleseam.lab.fault;
 
 import dappleseam.fleet.membership.MemberName;
+import dappleseam.fleet.membership.Notice;
 import dappleseam.fleet.peers.Envelope;
 import dappleseam.fleet.peers.Letter;
 import dappleseam.fleet.peers.Unreadable;
@@ -14,6 +15,7 @@
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -21,6 +23,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Queue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -44,6 +47,9 @@
     private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
     private final Map<LinkHow, Long> done = new EnumMap<>(LinkHow.class);
     private final ByteBuffer in = ByteBuffer.allocate(2048);
+    /** Each proxy as it last wrote of itself, for letters that are made up. */
+    private final Map<Integer, Notice> lastSelf = new HashMap<>();
+    private final Map<Letter.Kind, Long> kinds = new EnumMap<>(Letter.Kind.class);
     private volatile List<LinkFault> script = List.of();
     private volatile long beganNanos;
     private volatile boolean over;
@@ -191,7 +197,10 @@
 
     private void pass(Place from, Place to, Letter letter, byte[] sent, boolean isCall) {
         byte[] bytes = sent;
+        kinds.merge(letter.kind(), 1L, Long::sum);
         if (planted != Planted.NONE) {
+            lastSelf.put(from.number, letter.self());
+            planted.forged(letter, new MemberName("lab-" + to.number)).forEach(this::forge);
             Letter left = planted.passed(letter, new MemberName("lab-" + to.number), isCall);
             if (left == null) {
                 return;
@@ -232,6 +241,21 @@
         }
     }
 
+    /** Comes at once, whatever is cut: a faulty voter is one that all reach. */
+    private void forge(Planted.Forged forged) {
+        Place from = placeOf(forged.from());
+        Place to = placeOf(forged.to());
+        Notice self = from == null ? null : lastSelf.get(from.number);
+        if (self != null && to != null) {
+            Letter letter = new Letter(Letter.Kind.BALLOT, self, 0, null, null, List.of(), false, null, forged.ballot());
+            waiting.add(new Waiting(System.nanoTime(), count++, from, to, envelope.write(letter)));
+        }
+    }
+
+    private Place placeOf(MemberName name) {
+        return byPort.values().stream().filter(p -> name.text().equals("lab-" + p.number)).findFirst().orElse(null);
+    }
+
     private void send(Place from, Place to, byte[] bytes) {
         try {
             if (from.channel != null && to.channel != null) {
@@ -253,6 +277,23 @@
         return passedBytes;
     }
 
+    /** Datagrams of each kind that came to the tool; after {@link #close}. */
+    public Map<Letter.Kind, Long> kinds() {
+        return kinds;
+    }
+
+    /** From now on for so long, nothing passes to or from that proxy; from any thread. */
+    public void isolate(int number, double forS) {
+        posted.add(() -> {
+            double atS = (System.nanoTime() - beganNanos) / NANOS_PER_MS / 1000;
+            List<LinkFault> more = new ArrayList<>(script);
+            more.add(new LinkFault(atS, forS, LinkHow.CUT, Set.of(number), Set.of(), 0));
+            more.add(new LinkFault(atS, forS, LinkHow.CUT, Set.of(), Set.of(number), 0));
+            script = more;
+        });
+        selector.wakeup();
+    }
+
     /** After {@link #close}. */
     public Map<LinkHow, Long> done() {
         return done;
--- a/src/main/java/dappleseam/lab/fleet/LeaseChecker.java
+++ b/src/main/java/dappleseam/lab/fleet/LeaseChecker.java
@@ -1,11 +1,13 @@
 package dappleseam.lab.fleet;
 
+import dappleseam.fleet.lease.Token;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** Proves from the processes' own records, on one machine's monotonic clock, that no two hold a lease at an instant, and that tokens grow. Free of I/O. */
@@ -19,8 +21,51 @@
     /** What was found: breaches in words, the times without a holder in ms, each from the end of one to the begin of the next. */
     public record Found(List<String> breaches, List<Holding> holdings, List<Double> gapsMs) {}
 
+    /** One write as the store judged it. */
+    public record Write(double ms, Token token, long number, boolean taken) {}
+
+    /** A holder was hit: how, when, which. {@code process}: as in {@link Line}. */
+    public record Hit(String how, double ms, String process) {}
+
+    /** Times in ms after hits of one kind: without anybody who acts, and from the hit to the next who does. */
+    public record Absence(List<Double> withoutMs, List<Double> sinceHitMs, int withoutNext) {}
+
     private LeaseChecker() {}
 
+    /** Breaches by a store that takes an older write than it has. */
+    public static List<String> writes(List<Write> writes) {
+        List<String> breaches = new ArrayList<>();
+        Write last = null;
+        for (Write write : writes) {
+            if (write.taken()) {
+                if (last != null && (write.token().isBelow(last.token()) || write.token().equals(last.token()) && write.number() <= last.number())) {
+                    breaches.add(String.format(Locale.ROOT, "the store took write %d of %s after write %d of %s", write.number(), write.token().text(),
+                            last.number(), last.token().text()));
+                }
+                last = write;
+            }
+        }
+        return breaches;
+    }
+
+    /** By kind of hit, how long nobody acted; {@code stops}: kinds after which the holder acts no more at once, whatever its record says. */
+    public static Map<String, Absence> absences(List<Hit> hits, List<Holding> holdings, Set<String> stops) {
+        Map<String, Absence> found = new TreeMap<>();
+        for (Hit hit : hits) {
+            Absence absence = found.computeIfAbsent(hit.how(), h -> new Absence(new ArrayList<>(), new ArrayList<>(), 0));
+            Holding held = holdings.stream().filter(h -> h.process().equals(hit.process()) && h.fromMs() <= hit.ms() && h.toMs() >= hit.ms()).findFirst().orElse(null);
+            Holding next = holdings.stream().filter(h -> h.fromMs() > hit.ms()).findFirst().orElse(null);
+            if (held == null || next == null) {
+                found.put(hit.how(), new Absence(absence.withoutMs(), absence.sinceHitMs(), absence.withoutNext() + 1));
+                continue;
+            }
+            double over = stops.contains(hit.how()) ? hit.ms() : held.toMs();
+            absence.withoutMs().add(next.fromMs() - over);
+            absence.sinceHitMs().add(next.fromMs() - hit.ms());
+        }
+        return found;
+    }
+
     public static Map<String, Found> check(List<Line> lines) {
         Map<String, List<Line>> byLease = new TreeMap<>();
         lines.stream().sorted(Comparator.comparingDouble(Line::ms)).forEach(l -> byLease.computeIfAbsent(l.lease(), k -> new ArrayList<>()).add(l));
--- a/src/main/java/dappleseam/lab/fleet/LeaseExploration.java
+++ b/src/main/java/dappleseam/lab/fleet/LeaseExploration.java
@@ -9,8 +9,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 
-/** Model checking of leases: every order of events to a depth, and beyond it random ones from seeds, replayed and shrunk. */
-public record LeaseExploration(int candidates, boolean disks, Planted planted) {
+/** Model checking of leases: every order of events to a depth, and beyond it random ones from seeds, replayed and shrunk. {@code changing}: the set of voters does. */
+public record LeaseExploration(int candidates, boolean disks, boolean changing, Planted planted) {
     /** States told apart, ways played, and what broke. */
     public record Found(long states, long ways, long takes, String broken) {}
 
@@ -60,7 +60,7 @@
             if (broken != null) {
                 return;
             }
-            LeaseWorld world = new LeaseWorld(candidates, disks, fast, planted);
+            LeaseWorld world = new LeaseWorld(candidates, disks, changing, fast, planted);
             path.forEach(world::play);
             ways++;
             if (world.broken() != null) {
@@ -88,7 +88,7 @@
     /** A way of so many steps, drawn from the seed; then quiet, in which somebody has to hold it again. */
     public Walk walk(long seed, int steps) {
         SplittableRandom random = new SplittableRandom(seed);
-        LeaseWorld world = new LeaseWorld(candidates, disks, random.nextInt(1 << 3 + candidates), planted);
+        LeaseWorld world = new LeaseWorld(candidates, disks, changing, random.nextInt(1 << 3 + candidates), planted);
         List<Move> path = new ArrayList<>();
         for (int i = 0; i < steps && world.broken() == null; i++) {
             Move move = draw(random, world);
@@ -147,7 +147,7 @@
     }
 
     private boolean breaks(List<Move> path, int fast) {
-        LeaseWorld world = new LeaseWorld(candidates, disks, fast, planted);
+        LeaseWorld world = new LeaseWorld(candidates, disks, changing, fast, planted);
         for (Move move : path) {
             world.play(move);
             if (world.broken() != null) {
--- a/src/main/java/dappleseam/lab/fleet/LeaseWorld.java
+++ b/src/main/java/dappleseam/lab/fleet/LeaseWorld.java
@@ -18,7 +18,7 @@
 
 /**
  * Three voters, some candidates for one lease and a resource, with clocks that run as far apart as they may: whoever plays it says what happens next.
- * The modules are the shipped ones. Times in ms.
+ * Where the set of voters changes, a fourth takes the third one's place. The modules are the shipped ones. Times in ms.
  */
 public final class LeaseWorld {
     /** Faults built in on purpose, each of which has to be found. */
@@ -39,16 +39,21 @@
         /** One voter's answer counts for two. */
         MINORITY,
         /** Clocks over their bound: only the resource is left. */
-        OVER_BOUND
+        OVER_BOUND,
+        /** A new voter starts before those that stay have the new set. */
+        WRONG_ORDER
     }
 
     /** What may happen next. */
-    public enum Kind { ROUND, DELIVER, LOSE, REPEAT, TIME, LONG, RESTART_VOTER, CLOSE_VOTER, RESTORE_VOTER, RESTART_CANDIDATE, CUT, GIVE, CHECK, ACT }
+    public enum Kind { ROUND, DELIVER, LOSE, REPEAT, TIME, LONG, RESTART_VOTER, CLOSE_VOTER, RESTORE_VOTER, RESTART_CANDIDATE, CUT, GIVE, CHECK, ACT, MOVE_VOTER, MOVE_CANDIDATE }
 
-    /** {@code which}: a message's place or a number; of a ROUND eight times the candidate's, and a bit for each voter. */
+    /** {@code which}: a message's place or a number; of a ROUND sixteen times the candidate's, and a bit for each voter. */
     public record Move(Kind kind, int which) {}
 
     private static final int VOTERS = 3;
+    /** With the one that comes. */
+    private static final int SEATS = 4;
+    private static final int NEW = 3;
     private static final double LEASE_MS = 1000;
     /** Large, so that a few steps show it. */
     private static final double DRIFT = 0.2;
@@ -62,7 +67,9 @@
 
     private final Planted planted;
     private final boolean disks;
-    private final LeaseTerms terms;
+    private final boolean changing;
+    private final LeaseTerms before;
+    private final LeaseTerms after;
     private final List<VoterSeat> voters = new ArrayList<>();
     private final List<CandidateSeat> candidates = new ArrayList<>();
     private final List<Letter> underWay = new ArrayList<>();
@@ -116,6 +123,7 @@
     private final class VoterSeat extends Clocked implements VoterDisk {
         final int number;
         Voter voter;
+        LeaseTerms terms = before;
         Kept onDisk;
         /** Copies that somebody made: of the last writings, some of each age. */
         final List<Kept> copies = new ArrayList<>();
@@ -155,6 +163,7 @@
     private final class CandidateSeat extends Clocked implements LeaseHost {
         final int number;
         Candidate candidate;
+        LeaseTerms terms = before;
         double wakeAt;
         Token holds;
         Token checked;
@@ -175,29 +184,38 @@
             candidate.want(clock(now), LEASE);
         }
 
+        /** One without a margin says that it has one, or the voters would refuse it. */
+        private int told(int set) {
+            return planted == Planted.NO_MARGIN ? terms.sum() : set;
+        }
+
         private void send(MemberName to, String text, BiConsumer<VoterSeat, MemberName> what) {
             int voter = to.text().charAt(1) - '0';
-            underWay.add(new Letter(true, voter, number, voter, number + ">" + voter + text, seat -> what.accept((VoterSeat) seat, candidateName(number))));
+            underWay.add(new Letter(true, voter, number, voter, number + ">" + voter + text + terms.number(), seat -> what.accept((VoterSeat) seat, candidateName(number))));
         }
 
         @Override
         public void prepare(MemberName peer, int set, LeaseName lease, Token ballot) {
-            send(peer, "prepare" + ballot, (v, from) -> v.voter.prepare(v.clock(now), from, set, lease, ballot));
+            int told = told(set);
+            send(peer, "prepare" + ballot, (v, from) -> v.voter.prepare(v.clock(now), from, told, lease, ballot));
         }
 
         @Override
         public void ask(MemberName peer, int set, LeaseName lease) {
-            send(peer, "ask", (v, from) -> v.voter.ask(v.clock(now), from, set, lease));
+            int told = told(set);
+            send(peer, "ask", (v, from) -> v.voter.ask(v.clock(now), from, told, lease));
         }
 
         @Override
         public void propose(MemberName peer, int set, LeaseName lease, Token ballot, long turn) {
-            send(peer, "propose" + ballot + turn, (v, from) -> v.voter.propose(v.clock(now), from, set, lease, ballot, turn));
+            int told = told(set);
+            send(peer, "propose" + ballot + turn, (v, from) -> v.voter.propose(v.clock(now), from, told, lease, ballot, turn));
         }
 
         @Override
         public void release(MemberName peer, int set, LeaseName lease, Token ballot) {
-            send(peer, "release" + ballot, (v, from) -> v.voter.release(v.clock(now), from, set, lease, ballot));
+            int told = told(set);
+            send(peer, "release" + ballot, (v, from) -> v.voter.release(v.clock(now), from, told, lease, ballot));
         }
 
         @Override
@@ -288,10 +306,12 @@
     }
 
     /** {@code fast}: which of voters and candidates have the fast clock, a bit each; the others have the slow one. */
-    public LeaseWorld(int candidates, boolean disks, int fast, Planted planted) {
+    public LeaseWorld(int candidates, boolean disks, boolean changing, int fast, Planted planted) {
         this.planted = planted;
         this.disks = disks;
-        terms = new LeaseTerms(List.of(voterName(0), voterName(1), voterName(2)), 1, LEASE_MS, DRIFT);
+        this.changing = changing;
+        before = new LeaseTerms(List.of(voterName(0), voterName(1), voterName(2)), 1, LEASE_MS, DRIFT);
+        after = new LeaseTerms(List.of(voterName(0), voterName(1), voterName(NEW)), 2, LEASE_MS, DRIFT);
         double apart = planted == Planted.OVER_BOUND ? 2 * DRIFT : DRIFT;
         for (int i = 0; i < VOTERS; i++) {
             voters.add(new VoterSeat(i, (fast >> i & 1) == 1 ? 1 + apart : 1 - apart));
@@ -300,13 +320,20 @@
             this.candidates.add(new CandidateSeat(i, (fast >> VOTERS + i & 1) == 1 ? 1 + apart : 1 - apart));
         }
         voters.forEach(VoterSeat::start);
+        if (changing) {
+            voters.add(new VoterSeat(NEW, (fast & 1) == 1 ? 1 - apart : 1 + apart));
+        }
         now += 2 * LEASE_MS; // they have been silent for long enough
         deliverAll();
-        voters.forEach(v -> v.voter.woken());
+        wakeVoters();
         deliverAll();
         this.candidates.forEach(CandidateSeat::start);
     }
 
+    private void wakeVoters() {
+        voters.stream().filter(v -> v.voter != null).forEach(v -> v.voter.woken());
+    }
+
     /** What is broken, or null. */
     public String broken() {
         return broken;
@@ -338,6 +365,9 @@
         if (letter.candidate >= 0 && candidates.get(letter.candidate).isCut) {
             return;
         }
+        if (letter.toVoter && (letter.to >= voters.size() || voters.get(letter.to).voter == null)) {
+            return; // not started
+        }
         letter.deliver.accept(letter.toVoter ? voters.get(letter.to) : candidates.get(letter.to));
     }
 
@@ -355,7 +385,7 @@
                 seat.candidate.woken(seat.clock(now));
             }
         }
-        voters.forEach(v -> v.voter.woken());
+        wakeVoters();
         while (underWay.size() > MOST_UNDER_WAY) {
             underWay.remove(0);
         }
@@ -371,7 +401,13 @@
         }
         moves.add(new Move(Kind.TIME, 0));
         moves.add(new Move(Kind.LONG, 0));
-        for (int i = 0; i < VOTERS; i++) {
+        for (int i = 0; i < voters.size(); i++) {
+            if (mayMove(i)) {
+                moves.add(new Move(Kind.MOVE_VOTER, i));
+            }
+            if (voters.get(i).voter == null) {
+                continue;
+            }
             moves.add(new Move(Kind.RESTART_VOTER, i));
             if (disks) {
                 moves.add(new Move(Kind.CLOSE_VOTER, i));
@@ -382,6 +418,9 @@
         }
         for (int i = 0; i < candidates.size(); i++) {
             moves.add(new Move(Kind.RESTART_CANDIDATE, i));
+            if (changing) {
+                moves.add(new Move(Kind.MOVE_CANDIDATE, i));
+            }
             moves.add(new Move(Kind.CUT, i));
             moves.add(new Move(Kind.GIVE, i));
             moves.add(new Move(Kind.CHECK, i));
@@ -390,13 +429,27 @@
         return moves;
     }
 
+    /** By docs/fleet.md: those that stay have the new set before the new one starts, and may go back as long as it has not. */
+    private boolean mayMove(int voter) {
+        boolean newStarted = changing && voters.get(NEW).voter != null;
+        boolean stayersMoved = voters.get(0).terms == after && voters.get(1).terms == after;
+        return changing && (voter == NEW ? !newStarted && (stayersMoved || planted == Planted.WRONG_ORDER)
+                : voter != 2 && (!newStarted || planted == Planted.WRONG_ORDER && voters.get(voter).terms == before));
+    }
+
+    /** A start with the other set. */
+    private void move(VoterSeat seat) {
+        seat.terms = seat.number == NEW || seat.terms == before ? after : before;
+        seat.start();
+    }
+
     /** The same in large steps: all that passes between a candidate and some voters, to the end. */
     public List<Move> largeMoves() {
         List<Move> moves = new ArrayList<>(moves(0));
         moves.removeIf(m -> m.kind() == Kind.CHECK || m.kind() == Kind.ACT || m.kind() == Kind.CUT);
         for (int i = 0; i < candidates.size(); i++) {
-            for (int mask = 1; mask < (1 << VOTERS) - 1; mask++) {
-                moves.add(new Move(Kind.ROUND, i << VOTERS | mask));
+            for (int mask = 1; mask < (1 << voters.size()) - 1; mask++) {
+                moves.add(new Move(Kind.ROUND, i << SEATS | mask));
             }
         }
         return moves;
@@ -418,7 +471,7 @@
     public void play(Move move) {
         int which = move.which();
         switch (move.kind()) {
-            case ROUND -> round(which >> VOTERS, which & (1 << VOTERS) - 1);
+            case ROUND -> round(which >> SEATS, which & (1 << SEATS) - 1);
             case DELIVER -> {
                 if (which < underWay.size()) {
                     deliver(underWay.remove(which));
@@ -450,6 +503,15 @@
                 seat.onDisk = seat.copies.get((int) (nonces * 7 % seat.copies.size()));
                 seat.start();
             }
+            case MOVE_VOTER -> {
+                if (mayMove(which)) {
+                    move(voters.get(which));
+                }
+            }
+            case MOVE_CANDIDATE -> {
+                candidates.get(which).terms = candidates.get(which).terms == before ? after : before;
+                candidates.get(which).start();
+            }
             case RESTART_CANDIDATE -> candidates.get(which).start();
             case CUT -> candidates.get(which).isCut = !candidates.get(which).isCut;
             case GIVE -> {
@@ -500,6 +562,17 @@
     /** With all voters there and nothing lost, somebody holds it again in time, and stays the one. */
     public void settle(double ms) {
         candidates.forEach(c -> c.isCut = false);
+        for (int i : changing ? new int[] {0, 1, NEW} : new int[0]) {
+            if (voters.get(i).terms == before || voters.get(i).voter == null) {
+                move(voters.get(i));
+            }
+        }
+        for (CandidateSeat seat : candidates) {
+            if (changing && seat.terms == before) {
+                seat.terms = after;
+                seat.start();
+            }
+        }
         double until = now + ms;
         while (now < until && broken == null) {
             pass(STEP_MS);
@@ -518,8 +591,8 @@
 
     public String state() {
         StringBuilder text = new StringBuilder();
-        voters.forEach(v -> text.append(v.voter.state(v.clock(now))).append('\n'));
-        candidates.forEach(c -> text.append(c.candidate.state(c.clock(now))).append(c.checked).append(c.isCut).append(Math.round(c.wakeAt - c.clock(now))).append('\n'));
+        voters.forEach(v -> text.append(v.terms.number()).append(v.voter == null ? "" : v.voter.state(v.clock(now))).append('\n'));
+        candidates.forEach(c -> text.append(c.terms.number()).append(c.candidate.state(c.clock(now))).append(c.checked).append(c.isCut).append(Math.round(c.wakeAt - c.clock(now))).append('\n'));
         underWay.forEach(letter -> text.append(letter.text).append('\n'));
         return text.append(atResource).toString();
     }
--- a/src/main/java/dappleseam/lab/report/FleetReport.java
+++ b/src/main/java/dappleseam/lab/report/FleetReport.java
@@ -38,6 +38,8 @@
     private static final double SAMPLE_MS = 500;
     private static final int WIDTH = 1100;
     private static final int HEIGHT = 420;
+    /** Hits after which a holder acts no more, whatever its record says. */
+    private static final Set<String> STOPS = Set.of("kill", "stop");
 
     private final FleetScenario scenario;
     private final Report played;
@@ -48,11 +50,12 @@
 
     public FleetReport(FleetScenario scenario, Report played, Truth truth, List<Sight> sights, List<ViewChecker.Breach> breaches,
                        List<String> timeline, double beganMs, double settledMs, double readyMs, LinkTool links, boolean complete,
-                       Map<String, LeaseChecker.Found> leases) {
+                       Map<String, LeaseChecker.Found> leases, List<LeaseChecker.Hit> hits, List<LeaseChecker.Write> writes) {
         this.scenario = scenario;
         this.played = played;
         this.complete = complete;
-        broken = breaches.size() + leases.values().stream().mapToInt(l -> l.breaches().size()).sum();
+        List<String> atStore = LeaseChecker.writes(writes);
+        broken = breaches.size() + leases.values().stream().mapToInt(l -> l.breaches().size()).sum() + atStore.size();
         double seconds = (settledMs - beganMs) / MS_PER_S;
         tree.put("scenario", scenario.play().name()).put("seed", scenario.play().seed()).put("proxies", scenario.proxies())
                 .put("period_ms", scenario.periodMs()).put("all_ready_ms", Math.round(readyMs));
@@ -68,6 +71,7 @@
         ObjectNode wire = tree.putObject("datagrams").put("passed", links.passed())
                 .put("a_proxy_and_second", round(links.passed() / seconds / scenario.proxies()))
                 .put("bytes_a_proxy_and_second", round(links.passedBytes() / seconds / scenario.proxies()));
+        links.kinds().forEach((kind, count) -> wire.put("came_" + kind.name().toLowerCase(Locale.ROOT), count));
         links.done().forEach((how, count) -> wire.put(how.name().toLowerCase(Locale.ROOT), count));
         ObjectNode promises = tree.putObject("promises").put("broken", broken);
         ArrayNode told = promises.putArray("breaches");
@@ -82,9 +86,28 @@
                     .put("to_s", round((h.toMs() - beganMs) / MS_PER_S)));
             found.breaches().forEach(lease.putArray("breaches")::add);
         });
+        if (scenario.leases() != null) {
+            ObjectNode store = tree.putObject("store").put("taken", writes.stream().filter(LeaseChecker.Write::taken).count())
+                    .put("refused", writes.stream().filter(w -> !w.taken()).count()).put("broken", atStore.size());
+            atStore.forEach(store.putArray("breaches")::add);
+        }
+        Map<String, LeaseChecker.Absence> absences = LeaseChecker.absences(hits, leases.values().stream().flatMap(l -> l.holdings().stream()).toList(), STOPS);
+        absences.forEach((how, of) -> {
+            ObjectNode hit = tree.putObject("holder_" + how).put("hits", of.withoutMs().size()).put("without_next", of.withoutNext());
+            spread(hit, "without_ms", of.withoutMs());
+            spread(hit, "since_hit_ms", of.sinceHitMs());
+        });
         tree.set("play", played.tree());
     }
 
+    private static void spread(ObjectNode to, String name, List<Double> values) {
+        double[] sorted = values.stream().mapToDouble(v -> v).sorted().toArray();
+        if (sorted.length > 0) {
+            to.put(name + "_median", Math.round(sorted[sorted.length / 2])).put(name + "_99", Math.round(sorted[(int) Math.ceil(0.99 * sorted.length) - 1]))
+                    .put(name + "_most", Math.round(sorted[sorted.length - 1]));
+        }
+    }
+
     private boolean isRightFrom(double s) {
         return right.stream().filter(r -> r[0] >= s).allMatch(r -> r[1] >= 100);
     }
--- a/src/main/java/dappleseam/lab/scenario/FleetScenario.java
+++ b/src/main/java/dappleseam/lab/scenario/FleetScenario.java
@@ -6,10 +6,26 @@
 /**
  * One rehearsal of many proxies: {@code play} is what any rehearsal has, beside it stand faults between the proxies and what befalls their
  * processes. {@code memoryMb}: limit of each; {@code settleS}: time after the last trouble until all views have to be right;
- * {@code leaseMs}: of the lease for the last list, 0 for no leases; the first three proxies are voters.
+ * {@code leases}: null where there are none.
  */
-public record FleetScenario(Scenario play, int proxies, int memoryMb, double periodMs, double settleS, double leaseMs, List<LinkFault> links,
+public record FleetScenario(Scenario play, int proxies, int memoryMb, double periodMs, double settleS, Leases leases, List<LinkFault> links,
                             List<ProcessEvent> processes) {
+    /**
+     * Leases, of which the first three proxies are voters; {@code leaseMs}: of the one for the last list. {@code storeLateMs}: by how much the first write
+     * of each holder is late at the store. {@code disks}: whether voters keep their promises on a disk that lasts over restarts.
+     */
+    public record Leases(double leaseMs, double storeLateMs, boolean disks, List<Takeover> takeovers) {}
+
+    /** So many times, each that long after the one before: whoever holds the lease then is hit. */
+    public record Takeover(Blow blow, double atS, double everyS, int times, double forS) {
+        public double endS() {
+            return atS + everyS * (times - 1) + forS;
+        }
+    }
+
+    /** What hits a holder: SIGKILL and a new process later, SIGSTOP, all its links cut, SIGTERM and a new process later, an upgrade. */
+    public enum Blow { KILL, STOP, CUT, END, UPGRADE }
+
     /** What happens to datagrams between proxies. */
     public enum LinkHow { CUT, LOSS, DELAY, DOUBLE, REORDER, GARBLE }
 
@@ -47,6 +63,7 @@
     /** When the last trouble of links and processes is over, in s; SIGKILL and SIGTERM count from when they come. */
     public double troublesEndS() {
         double links = this.links.stream().mapToDouble(f -> f.atS + f.forS).max().orElse(0);
+        links = Math.max(links, leases == null ? 0 : leases.takeovers().stream().mapToDouble(Takeover::endS).max().orElse(0));
         return Math.max(links, processes.stream().mapToDouble(e -> e.atS + e.forS).max().orElse(0));
     }
 }
--- a/src/main/java/dappleseam/lab/scenario/ScenarioReader.java
+++ b/src/main/java/dappleseam/lab/scenario/ScenarioReader.java
@@ -58,13 +58,27 @@
         Keys fleet = top.part("fleet");
         int proxies = (int) fleet.number("proxies", 2, 400);
         FleetScenario read = new FleetScenario(scenario, proxies, (int) fleet.number("memory_mb", 32, 1024), fleet.number("period_ms", 20, 60_000),
-                fleet.number("settle_s", 1, 600), fleet.number("lease_ms", 0, 600_000),
+                fleet.number("settle_s", 1, 600), fleet.has("leases") ? leases(fleet.part("leases")) : null,
                 fleet.list("links").stream().map(keys -> link(keys, proxies)).toList(),
                 fleet.list("processes").stream().map(keys -> event(keys, proxies)).toList());
         List.of(top, fleet).forEach(Keys::noMore);
         return read;
     }
 
+    private static FleetScenario.Leases leases(Keys keys) {
+        FleetScenario.Leases leases = new FleetScenario.Leases(keys.number("lease_ms", 500, 600_000), keys.number("store_late_ms", 0, 600_000), keys.flag("disks"),
+                keys.list("takeovers").stream().map(ScenarioReader::takeover).toList());
+        keys.noMore();
+        return leases;
+    }
+
+    private static FleetScenario.Takeover takeover(Keys keys) {
+        FleetScenario.Takeover takeover = new FleetScenario.Takeover(keys.oneOf("blow", FleetScenario.Blow.class), keys.number("at_s", 0, 3600),
+                keys.number("every_s", 1, 3600), (int) keys.number("times", 1, 1000), keys.number("for_s", 0, 3600));
+        keys.noMore();
+        return takeover;
+    }
+
     private static FleetScenario.LinkFault link(Keys keys, int proxies) {
         FleetScenario.LinkFault fault = new FleetScenario.LinkFault(keys.number("at_s", 0, 3600), keys.number("for_s", 0, 3600),
                 keys.oneOf("how", FleetScenario.LinkHow.class), keys.numbers("from", proxies - 1), keys.numbers("to", proxies - 1),
@@ -149,6 +163,11 @@
             return found;
         }
 
+        boolean has(String name) {
+            read.add(name);
+            return node.has(name);
+        }
+
         Keys part(String name) {
             return new Keys(need(name), at + name + ".");
         }
--- a/src/main/java/dappleseam/proxy/InFleet.java
+++ b/src/main/java/dappleseam/proxy/InFleet.java
@@ -2,6 +2,7 @@
 
 import dappleseam.control.FleetDesk;
 import dappleseam.fleet.lastlist.FolderStore;
+import dappleseam.fleet.lastlist.HttpStore;
 import dappleseam.fleet.lastlist.KeepList;
 import dappleseam.fleet.lastlist.ListStore;
 import dappleseam.fleet.membership.MemberName;
@@ -14,6 +15,7 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.URI;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.function.Supplier;
@@ -40,7 +42,8 @@
         this.file = file;
         this.post = post;
         Identity identity = read();
-        store = identity.listStore() == null ? null : new FolderStore(identity.listStore());
+        store = identity.listStore() == null ? null : identity.listStore().startsWith("http:") ? new HttpStore(URI.create(identity.listStore()))
+                : new FolderStore(Path.of(identity.listStore()));
         socket = new PeerSocket(identity, post.seed(), left, store == null ? List.of() : List.of(new KeepList(last, store)));
     }
 
--- a/src/main/java/dappleseam/site/FleetFileReader.java
+++ b/src/main/java/dappleseam/site/FleetFileReader.java
@@ -11,6 +11,8 @@
 import java.io.IOException;
 import java.net.Inet4Address;
 import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.URISyntaxException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -71,7 +73,7 @@
                 true, Terms.HELPERS);
         return new Identity(name(root, "fleet", null).text(), name(root, "name", name), bind, advertise, List.copyOf(seeds), terms,
                 path(root, "record"), leases(root.path("leases")), path(root.path("leases"), "voter_file"),
-                path(root.path("leases"), "list_store"));
+                listStore(root.path("leases")));
     }
 
     private static LeaseTerms leases(JsonNode leases) {
@@ -104,6 +106,27 @@
                 number(leases, "leases.", "lease_ms", LeaseTerms.LEASE_MS, 500, 600_000), number(leases, "leases.", "drift", LeaseTerms.DRIFT, 0, 0.1));
     }
 
+    private static String listStore(JsonNode leases) {
+        if (!leases.has("list_store")) {
+            return null;
+        }
+        if (!leases.get("list_store").isTextual() || leases.get("list_store").asText().isEmpty()) {
+            throw new FaultySettingException("leases.list_store", "is no text");
+        }
+        String store = leases.get("list_store").asText();
+        if (store.startsWith("http:") || store.startsWith("https:")) {
+            try {
+                URI uri = new URI(store);
+                if (!"http".equals(uri.getScheme()) || uri.getHost() == null || uri.getUserInfo() != null || uri.getQuery() != null) {
+                    throw new FaultySettingException("leases.list_store", "is no address of the form http://host:port/path: " + store);
+                }
+            } catch (URISyntaxException e) {
+                throw new FaultySettingException("leases.list_store", "is no address: " + e.getMessage());
+            }
+        }
+        return store;
+    }
+
     private static Path path(JsonNode root, String key) {
         return root.has(key) ? Path.of(text(root, key, null)) : null;
     }
--- a/src/test/java/dappleseam/fleet/lastlist/FolderStoreTest.java
+++ b/src/test/java/dappleseam/fleet/lastlist/FolderStoreTest.java
@@ -39,7 +39,7 @@
     @Test
     void whatIsWrittenIsReadDrainsIncluded() throws Exception {
         assertThatThrownBy(store::read).isInstanceOf(NoSuchFileException.class);
-        store.write(new Token(5, 7), 1000, list(3));
+        store.write(new Token(5, 7), 1, 1000, list(3));
         ListStore.Stored read = store.read();
         assertThat(read.token()).isEqualTo(new Token(5, 7));
         assertThat(read.writtenMs()).isEqualTo(1000);
@@ -49,23 +49,24 @@
 
     @Test
     void anOlderTokenIsRefusedAndToldTheLater() throws Exception {
-        store.write(new Token(5, 7), 1000, list(3));
-        store.write(new Token(5, 7), 2000, list(4));
-        store.write(new Token(6, 1), 3000, list(5));
-        assertThatThrownBy(() -> store.write(new Token(5, 7), 4000, list(9))).isInstanceOfSatisfying(ListStore.FencedException.class,
+        store.write(new Token(5, 7), 1, 1000, list(3));
+        store.write(new Token(5, 7), 2, 2000, list(4));
+        assertThatThrownBy(() -> store.write(new Token(5, 7), 1, 2500, list(8))).as("its own, long on its way").isInstanceOf(ListStore.FencedException.class);
+        store.write(new Token(6, 1), 1, 3000, list(5));
+        assertThatThrownBy(() -> store.write(new Token(5, 7), 3, 4000, list(9))).isInstanceOfSatisfying(ListStore.FencedException.class,
                 e -> assertThat(e.seen()).isEqualTo(new Token(6, 1)));
         assertThat(store.read().list().path("rev").asLong()).isEqualTo(5);
     }
 
     @Test
     void damageIsSeenAndWrittenOver() throws Exception {
-        store.write(new Token(5, 7), 1000, list(3));
+        store.write(new Token(5, 7), 1, 1000, list(3));
         Path file = folder.resolve("store").resolve("list");
         byte[] bytes = Files.readAllBytes(file);
         bytes[bytes.length - 3] ^= 1;
         Files.write(file, bytes);
         assertThatThrownBy(store::read).isInstanceOf(IOException.class);
-        store.write(new Token(6, 1), 2000, list(4));
+        store.write(new Token(6, 1), 1, 2000, list(4));
         assertThat(store.read().list().path("rev").asLong()).isEqualTo(4);
     }
 
@@ -94,7 +95,7 @@
         token[0] = new Token(2, 2);
         task.act(permit);
         assertThat(store.read().token()).isEqualTo(token[0]);
-        store.write(new Token(3, 3), 1, list(4));
+        store.write(new Token(3, 3), 1, 1, list(4));
         task.act(permit);
         assertThat(fenced).as("it is the same list, and not written again").isEmpty();
         last[0] = list(5);
--- /dev/null
+++ b/src/test/java/dappleseam/fleet/lastlist/HttpStoreTest.java
@@ -0,0 +1,87 @@
+package dappleseam.fleet.lastlist;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import dappleseam.fleet.lease.Token;
+import dappleseam.lab.emulator.StoreEmulator;
+import dappleseam.list.ListReader;
+import dappleseam.list.NodeList;
+import dappleseam.wire.Json;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The fleet's last known list behind HTTP. */
+class HttpStoreTest {
+    private static NodeList list(long version) throws IOException {
+        String json = "{\"rev\":" + version + ",\"all\":true,\"targets\":[{\"uid\":\"u1\",\"endpoint\":\"127.0.0.1:7\",\"az\":\"a\",\"model\":\"m\",\"pod_group\":0,"
+                + "\"state\":\"draining\",\"capacity_hint\":1,\"boot_ms\":0}]}";
+        return new ListReader(List.of("m"), List.of("a")).read(Json.read(json.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private static HttpStore at(int port) {
+        return new HttpStore(URI.create("http://127.0.0.1:" + port + "/last-list"));
+    }
+
+    @Test
+    void whatIsWrittenIsReadAndWhatIsOlderIsRefused() throws Exception {
+        try (StoreEmulator emulator = new StoreEmulator(0, true)) {
+            emulator.open();
+            HttpStore store = at(emulator.port());
+            assertThatThrownBy(store::read).isInstanceOf(IOException.class).hasMessageContaining("404");
+            store.write(new Token(5, -7), 1, 1000, list(3));
+            store.write(new Token(5, -7), 2, 2000, list(4));
+            assertThatThrownBy(() -> store.write(new Token(5, -7), 1, 1000, list(3))).isInstanceOf(ListStore.FencedException.class);
+            store.write(new Token(6, 1), 1, 3000, list(5));
+            assertThatThrownBy(() -> store.write(new Token(5, -7), 3, 4000, list(9))).isInstanceOfSatisfying(ListStore.FencedException.class,
+                    e -> assertThat(e.seen()).isEqualTo(new Token(6, 1)));
+            assertThat(store.read().token()).isEqualTo(new Token(6, 1));
+            assertThat(store.read().list().path("rev").asLong()).isEqualTo(5);
+            assertThat(store.read().list().path("targets").path(0).path("state").asText()).isEqualTo("draining");
+        }
+    }
+
+    @Test
+    void whereNobodyListensItIsSaidAtOnce() throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        assertThatThrownBy(() -> at(port).read()).isInstanceOf(IOException.class);
+        assertThatThrownBy(() -> at(port).write(new Token(1, 1), 1, 0, list(1))).isInstanceOf(IOException.class);
+    }
+
+    /** A start may wait for it: an answer that never ends, never comes or is nothing ends within a second and a step. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"HTTP/1.1 200 OK~~Content-Length: 99999999~~~~ | true", "HTTP/1.1 200 OK~~Content-Length: 5~~~~[1,2] | false", "HTTP/1.1 409 Conflict~~Content-Length: 0~~~~ | false",
+        "garbage~~~~ | false", "'' | false"})
+    void aStrangeAnswerIsAnErrorSoon(String head, boolean dribbles) throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            Thread peer = new Thread(() -> {
+                try (Socket socket = server.accept()) {
+                    socket.getOutputStream().write(head.replace("~~", "\r\n").getBytes(StandardCharsets.US_ASCII));
+                    while (dribbles) {
+                        socket.getOutputStream().write(' ');
+                        Thread.sleep(50);
+                    }
+                    socket.getInputStream().readAllBytes();
+                } catch (IOException | InterruptedException e) {
+                    return;
+                }
+            });
+            peer.setDaemon(true);
+            peer.start();
+            long from = System.nanoTime();
+            assertThatThrownBy(() -> at(server.getLocalPort()).read()).isInstanceOf(IOException.class);
+            assertThat((System.nanoTime() - from) / 1e9).isLessThan(5);
+        }
+    }
+}
--- a/src/test/java/dappleseam/fleet/lease/RankingTest.java
+++ b/src/test/java/dappleseam/fleet/lease/RankingTest.java
@@ -44,6 +44,14 @@
         firsts(all).forEach((lease, first) -> assertThat(before.get(lease)).isIn(first, gone));
     }
 
+    @Test
+    void theOrderIsThatOfTheRanks() {
+        LeaseName lease = new LeaseName("a");
+        List<MemberName> order = Ranking.order(lease, members(20));
+        assertThat(order).hasSize(20);
+        assertThat(order).allSatisfy(m -> assertThat(Ranking.rank(lease, m, members(20))).isEqualTo(order.indexOf(m)));
+    }
+
     @Test
     void whoIsNotThereHasNoRank() {
         assertThat(Ranking.rank(new LeaseName("a"), new MemberName("x"), members(3))).isEqualTo(-1);
--- a/src/test/java/dappleseam/fleet/lease/VoterTest.java
+++ b/src/test/java/dappleseam/fleet/lease/VoterTest.java
@@ -75,6 +75,8 @@
         voter.ask(2000, ASKS, other.sum(), LEASE);
         assertThat(last()).contains("OTHER_SET");
         assertThat(new LeaseTerms(List.of(A, B, C), 2, 1000, 0.01).sum()).isNotEqualTo(TERMS.sum());
+        assertThat(new LeaseTerms(List.of(A, B, C), 1, 3000, 0.01).sum()).as("a holder that counts longer than its voters").isNotEqualTo(TERMS.sum());
+        assertThat(new LeaseTerms(List.of(A, B, C), 1, 1000, 0).sum()).isNotEqualTo(TERMS.sum());
     }
 
     @Test
--- a/src/test/java/dappleseam/lab/FleetRunTest.java
+++ b/src/test/java/dappleseam/lab/FleetRunTest.java
@@ -18,6 +18,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -35,6 +36,7 @@
     private static final Path SHIPPED = Path.of("deploy/fleet-scenarios");
     private static final Path PLAYED = SHIPPED.resolve("faults-between-proxies.json");
     private static final Path LEASES = SHIPPED.resolve("leases.json");
+    private static final Path SPLIT = SHIPPED.resolve("leases-split.json");
 
     @TempDir
     Path folder;
@@ -57,7 +59,7 @@
         Map<Planted, Future<FleetReport>> runs = new EnumMap<>(Planted.class);
         ExecutorService hands = Executors.newCachedThreadPool();
         try {
-            for (Planted planted : Planted.values()) {
+            for (Planted planted : EnumSet.of(Planted.NONE, Planted.NO_REFUTATION, Planted.NO_INDIRECT_PROBE, Planted.NO_MERGE)) {
                 runs.put(planted, hands.submit(() -> play(PLAYED, planted)));
             }
             Future<FleetReport> leases = hands.submit(() -> play(LEASES, Planted.NONE));
@@ -81,6 +83,29 @@
         }
     }
 
+    /** A holder that is cut off and a fleet in two halves, each write of a new holder late; and the same with faulty voters or a faulty store. */
+    @Test
+    void noTwoProcessesHoldALeaseAndAFaultInItIsSeen() throws Exception {
+        Map<Planted, Future<FleetReport>> runs = new EnumMap<>(Planted.class);
+        ExecutorService hands = Executors.newCachedThreadPool();
+        try {
+            for (Planted planted : EnumSet.of(Planted.NONE, Planted.FORGETFUL_VOTER, Planted.MINORITY, Planted.NO_FENCE)) {
+                runs.put(planted, hands.submit(() -> play(SPLIT, planted)));
+            }
+            FleetReport sound = runs.get(Planted.NONE).get();
+            assertThat(sound.broken()).as(sound.text()).isZero();
+            JsonNode tree = new ObjectMapper().readTree(sound.json());
+            assertThat(tree.path("lease_last-list").path("holders").asInt()).as(sound.text()).isGreaterThanOrEqualTo(2);
+            assertThat(tree.path("store").path("refused").asInt()).as(sound.text()).isPositive();
+            assertThat(tree.path("holder_cut").path("hits").asInt()).as(sound.text()).isEqualTo(1);
+            assertThat(runs.get(Planted.FORGETFUL_VOTER).get().text()).contains("last-list: lab-").contains(" held it from ");
+            assertThat(runs.get(Planted.MINORITY).get().text()).contains("last-list: lab-").contains(" held it from ");
+            assertThat(runs.get(Planted.NO_FENCE).get().text()).contains("the store took write ");
+        } finally {
+            hands.shutdownNow();
+        }
+    }
+
     /** Else two rehearsals beside each other share a proxy's port without a word, and each sees the other's queries. */
     @Test
     void aPortThatWasTakenIsGivenToNobodyElseAndAProxyMayListenThere() throws Exception {
@@ -115,7 +140,8 @@
         "\"how\": \"garble\" | \"how\": \"chew\" | fleet.links[6].how: is not known: chew",
         "\"proxies\": [5] | \"proxies\": [6] | fleet.processes[3].proxies: holds something other than numbers from 0 to 5",
         "\"kind\": \"stop\" | \"kind\": \"freeze\" | fleet.processes[0].kind: is not known: freeze",
-        "\"settle_s\": 15 | \"settle\": 15 | fleet.settle_s: is missing", "\"links\": [ | \"wires\": [], \"links\": [ | fleet.wires: is not known",
+        "\"settle_s\": 15 | \"settle\": 15 | fleet.settle_s: is missing",
+        "\"settle_s\": 15, | \"settle_s\": 15, \"leases\": {\"lease_ms\": 5}, | fleet.leases.lease_ms: is no number from 500.0 to 600000.0", "\"links\": [ | \"wires\": [], \"links\": [ | fleet.wires: is not known",
         "\"fleet\": | \"flotilla\": | fleet: is missing"})
     void aFaultNamesItsKey(String sound, String faulty, String message) throws Exception {
         String shipped = Files.readString(PLAYED);
--- a/src/test/java/dappleseam/lab/fleet/LeaseCheckerTest.java
+++ b/src/test/java/dappleseam/lab/fleet/LeaseCheckerTest.java
@@ -2,9 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dappleseam.fleet.lease.Token;
 import dappleseam.lab.fleet.LeaseChecker.Found;
 import dappleseam.lab.fleet.LeaseChecker.Line;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** The checker against records of processes that do wrong on purpose. */
@@ -37,6 +40,28 @@
         assertThat(check(held("a", 1, 0, 300), held("b", 2, 310, 320), lost("b", 2, 312), held("c", 3, 311, 400)).breaches()).hasSize(1);
     }
 
+    private static LeaseChecker.Write write(long round, long number, boolean taken) {
+        return new LeaseChecker.Write(0, new Token(round, 1), number, taken);
+    }
+
+    @Test
+    void aStoreThatTakesWhatIsOlderIsSeen() {
+        assertThat(LeaseChecker.writes(List.of(write(1, 1, true), write(1, 2, true), write(2, 1, true), write(1, 3, false)))).isEmpty();
+        assertThat(LeaseChecker.writes(List.of(write(2, 1, true), write(1, 3, true)))).hasSize(1);
+        assertThat(LeaseChecker.writes(List.of(write(2, 2, true), write(2, 1, true)))).hasSize(1);
+    }
+
+    @Test
+    void theTimeWithoutAHolderIsToldByWhatHitIt() {
+        Found found = check(held("a", 1, 0, 100), held("b", 2, 130, 200), held("c", 3, 260, 300));
+        Map<String, LeaseChecker.Absence> absences = LeaseChecker.absences(List.of(new LeaseChecker.Hit("cut", 50, "a"), new LeaseChecker.Hit("stop", 150, "b"),
+                new LeaseChecker.Hit("stop", 270, "c")), found.holdings(), Set.of("stop"));
+        assertThat(absences.get("cut").withoutMs()).containsExactly(30.0);
+        assertThat(absences.get("cut").sinceHitMs()).containsExactly(80.0);
+        assertThat(absences.get("stop").withoutMs()).containsExactly(110.0);
+        assertThat(absences.get("stop").withoutNext()).isEqualTo(1);
+    }
+
     @Test
     void whoWasKilledActsNoMore() {
         assertThat(check(new Line("a", "l", 1, 0, 100, 40), held("b", 2, 60, 160)).breaches()).isEmpty();
--- a/src/test/java/dappleseam/site/FleetFileReaderTest.java
+++ b/src/test/java/dappleseam/site/FleetFileReaderTest.java
@@ -50,7 +50,10 @@
         "[\"a\",\"b\",\"a\"] | {} | leases.voters: names one twice", "[\"a\",\"b\",\"\"] | {} | leases.voters[2]: is not 1 to 48 letters",
         "[\"a\",\"b\",\"c\"] | {\"lease_ms\":5} | leases.lease_ms: is no number from 500 to 600000",
         "[\"a\",\"b\",\"c\"] | {\"drift\":0.5} | leases.drift: is no number from 0 to 0.1",
-        "[\"a\",\"b\",\"c\"] | {\"lease\":5} | leases.lease: is not known"})
+        "[\"a\",\"b\",\"c\"] | {\"lease\":5} | leases.lease: is not known",
+        "[\"a\",\"b\",\"c\"] | {\"list_store\":\"http://127.0.0.1:80/l\"} | ''", "[\"a\",\"b\",\"c\"] | {\"list_store\":\"http:///l\"} | leases.list_store: is no address",
+        "[\"a\",\"b\",\"c\"] | {\"list_store\":\"https://h/l\"} | leases.list_store: is no address of the form http://host:port/path",
+        "[\"a\",\"b\",\"c\"] | {\"list_store\":5} | leases.list_store: is no text"})
     void leasesAreCheckedByKey(String voters, String more, String message) throws Exception {
         String text = Files.readString(SHIPPED).replace("\"forget_s\": 600", "\"forget_s\": 600, \"leases\": {\"voters\": " + voters
                 + (more.equals("{}") ? "}" : ", " + more.substring(1)));
