--- a/src/main/java/dappleseam/control/FleetCommand.java
+++ b/src/main/java/dappleseam/control/FleetCommand.java
@@ -72,6 +72,8 @@
         }
         view.path("leases").forEach(lease -> text.append(String.format(Locale.ROOT, "holds %s with token %s for %d s%n", lease.path("lease").asText(),
                 lease.path("token").asText(), lease.path("held_for_s").asLong())));
+        view.path("words").forEach(said -> text.append(String.format(Locale.ROOT, "others say that %s %s: %d that it fails, %d that it works%n", said.path("node").asText(),
+                said.path("word").asText().equals("works") ? "works" : "fails", said.path("fails").asInt(), said.path("works").asInt())));
         view.path("members").forEach(member -> text.append(String.format(Locale.ROOT, "%-8s %-48s %s%n", member.path("state").asText(),
                 member.path("name").asText(), member.path("address").asText())));
         return text.toString();
--- a/src/main/java/dappleseam/fleet/lease/Candidate.java
+++ b/src/main/java/dappleseam/fleet/lease/Candidate.java
@@ -18,9 +18,9 @@
     public static final int ASKING = 3;
     /** Shares of a lease: between two questions, from a question on in which answers count, between two places' tries, at most by chance on top. */
     private static final double ASK_SHARE = 0.25;
-    private static final double ANSWER_SHARE = 0.1;
+    private static final double ANSWER_SHARE = 0.2;
     /** Times that a question is sent again within that, to those that have not answered: guards a lease against links that lose a third. */
-    private static final int RESENDS = 2;
+    private static final int RESENDS = 3;
     private static final double PLACE_SHARE = 0.05;
     private static final double CHANCE_SHARE = 0.05;
     /** Share of its own reckoning after which it renews, and before whose end it stops the task. */
--- a/src/main/java/dappleseam/fleet/peers/Envelope.java
+++ b/src/main/java/dappleseam/fleet/peers/Envelope.java
@@ -14,6 +14,9 @@
 import dappleseam.fleet.membership.Notice;
 import dappleseam.fleet.peers.Letter.Kind;
 import dappleseam.fleet.peers.Unreadable.Why;
+import dappleseam.fleet.share.Bulletin;
+import dappleseam.fleet.share.Sight;
+import dappleseam.router.NodeId;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -34,11 +37,17 @@
     private static final byte PROGRAM = (byte) 0xD5;
     private static final byte VERSION = 2;
     private static final int NESTING = 3;
+    /** Of a letter without bulletins. */
+    private static final int FIELDS = 10;
     private static final int LONGEST_NAME = 48;
     private static final int ADDRESS_BYTES = 6;
     /** Notices in a datagram at most: each takes over thirty bytes. */
     private static final int MOST_NOTICES = 64;
     private static final int BALLOT_FIELDS = 12;
+    private static final int BULLETIN_FIELDS = 5;
+    private static final int SIGHT_FIELDS = 4;
+    /** Bulletins in a datagram at most: each takes over thirty bytes. */
+    private static final int MOST_BULLETINS = 48;
     /** A day: longer than any lease. */
     private static final long LONGEST_LEFT_MS = 86_400_000;
     private static final Ballot.Op[] OPS = Ballot.Op.values();
@@ -60,7 +69,7 @@
         ByteArrayOutputStream out = new ByteArrayOutputStream(LONGEST);
         out.writeBytes(new byte[HEAD]);
         try (CBORGenerator cbor = format.createGenerator(out)) {
-            cbor.writeStartArray(null, 10);
+            cbor.writeStartArray(null, letter.bulletins() == null ? FIELDS : FIELDS + 1);
             cbor.writeNumber(fleet);
             cbor.writeNumber(letter.kind().ordinal());
             write(cbor, letter.self());
@@ -93,6 +102,13 @@
             } else {
                 write(cbor, letter.ballot());
             }
+            if (letter.bulletins() != null) { // older programs drop these letters, and understand all others
+                cbor.writeStartArray(null, letter.bulletins().size());
+                for (Bulletin bulletin : letter.bulletins()) {
+                    write(cbor, bulletin);
+                }
+                cbor.writeEndArray();
+            }
             cbor.writeEndArray();
         } catch (IOException e) {
             throw new IllegalStateException("memory cannot be written to", e);
@@ -140,6 +156,53 @@
         return new Ballot(op, set, lease, ballot, other, holder, left, count, known, why);
     }
 
+    private static void write(CBORGenerator cbor, Bulletin bulletin) throws IOException {
+        cbor.writeStartArray(null, BULLETIN_FIELDS + SIGHT_FIELDS * bulletin.sights().size());
+        cbor.writeString(bulletin.who().text());
+        cbor.writeNumber(bulletin.life().start());
+        cbor.writeNumber(bulletin.life().nonce());
+        cbor.writeNumber(bulletin.number());
+        cbor.writeNumber(bulletin.ratePerS());
+        for (Sight sight : bulletin.sights()) {
+            cbor.writeNumber(sight.node().value());
+            cbor.writeNumber(sight.startedAtMs());
+            cbor.writeBoolean(sight.fails());
+            cbor.writeNumber(Math.min(sight.ageMs(), LONGEST_LEFT_MS));
+        }
+        cbor.writeEndArray();
+    }
+
+    /** Its array has been begun. */
+    private static Bulletin bulletin(JsonParser cbor) throws IOException {
+        need(cbor.nextToken() == JsonToken.VALUE_STRING);
+        MemberName who = new MemberName(cbor.getText());
+        Life life = new Life(whole(cbor, 0, Life.LATEST), whole(cbor, Long.MIN_VALUE, Long.MAX_VALUE));
+        long number = whole(cbor, 0, Long.MAX_VALUE);
+        int rate = (int) whole(cbor, 0, Bulletin.MOST_RATE);
+        List<Sight> sights = new ArrayList<>();
+        while (cbor.nextToken() == JsonToken.VALUE_NUMBER_INT) {
+            need(sights.size() < Bulletin.MOST_SIGHTS);
+            NodeId node = new NodeId(cbor.getLongValue());
+            long startedAt = whole(cbor, 0, Sight.LATEST);
+            boolean fails = cbor.nextToken() == JsonToken.VALUE_TRUE;
+            need(fails || cbor.currentToken() == JsonToken.VALUE_FALSE);
+            sights.add(new Sight(node, startedAt, fails, whole(cbor, 0, LONGEST_LEFT_MS)));
+        }
+        need(cbor.currentToken() == JsonToken.END_ARRAY);
+        return new Bulletin(who, life, number, rate, sights);
+    }
+
+    private static List<Bulletin> bulletins(JsonParser cbor) throws IOException {
+        List<Bulletin> bulletins = new ArrayList<>();
+        need(cbor.nextToken() == JsonToken.START_ARRAY);
+        while (cbor.nextToken() == JsonToken.START_ARRAY) {
+            need(bulletins.size() < MOST_BULLETINS);
+            bulletins.add(bulletin(cbor));
+        }
+        need(cbor.currentToken() == JsonToken.END_ARRAY);
+        return bulletins;
+    }
+
     private static Token token(JsonParser cbor) throws IOException {
         return new Token(whole(cbor, 0, Token.LAST), whole(cbor, Long.MIN_VALUE, Long.MAX_VALUE));
     }
@@ -197,9 +260,10 @@
             need(answer || cbor.currentToken() == JsonToken.VALUE_FALSE);
             int[] sums = cbor.nextToken() == JsonToken.VALUE_NULL ? null : sums(cbor);
             Ballot ballot = cbor.nextToken() == JsonToken.VALUE_NULL ? null : ballot(cbor);
+            List<Bulletin> bulletins = kind == Kind.BULLETINS ? bulletins(cbor) : null;
             need(cbor.nextToken() == JsonToken.END_ARRAY && cbor.nextToken() == null);
             need((kind == Kind.BALLOT) == (ballot != null) && (kind == Kind.SUMS) == (sums != null) && (kind != Kind.ASK || about != null));
-            return new Letter(kind, self, number, target, about, news, answer, sums, ballot);
+            return new Letter(kind, self, number, target, about, news, answer, sums, ballot, bulletins);
         } catch (Unreadable e) {
             throw e;
         } catch (IOException | RuntimeException e) { // whatever the parser makes of garbage
--- a/src/main/java/dappleseam/fleet/peers/FleetText.java
+++ b/src/main/java/dappleseam/fleet/peers/FleetText.java
@@ -5,6 +5,8 @@
 import dappleseam.fleet.membership.MemberName;
 import dappleseam.fleet.membership.Notice;
 import dappleseam.fleet.membership.Standing;
+import dappleseam.fleet.share.Said;
+import dappleseam.fleet.share.Word;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.net.InetSocketAddress;
@@ -48,6 +50,12 @@
         }
         text.append("# TYPE app_fleet_lease_held gauge\n");
         shot.leases().forEach(l -> text.append("app_fleet_lease_held{lease=\"").append(l.lease()).append("\"} 1\n"));
+        if (shot.said() != null) {
+            text.append("# TYPE app_fleet_words gauge\n");
+            for (Word word : new Word[] {Word.HINT, Word.FAILS}) {
+                text.append("app_fleet_words{kind=\"").append(lower(word)).append("\"} ").append(shot.said().stream().filter(s -> s.word() == word).count()).append('\n');
+            }
+        }
         line(text, "fleet_busy_ms_total", "counter", Math.round(shot.busyMs()));
         return text.toString();
     }
@@ -96,6 +104,19 @@
                     json.writeEndObject();
                 }
                 json.writeEndArray();
+                if (shot.said() != null) {
+                    json.writeArrayFieldStart("words");
+                    for (Said said : shot.said()) {
+                        json.writeStartObject();
+                        json.writeStringField("node", Long.toHexString(said.node().value()));
+                        json.writeStringField("word", lower(said.word()));
+                        json.writeNumberField("fails", said.fails());
+                        json.writeNumberField("works", said.works());
+                        json.writeNumberField("turn", said.turn());
+                        json.writeEndObject();
+                    }
+                    json.writeEndArray();
+                }
                 json.writeArrayFieldStart("members");
                 for (Notice notice : shot.view()) {
                     json.writeStartObject();
--- a/src/main/java/dappleseam/fleet/peers/PeerSocket.java
+++ b/src/main/java/dappleseam/fleet/peers/PeerSocket.java
@@ -6,7 +6,6 @@
 import dappleseam.fleet.membership.Membership;
 import dappleseam.fleet.membership.Notice;
 import dappleseam.fleet.membership.Standing;
-import dappleseam.fleet.peers.Letter.Kind;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -65,7 +64,9 @@
     private InetSocketAddress called;
     private Membership membership;
     private LeaseDesk leases;
+    private SignalDesk signals;
     private final List<FleetTask> tasks;
+    private final Sightings sightings;
     private ViewRecord views;
     private double wakeAt = Double.POSITIVE_INFINITY;
     private final ByteBuffer in = ByteBuffer.allocate(Envelope.LONGEST + 1);
@@ -87,9 +88,13 @@
     private Notice twinBefore;
     private Thread thread;
 
-    /** {@code tasks}: what it would do for the whole fleet. {@code left}: what one process leaves for the next; null for nothing. Runs from {@link #start} on. */
-    public PeerSocket(Identity identity, long seed, Path left, List<FleetTask> tasks) {
+    /**
+     * {@code tasks}: what it would do for the whole fleet. {@code left}: what one process leaves for the next; null for nothing. {@code sightings}: what is told of
+     * caches, where the file says so. Runs from {@link #start} on.
+     */
+    public PeerSocket(Identity identity, long seed, Path left, List<FleetTask> tasks, Sightings sightings) {
         this.tasks = tasks;
+        this.sightings = sightings;
         this.identity = identity;
         this.seed = seed;
         this.left = left;
@@ -155,7 +160,7 @@
         try {
             bind();
             while (!ending) {
-                double due = leases == null ? wakeAt : Math.min(wakeAt, leases.wakeAt());
+                double due = Math.min(wakeAt, Math.min(leases == null ? wakeAt : leases.wakeAt(), signals == null ? wakeAt : signals.wakeAt()));
                 long sleep = (long) Math.ceil(Math.min(LONGEST_SLEEP_MS, due - nowMs()));
                 if (sleep > 0) {
                     selector.select(sleep);
@@ -225,6 +230,10 @@
             leases = new LeaseDesk(membership, identity.leases(), identity.voterFile() == null ? null : new VoterFile(identity.voterFile()), tasks,
                     this::sendBallot, this::post, views, random.split(), now);
         }
+        if (identity.signals()) {
+            signals = new SignalDesk(membership, identity.terms().periodMs(), identity.terms().most(), sightings,
+                    (to, bulletins) -> send(to, Letter.of(membership.self(), bulletins)), random.split(), now);
+        }
         publish(now);
     }
 
@@ -243,6 +252,9 @@
         if (leases != null && now >= leases.wakeAt()) {
             leases.woken(now);
         }
+        if (signals != null && now >= signals.wakeAt()) {
+            signals.woken(now);
+        }
         if (now >= publishAt) {
             publish(now);
         }
@@ -282,6 +294,9 @@
                 if (letter.ballot() != null && leases != null) {
                     leases.heard(now, letter.self().name(), letter.ballot());
                 }
+                if (letter.bulletins() != null && signals != null) {
+                    signals.heard(now, letter.bulletins());
+                }
             } catch (Unreadable e) {
                 dropped.merge(e.why(), 1L, Long::sum);
             }
@@ -307,7 +322,7 @@
     private void sendBallot(MemberName to, Ballot ballot) {
         Notice peer = membership.of(to);
         if (peer != null) {
-            send(peer.address(), new Letter(Kind.BALLOT, membership.self(), 0, null, null, List.of(), false, null, ballot));
+            send(peer.address(), Letter.of(membership.self(), ballot));
         }
     }
 
@@ -354,7 +369,7 @@
         publishAt = now + PUBLISH_MS;
         snapshot = new Snapshot(now, membership.view(), membership.standing(), membership.counted(), membership.health(), membership.twin(),
                 sent, received, Map.copyOf(dropped), flooded, membership.turnedAway(), busyMs,
-                leases == null ? List.of() : leases.held(), leases == null ? null : leases.votes());
+                leases == null ? List.of() : leases.held(), leases == null ? null : leases.votes(), signals == null ? null : signals.said());
         if (membership.counted() != countedBefore) {
             countedBefore = membership.counted();
             views.counts(now, countedBefore);
--- /dev/null
+++ b/src/main/java/dappleseam/fleet/peers/Sightings.java
@@ -0,0 +1,18 @@
+package dappleseam.fleet.peers;
+
+import dappleseam.fleet.share.Said;
+import dappleseam.fleet.share.Seen;
+import java.util.Collection;
+import java.util.List;
+
+/** What passes between this proxy's queries and its fleet, on the fleet's thread; none of it may wait. */
+public interface Sightings {
+    /** What its own executions show of all caches, as it was a moment ago; times of {@link PeerSocket}'s clock. */
+    Collection<Seen> seen();
+
+    /** Queries it takes a second. */
+    double ratePerS();
+
+    /** What others say, where it has changed or from time to time. */
+    void say(List<Said> words);
+}
--- a/src/main/java/dappleseam/fleet/peers/Snapshot.java
+++ b/src/main/java/dappleseam/fleet/peers/Snapshot.java
@@ -4,16 +4,17 @@
 import dappleseam.fleet.lease.Token;
 import dappleseam.fleet.membership.Notice;
 import dappleseam.fleet.membership.Standing;
+import dappleseam.fleet.share.Said;
 import java.util.List;
 import java.util.Map;
 
 /**
  * What a proxy knew of its fleet a moment ago; for any thread. {@code view}: itself first. {@code takenAtMs}: of the monotonic clock that
- * {@code standing} goes by. {@code twin}: another process by its name, or null.
+ * {@code standing} goes by. {@code twin}: another process by its name, or null. {@code said}: others' words on caches, null where they are not heard.
  */
 public record Snapshot(double takenAtMs, List<Notice> view, Standing standing, int counted, int health, Notice twin, long sent,
                        long received, Map<Unreadable.Why, Long> dropped, long flooded, long turnedAway, double busyMs,
-                       List<HeldLease> leases, Boolean votes) {
+                       List<HeldLease> leases, Boolean votes, List<Said> said) {
     /** A lease that this process holds since that time. */
     public record HeldLease(LeaseName lease, Token token, double sinceMs) {}
 
--- /dev/null
+++ b/src/main/java/dappleseam/fleet/share/Board.java
@@ -0,0 +1,142 @@
+package dappleseam.fleet.share;
+
+import dappleseam.fleet.membership.Life;
+import dappleseam.fleet.membership.MemberName;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * The bulletins of all members as this one has them, and which of them it still has to pass on: rumour spreading (Demers and others 1987), each told a number of times
+ * that grows with the logarithm of the fleet. Free of I/O; times are ms of one process's clock. Not for several threads.
+ */
+public final class Board {
+    /** Age in ms from which a bulletin says nothing; own ones are told anew well before. */
+    public static final double OLDEST_MS = 60_000;
+    private static final double REFRESH_MS = 20_000;
+    /** Least time in ms between two own bulletins: what flaps faster than rumours travel must not fill them. */
+    private static final double LEAST_MS = 250;
+    /** Time in ms by which a sight has to be younger than what was told of it before it is told anew: well under its life. */
+    private static final double ANEW_MS = 3000;
+    /** Share by which the rate has to be another before that is told. */
+    private static final double RATE_SHARE = 1.0 / 6;
+    /** Tellings for each doubling of the fleet. */
+    private static final int TELLINGS = 3;
+    /** Bytes of bulletins in one datagram: 1,400 less the frame and a notice. */
+    public static final int NEWS_BYTES = 1100;
+
+    private final MemberName self;
+    private final int most;
+    private final Map<MemberName, Entry> entries = new LinkedHashMap<>();
+    private final TreeSet<Entry> leastTold = new TreeSet<>();
+    private long count;
+    private long number;
+    private double saidAt = Double.NEGATIVE_INFINITY;
+    private Bulletin own;
+
+    private static final class Entry implements Comparable<Entry> {
+        final Bulletin bulletin;
+        final double heardAt;
+        final long order;
+        int told;
+
+        Entry(Bulletin bulletin, double heardAt, long order) {
+            this.bulletin = bulletin;
+            this.heardAt = heardAt;
+            this.order = order;
+        }
+
+        /** Those that say something of a cache first: else a start of many proxies, who all tell their rates, would hold up the word on a dead cache. */
+        @Override
+        public int compareTo(Entry other) {
+            if (bulletin.sights().isEmpty() != other.bulletin.sights().isEmpty()) {
+                return bulletin.sights().isEmpty() ? 1 : -1;
+            }
+            return told != other.told ? Integer.compare(told, other.told) : Long.compare(other.order, order);
+        }
+    }
+
+    /** {@code most}: bulletins kept. */
+    public Board(MemberName self, int most) {
+        this.self = self;
+        this.most = most;
+    }
+
+    /** What this member has to tell of itself now; becomes a bulletin where that is news. {@code life}: of this process. */
+    public void say(double nowMs, Life life, double ratePerS, List<Sight> sights) {
+        int rate = (int) Math.min(Bulletin.MOST_RATE, Math.round(ratePerS));
+        boolean isNews = own == null || !own.life().equals(life) || !meansTheSame(nowMs - saidAt, own.sights(), sights) || nowMs >= saidAt + REFRESH_MS
+                || Math.abs(rate - own.ratePerS()) > Math.max(1, RATE_SHARE * own.ratePerS());
+        if (isNews && nowMs >= saidAt + LEAST_MS) {
+            saidAt = nowMs;
+            own = new Bulletin(self, life, ++number, rate, sights.subList(0, Math.min(Bulletin.MOST_SIGHTS, sights.size())));
+            put(nowMs, own);
+        }
+    }
+
+    /** What was said so long ago, and what would be said now: a sight that was seen anew is news after a while. */
+    private static boolean meansTheSame(double sinceMs, List<Sight> before, List<Sight> now) {
+        return before.size() == Math.min(Bulletin.MOST_SIGHTS, now.size()) && before.stream().allMatch(b -> now.stream().anyMatch(n ->
+                n.node().equals(b.node()) && n.startedAtMs() == b.startedAtMs() && n.fails() == b.fails() && b.ageMs() + sinceMs - n.ageMs() < ANEW_MS));
+    }
+
+    private void put(double nowMs, Bulletin bulletin) {
+        Entry before = entries.get(bulletin.who());
+        if (before != null) {
+            leastTold.remove(before);
+        }
+        Entry entry = new Entry(bulletin, nowMs, count++);
+        entries.put(bulletin.who(), entry);
+        leastTold.add(entry);
+    }
+
+    /** What came from another member, its own and others'. */
+    public void heard(double nowMs, List<Bulletin> bulletins) {
+        for (Bulletin bulletin : bulletins) {
+            Entry before = entries.get(bulletin.who());
+            boolean isNew = before == null ? entries.size() < most : bulletin.compareTo(before.bulletin) > 0;
+            if (isNew && !bulletin.who().equals(self)) {
+                put(nowMs, bulletin);
+            }
+        }
+    }
+
+    /** One datagram's worth of what has been told least, with its age; empty where there is nothing to tell. */
+    public List<Bulletin> toTell(double nowMs, int members) {
+        List<Bulletin> news = new ArrayList<>();
+        List<Entry> told = new ArrayList<>();
+        int room = NEWS_BYTES;
+        while (!leastTold.isEmpty() && leastTold.first().bulletin.bytes() <= room) {
+            Entry entry = leastTold.pollFirst();
+            told.add(entry);
+            news.add(entry.bulletin.olderBy(nowMs - entry.heardAt));
+            room -= entry.bulletin.bytes();
+        }
+        int tellings = TELLINGS * (Integer.SIZE - Integer.numberOfLeadingZeros(members + 1));
+        for (Entry entry : told) {
+            if (++entry.told < tellings) {
+                leastTold.add(entry);
+            }
+        }
+        return news;
+    }
+
+    /** All that says anything yet, with its age, this member's own among them; what is too old is forgotten. */
+    public Collection<Bulletin> now(double nowMs) {
+        List<Bulletin> now = new ArrayList<>();
+        for (Iterator<Entry> all = entries.values().iterator(); all.hasNext();) {
+            Entry entry = all.next();
+            if (nowMs - entry.heardAt > OLDEST_MS) {
+                all.remove();
+                leastTold.remove(entry);
+            } else {
+                now.add(entry.bulletin.olderBy(nowMs - entry.heardAt));
+            }
+        }
+        return now;
+    }
+}
--- /dev/null
+++ b/src/main/java/dappleseam/fleet/share/Seen.java
@@ -0,0 +1,9 @@
+package dappleseam.fleet.share;
+
+import dappleseam.router.NodeId;
+
+/**
+ * What a proxy's own executions show of one process of a cache: whether it is set aside by them or left one without an answer and gave none since, when that was found last, and when it last answered; ms of any one clock,
+ * {@link Double#NEGATIVE_INFINITY} for never.
+ */
+public record Seen(NodeId node, double startedAtMs, boolean fails, double failedAtMs, double heardAtMs) {}
--- /dev/null
+++ b/src/main/java/dappleseam/fleet/share/Signals.java
@@ -0,0 +1,112 @@
+package dappleseam.fleet.share;
+
+import dappleseam.fleet.membership.MemberName;
+import dappleseam.router.NodeId;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
+
+/**
+ * What this member says of caches by its own sight, and what all others' words come to. Free of I/O; times are ms of one clock, which {@link Seen} goes by, too.
+ * docs/fleet-design.md says why. Not for several threads.
+ */
+public final class Signals {
+    /** Share of the caches that fail by own sight from which it is more likely one's own link. */
+    private static final double OWN_LINK = 1.0 / 3;
+    /** Fewest caches of which that share can be told. */
+    private static final int OWN_LINK_LEAST = 2;
+    /** Time in ms for which an answer shows that a cache works. */
+    private static final double WORKS_MS = 2000;
+    /** Members that have to agree. */
+    private static final int AGREE = 2;
+    /** Caches spoken of at once, of any members': what is beyond is dropped, oldest first told. */
+    private static final int MOST = 256;
+
+    /** One process of a cache. */
+    private record Process(NodeId node, long startedAtMs) {}
+
+    private static final class Votes {
+        int fails;
+        int works;
+    }
+
+    private final MemberName self;
+    private Map<Process, Votes> votes = Map.of();
+    /** Of which something was said against when last told. */
+    private final Set<Process> against = new LinkedHashSet<>();
+
+    public Signals(MemberName self) {
+        this.self = self;
+    }
+
+    /** {@code counts}: whether that member is one whose word counts. */
+    public void hear(Collection<Bulletin> bulletins, Predicate<Bulletin> counts) {
+        Map<Process, Votes> now = new LinkedHashMap<>();
+        for (Bulletin bulletin : bulletins) {
+            if (bulletin.who().equals(self) || !counts.test(bulletin)) {
+                continue;
+            }
+            Set<Process> once = new LinkedHashSet<>(); // guards against one that says a thing twice
+            for (Sight sight : bulletin.sights()) {
+                Process process = new Process(sight.node(), sight.startedAtMs());
+                if (sight.ageMs() <= Sight.OLDEST_MS && once.add(process) && (now.containsKey(process) || now.size() < MOST)) {
+                    Votes of = now.computeIfAbsent(process, p -> new Votes());
+                    of.fails += sight.fails() ? 1 : 0;
+                    of.works += sight.fails() ? 0 : 1;
+                }
+            }
+        }
+        votes = now;
+    }
+
+    /**
+     * What to say: own findings that a cache fails, and that one works of which others say that it fails. Nothing where this member may be the one that is ill.
+     * {@code seen}: of all caches.
+     */
+    public List<Sight> own(double nowMs, Collection<Seen> seen, boolean isWell) {
+        long failing = seen.stream().filter(Seen::fails).count();
+        if (!isWell || failing >= OWN_LINK_LEAST && failing > OWN_LINK * seen.size()) {
+            return List.of();
+        }
+        List<Sight> sights = new ArrayList<>();
+        for (Seen one : seen) {
+            long startedAt = Math.round(one.startedAtMs());
+            Votes of = votes.get(new Process(one.node(), startedAt));
+            boolean works = !one.fails() && of != null && of.fails > 0 && nowMs - one.heardAtMs() <= WORKS_MS;
+            double age = nowMs - (one.fails() ? one.failedAtMs() : one.heardAtMs());
+            if ((one.fails() || works) && age <= Sight.OLDEST_MS && startedAt >= 0 && startedAt <= Sight.LATEST && sights.size() < Bulletin.MOST_SIGHTS) {
+                sights.add(new Sight(one.node(), startedAt, one.fails(), Math.round(Math.max(0, age))));
+            }
+        }
+        return sights;
+    }
+
+    /** What others' words come to now; that nothing is said against a cache any more, once. {@code turns}: this member's place in the order of trying, by what is tried. */
+    public List<Said> words(ToIntFunction<String> turns) {
+        List<Said> words = new ArrayList<>();
+        Set<Process> now = new LinkedHashSet<>();
+        votes.forEach((process, of) -> {
+            if (of.fails > 0 && of.fails > of.works) {
+                now.add(process);
+                boolean agreed = of.fails >= AGREE;
+                int turn = agreed ? Math.max(0, turns.applyAsInt(Long.toHexString(process.node().value()) + '/' + process.startedAtMs())) : 0;
+                words.add(new Said(process.node(), process.startedAtMs(), agreed ? Word.FAILS : Word.HINT, of.fails, of.works, turn));
+            }
+        });
+        for (Process process : against) {
+            if (!now.contains(process)) {
+                Votes of = votes.get(process);
+                words.add(new Said(process.node(), process.startedAtMs(), Word.WORKS, of == null ? 0 : of.fails, of == null ? 0 : of.works, 0));
+            }
+        }
+        against.clear();
+        against.addAll(now);
+        return words;
+    }
+}
--- a/src/main/java/dappleseam/lab/FleetRun.java
+++ b/src/main/java/dappleseam/lab/FleetRun.java
@@ -111,6 +111,7 @@
             Files.createDirectories(home());
             ObjectNode fleet = new ObjectMapper().createObjectNode().put("fleet", FLEET).put("bind", "127.0.0.1:" + bind)
                     .put("advertise", "127.0.0.1:" + reached).put("period_ms", scenario.periodMs());
+            fleet.put("signals", scenario.signals());
             fleet.put("record", home().resolve(name + "-views").toString());
             ArrayNode known = fleet.putArray("seeds");
             seats.stream().limit(SEEDS).forEach(seat -> known.add("127.0.0.1:" + seat.reachedAt));
@@ -221,6 +222,7 @@
         Thread metronome = Lab.metronome(ledger);
         beganMs = nowMs();
         links.play(scenario.links());
+        double playMs = ledger.nowMs();
         peers.begin();
         scenario.links().forEach(this::mark);
         for (ProcessEvent event : scenario.processes()) {
@@ -253,7 +255,7 @@
         Report played = new Report(scenario.play(), ledger, load, RuleChecker.check(scenario.play(), ledger, false), 0, 0);
         return new FleetReport(scenario, played, truth, sights, broken, List.copyOf(timeline), beganMs, settledMs, readyMs, links, !failed,
                 LeaseChecker.check(leases.stream().filter(l -> l.ms() <= settledMs).toList()), List.copyOf(hits),
-                store == null ? List.of() : List.copyOf(store.writes()));
+                store == null ? List.of() : List.copyOf(store.writes()), ledger, playMs);
     }
 
     private void endAll() throws InterruptedException {
--- a/src/main/java/dappleseam/lab/SizesCommand.java
+++ b/src/main/java/dappleseam/lab/SizesCommand.java
@@ -13,7 +13,7 @@
     @Option(names = "--members", split = ",", defaultValue = "10,100,1000", description = "Sizes (default: 10,100,1000).")
     private List<Integer> members;
 
-    @Option(names = "--modules", split = ",", defaultValue = "SHIPPED,WITHOUT_LOCAL_HEALTH,HEARTBEATS", description = "Which: ${COMPLETION-CANDIDATES}.")
+    @Option(names = "--modules", split = ",", defaultValue = "SHIPPED,WITHOUT_LOCAL_HEALTH,PLAIN,HEARTBEATS", description = "Which: ${COMPLETION-CANDIDATES}.")
     private List<Module> modules;
 
     @Option(names = "--runs", defaultValue = "5", description = "Seeds for each (default: 5).")
@@ -22,6 +22,12 @@
     @Option(names = "--minutes", defaultValue = "10", description = "Simulated time in which false failures are counted (default: 10).")
     private double minutes;
 
+    @Option(names = "--deaths", defaultValue = "5", description = "Members that die one after the other (default: 5).")
+    private int deaths;
+
+    @Option(names = "--running-ms", defaultValue = "8000", description = "How long those that stand still by turns run between two stalls of 4 s (default: 8000).")
+    private double runningMs;
+
     @Option(names = "--only", description = "Only one part: deaths, false, heal.")
     private String only;
 
@@ -29,9 +35,9 @@
     public Integer call() {
         for (int size : members) {
             for (Module module : modules) {
-                Sizes sizes = new Sizes(module, size, runs);
+                Sizes sizes = new Sizes(module, size, runs, runningMs);
                 if (only == null || only.equals("deaths")) {
-                    System.out.println(sizes.deaths());
+                    System.out.println(sizes.deaths(deaths));
                 }
                 if (only == null || only.equals("heal")) {
                     System.out.println(sizes.heal());
--- a/src/main/java/dappleseam/lab/check/Ledger.java
+++ b/src/main/java/dappleseam/lab/check/Ledger.java
@@ -14,9 +14,9 @@
     /** {@code TAKEN_DOWN}: had no answer in time, and the scenario killed or stopped its proxy meanwhile. */
     public enum Verdict { COMPLETED, REJECTED, ABORTED, SPOILT, CUT, UNANSWERED, LEFT, TAKEN_DOWN }
 
-    /** A query as its client saw it; {@code answers} counts whole answers to it. */
+    /** A query as its client saw it; {@code answers} counts whole answers to it; {@code port}: of the proxy that had it last, 0 for none. */
     public record Query(String id, String grade, boolean write, double sentMs, double timeoutMs, double endedMs,
-                        Verdict verdict, int answers) {}
+                        Verdict verdict, int answers, int port) {}
 
     /** The list service has told of a node's state. */
     public record Told(String node, String state, double atMs) {}
--- a/src/main/java/dappleseam/lab/fault/LinkTool.java
+++ b/src/main/java/dappleseam/lab/fault/LinkTool.java
@@ -247,7 +247,7 @@
         Place to = placeOf(forged.to());
         Notice self = from == null ? null : lastSelf.get(from.number);
         if (self != null && to != null) {
-            Letter letter = new Letter(Letter.Kind.BALLOT, self, 0, null, null, List.of(), false, null, forged.ballot());
+            Letter letter = Letter.of(self, forged.ballot());
             waiting.add(new Waiting(System.nanoTime(), count++, from, to, envelope.write(letter)));
         }
     }
--- a/src/main/java/dappleseam/lab/fleet/Planted.java
+++ b/src/main/java/dappleseam/lab/fleet/Planted.java
@@ -4,7 +4,12 @@
 import dappleseam.fleet.membership.MemberName;
 import dappleseam.fleet.peers.Ballot;
 import dappleseam.fleet.peers.Letter;
+import dappleseam.fleet.share.Bulletin;
+import dappleseam.fleet.share.Sight;
+import dappleseam.list.ListReader;
+import dappleseam.router.NodeId;
 import java.util.List;
+import java.util.stream.IntStream;
 
 /** Defences that can be taken out between the members, to show that the checks see what they are for. The module itself is never another. */
 public enum Planted {
@@ -20,7 +25,11 @@
     /** Each voter's answer counts for all three. */
     MINORITY,
     /** The store takes any token. */
-    NO_FENCE;
+    NO_FENCE,
+    /** The first member says that the first three caches fail, whatever they do. */
+    LIAR,
+    /** The first four say so. */
+    LIARS;
 
     private static final List<MemberName> VOTERS = List.of(new MemberName("lab-0"), new MemberName("lab-1"), new MemberName("lab-2"));
 
@@ -38,6 +47,18 @@
     /** A letter that nobody wrote, and who seems to have. */
     public record Forged(MemberName from, MemberName to, Ballot ballot) {}
 
+    private static final int LIED_ABOUT = 3;
+
+    /** The same bulletins with a liar's own replaced. */
+    private static Letter lying(Letter letter, int liars) {
+        if (letter.bulletins() == null) {
+            return letter;
+        }
+        List<Sight> lies = IntStream.range(0, LIED_ABOUT).mapToObj(i -> new Sight(new NodeId(ListReader.hash("cache-" + i)), 0, true, 0)).toList();
+        return Letter.of(letter.self(), letter.bulletins().stream().map(b -> IntStream.range(0, liars).anyMatch(i -> b.who().text().equals("lab-" + i))
+                ? new Bulletin(b.who(), b.life(), b.number(), b.ratePerS(), lies) : b).toList());
+    }
+
     /** What is made up because of that letter. */
     public List<Forged> forged(Letter letter, MemberName to) {
         Ballot ballot = letter.ballot();
@@ -53,6 +74,8 @@
     public Letter passed(Letter letter, MemberName to, boolean isCall) {
         return switch (this) {
             case NONE, MINORITY, NO_FENCE -> letter;
+            case LIAR -> lying(letter, 1);
+            case LIARS -> lying(letter, 4);
             case FORGETFUL_VOTER -> to.equals(VOTERS.get(0)) && answer(letter.ballot()) != null ? null : letter;
             case NO_REFUTATION -> letter.with(letter.news().stream().filter(n -> !n.name().equals(to)).toList());
             case NO_INDIRECT_PROBE -> letter.kind() == Letter.Kind.ASK ? null : letter;
--- a/src/main/java/dappleseam/lab/fleet/SimulatedFleet.java
+++ b/src/main/java/dappleseam/lab/fleet/SimulatedFleet.java
@@ -26,7 +26,13 @@
  */
 public final class SimulatedFleet {
     /** Which module the members run. */
-    public enum Module { SHIPPED, WITHOUT_LOCAL_HEALTH, HEARTBEATS }
+    public enum Module {
+        SHIPPED,
+        WITHOUT_LOCAL_HEALTH,
+        /** Without it, and one that stood still looks at its clock before it reads what came meanwhile. */
+        PLAIN,
+        HEARTBEATS
+    }
 
     /** What a member's view came to hold, told as it happens; {@code before} is null for one not known before. */
     public interface Watcher {
@@ -138,11 +144,16 @@
                 if (process == mine) {
                     List<Runnable> late = List.copyOf(waiting);
                     waiting.clear();
-                    late.forEach(Runnable::run);
+                    if (kind != Module.PLAIN) {
+                        late.forEach(Runnable::run);
+                    }
                     if (!Double.isNaN(wakeAt) && wakeAt <= now) {
                         wakeAt = Double.NaN;
                         subject.woken(now);
                     }
+                    if (kind == Module.PLAIN) {
+                        late.forEach(Runnable::run);
+                    }
                 }
             });
         }
@@ -236,7 +247,7 @@
 
     public SimulatedFleet(Module kind, Terms terms, int members, long seed) {
         this.kind = kind;
-        this.terms = kind == Module.WITHOUT_LOCAL_HEALTH
+        this.terms = kind == Module.WITHOUT_LOCAL_HEALTH || kind == Module.PLAIN
                 ? new Terms(terms.periodMs(), terms.counted(), terms.most(), terms.forgetMs(), false, terms.helpers()) : terms;
         random = new SplittableRandom(seed);
         for (int i = 0; i < members; i++) {
--- a/src/main/java/dappleseam/lab/fleet/Sizes.java
+++ b/src/main/java/dappleseam/lab/fleet/Sizes.java
@@ -13,14 +13,13 @@
 import java.util.stream.IntStream;
 
 /** Figures of a module at one size, over seeds from 1 on, played at once. Simulated, a period of 1 s. */
-public record Sizes(Module module, int members, int runs) {
+public record Sizes(Module module, int members, int runs, double runningMs) {
     private static final double SECOND = 1000;
     private static final double MINUTE = 60 * SECOND;
     /** Time in ms in which all know each other and the news of that has been told. */
     private static final double QUIET_MS = 3 * MINUTE;
-    /** Of a member that stands still by turns, in ms: how long, and how long not; long enough to fail without more. */
+    /** How long a member stands still that does so by turns, in ms; {@code runningMs} is how long it does not. */
     private static final double STOPPED_MS = 4 * SECOND;
-    private static final double RUNNING_MS = 8 * SECOND;
 
     private SimulatedFleet begun(long seed) {
         SimulatedFleet fleet = new SimulatedFleet(module, Terms.usual(members), members, seed);
@@ -39,7 +38,7 @@
     }
 
     /** One dies, so many times: who knows when; and what a quiet member sends. */
-    public String deaths() {
+    public String deaths(int times) {
         List<Double> first = new ArrayList<>();
         List<Double> spread = new ArrayList<>();
         double[] wire = new double[2];
@@ -52,21 +51,21 @@
                 wire[0] += (fleet.datagrams - datagrams) / 60.0 / members / runs;
                 wire[1] += (fleet.bytes - bytes) / 60.0 / members / runs;
             }
-            for (int i = 0; i < 5; i++) {
+            for (int i = 0; i < times; i++) {
                 Node dead = fleet.node(2 + i);
                 dead.kill();
                 Set<Integer> knew = new HashSet<>();
-                double[] times = {Double.NaN, Double.NaN};
+                double[] at = {Double.NaN, Double.NaN};
                 fleet.watch((now, viewer, before, after) -> {
                     if (after.name().equals(dead.name) && after.state() == State.FAILED && knew.add(viewer.number)) {
-                        times[0] = Double.isNaN(times[0]) ? now - dead.downSince : times[0];
-                        times[1] = now - dead.downSince;
+                        at[0] = Double.isNaN(at[0]) ? now - dead.downSince : at[0];
+                        at[1] = now - dead.downSince;
                     }
                 });
                 fleet.runFor(MINUTE);
                 synchronized (wire) {
-                    first.add(times[0] / SECOND);
-                    spread.add((times[1] - times[0]) / SECOND);
+                    first.add(at[0] / SECOND);
+                    spread.add((at[1] - at[0]) / SECOND);
                 }
             }
         });
@@ -115,16 +114,16 @@
             subjects[turn] = failed.size();
         });
         double hours = runs * minutes / 60;
-        return line("loss %.0f%%, standing still by turns %.0f%%: false failures in views an hour %.1f, members ever failed %.1f a run (%d runs of %.0f min)",
-                100 * loss, 100 * stopping, Arrays.stream(events).sum() / hours, Arrays.stream(subjects).average().orElse(0), runs, minutes);
+        return line("loss %.0f%%, standing still 4 s and running %.1f s by turns %.0f%%: false failures in views an hour %.1f, members ever failed %.1f a run (%d runs of %.0f min)",
+                100 * loss, runningMs / SECOND, 100 * stopping, Arrays.stream(events).sum() / hours, Arrays.stream(subjects).average().orElse(0), runs, minutes);
     }
 
-    private static void stopByTurns(SimulatedFleet fleet, Node node) {
-        fleet.after(fleet.random().nextDouble() * (STOPPED_MS + RUNNING_MS), new Runnable() {
+    private void stopByTurns(SimulatedFleet fleet, Node node) {
+        fleet.after(fleet.random().nextDouble() * (STOPPED_MS + runningMs), new Runnable() {
             @Override
             public void run() {
                 node.stop(STOPPED_MS);
-                fleet.after(STOPPED_MS + RUNNING_MS, this);
+                fleet.after(STOPPED_MS + runningMs, this);
             }
         });
     }
--- a/src/main/java/dappleseam/lab/load/LoadTool.java
+++ b/src/main/java/dappleseam/lab/load/LoadTool.java
@@ -43,10 +43,11 @@
     private final Scenario scenario;
     private final Ledger ledger;
     private final List<Integer> proxies;
-    private final ConcurrentLinkedDeque<Client> idle = new ConcurrentLinkedDeque<>();
+    /** By proxy: else the last one that answered would get nearly all of a thin load. */
+    private final Map<Integer, ConcurrentLinkedDeque<Client>> idle = new TreeMap<>();
     private final Map<String, Histogram> times = new TreeMap<>();
     private final Semaphore open = new Semaphore(MOST_OPEN);
-    private volatile int turn;
+    private int turn;
     private volatile boolean wasFull;
 
     private record Client(Socket socket, InputStream in, int port) {}
@@ -55,6 +56,7 @@
         this.scenario = scenario;
         this.ledger = ledger;
         this.proxies = proxies;
+        proxies.forEach(port -> idle.put(port, new ConcurrentLinkedDeque<>()));
         scenario.load().grades().forEach(g -> times.put(g.name(), new ConcurrentHistogram((long) LONGEST_MS * 1000, 3)));
     }
 
@@ -122,7 +124,7 @@
         if (!clients.awaitTermination(60, TimeUnit.SECONDS)) {
             ledger.notes.add("clients did not end: the verdicts are incomplete");
         }
-        idle.forEach(LoadTool::close);
+        idle.values().forEach(all -> all.forEach(LoadTool::close));
     }
 
     private void query(Arrival arrival, int number, double intendedMs) {
@@ -156,8 +158,9 @@
         Answer answer = new Answer(Verdict.UNANSWERED, 0);
         try {
             for (int tries = 0; ; tries++) {
-                Client reused = tries == 0 ? idle.pollFirst() : null;
-                client = reused != null ? reused : connect();
+                int port = choose();
+                Client reused = tries == 0 ? idle.get(port).pollFirst() : null;
+                client = reused != null ? reused : connect(port);
                 double waits = Math.min(grade.timeoutMs(), a.leavesAfterMs());
                 client.socket.setSoTimeout((int) Math.ceil(waits) + (a.leavesAfterMs() < grade.timeoutMs() ? 0 : LATE_MS));
                 String facts = "c=" + grade.name() + ",d=" + Math.round(grade.timeoutMs()) + (mark.isEmpty() ? "" : ",k=" + mark);
@@ -194,23 +197,26 @@
         boolean whole = answer.verdict == Verdict.COMPLETED || answer.verdict == Verdict.REJECTED
                 || answer.verdict == Verdict.ABORTED;
         ledger.queries.add(new Ledger.Query(id, grade.name(), grade.write(), sent, grade.timeoutMs(), ledger.nowMs(),
-                answer.verdict, whole ? 1 : 0));
+                answer.verdict, whole ? 1 : 0, client == null ? 0 : client.port));
         if (whole) {
-            idle.addFirst(client);
+            idle.get(client.port).addFirst(client);
         } else if (client != null) {
             close(client);
         }
         return answer;
     }
 
-    private Client connect() throws IOException {
+    /** By turns, as a front does, which asks its proxies whether they are there. */
+    private synchronized int choose() {
+        int tries = 0;
         int port;
-        synchronized (this) { // as a front does, which asks its proxies whether they are there
-            int tries = 0;
-            do {
-                port = proxies.get(turn++ % proxies.size());
-            } while (!ledger.takesClients(port) && ++tries < proxies.size());
-        }
+        do {
+            port = proxies.get(turn++ % proxies.size());
+        } while (!ledger.takesClients(port) && ++tries < proxies.size());
+        return port;
+    }
+
+    private Client connect(int port) throws IOException {
         Socket socket = new Socket();
         socket.setTcpNoDelay(true);
         socket.connect(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), CONNECT_MS);
--- a/src/main/java/dappleseam/lab/report/FleetReport.java
+++ b/src/main/java/dappleseam/lab/report/FleetReport.java
@@ -3,17 +3,21 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dappleseam.lab.check.Ledger;
 import dappleseam.lab.fault.LinkTool;
 import dappleseam.lab.fleet.LeaseChecker;
 import dappleseam.lab.fleet.Sight;
 import dappleseam.lab.fleet.Truth;
 import dappleseam.lab.fleet.ViewChecker;
 import dappleseam.lab.scenario.FleetScenario;
+import dappleseam.lab.scenario.Scenario;
+import dappleseam.lab.scenario.Scenario.Trouble;
 import java.awt.BasicStroke;
 import java.awt.Color;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -41,6 +45,9 @@
     /** Hits after which a holder acts no more, whatever its record says. */
     private static final Set<String> STOPS = Set.of("kill", "stop");
 
+    /** Times in s since a cache fell silent from which executions there are counted apart. */
+    private static final int[] SINCE_S = {0, 2, 5};
+
     private final FleetScenario scenario;
     private final Report played;
     private final ObjectNode tree = new ObjectMapper().createObjectNode();
@@ -50,7 +57,7 @@
 
     public FleetReport(FleetScenario scenario, Report played, Truth truth, List<Sight> sights, List<ViewChecker.Breach> breaches,
                        List<String> timeline, double beganMs, double settledMs, double readyMs, LinkTool links, boolean complete,
-                       Map<String, LeaseChecker.Found> leases, List<LeaseChecker.Hit> hits, List<LeaseChecker.Write> writes) {
+                       Map<String, LeaseChecker.Found> leases, List<LeaseChecker.Hit> hits, List<LeaseChecker.Write> writes, Ledger ledger, double playMs) {
         this.scenario = scenario;
         this.played = played;
         this.complete = complete;
@@ -97,9 +104,47 @@
             spread(hit, "without_ms", of.withoutMs());
             spread(hit, "since_hit_ms", of.sinceHitMs());
         });
+        wasted(scenario, ledger, playMs);
         tree.set("play", played.tree());
     }
 
+    /** While caches were silent: executions that came there all the same, by how long they had been, and what became of queries. {@code playMs}: the scenario's 0 in the ledger. */
+    private void wasted(FleetScenario scenario, Ledger ledger, double playMs) {
+        List<Trouble> silent = scenario.play().troubles().stream().filter(t -> t.kind() == Scenario.Kind.SILENT).toList();
+        if (silent.isEmpty()) {
+            return;
+        }
+        long[] came = new long[SINCE_S.length];
+        long asked = 0;
+        long inTime = 0;
+        Map<String, Double> slo = new TreeMap<>();
+        scenario.play().load().grades().forEach(g -> slo.put(g.name(), g.sloMs()));
+        for (Trouble trouble : silent) {
+            double from = playMs + trouble.atS() * MS_PER_S;
+            double to = from + trouble.forS() * MS_PER_S;
+            for (Ledger.Execution execution : ledger.executions) {
+                if (execution.node().equals("cache-" + trouble.cache()) && execution.atMs() >= from && execution.atMs() < to) {
+                    int at = 0;
+                    while (at + 1 < SINCE_S.length && execution.atMs() >= from + SINCE_S[at + 1] * MS_PER_S) {
+                        at++;
+                    }
+                    came[at]++;
+                }
+            }
+            for (Ledger.Query query : ledger.queries) {
+                if (query.sentMs() >= from && query.sentMs() < to) {
+                    asked++;
+                    inTime += query.verdict() == Ledger.Verdict.COMPLETED && query.endedMs() - query.sentMs() <= slo.get(query.grade()) ? 1 : 0;
+                }
+            }
+        }
+        ObjectNode wasted = tree.putObject("silent_caches").put("troubles", silent.size()).put("executions", Arrays.stream(came).sum());
+        for (int i = 0; i < came.length; i++) {
+            wasted.put("executions_from_s_" + SINCE_S[i], came[i]);
+        }
+        wasted.put("queries", asked).put("completed_in_time_percent", round(100.0 * inTime / Math.max(1, asked)));
+    }
+
     private static void spread(ObjectNode to, String name, List<Double> values) {
         double[] sorted = values.stream().mapToDouble(v -> v).sorted().toArray();
         if (sorted.length > 0) {
--- a/src/main/java/dappleseam/lab/scenario/FleetScenario.java
+++ b/src/main/java/dappleseam/lab/scenario/FleetScenario.java
@@ -6,9 +6,9 @@
 /**
  * One rehearsal of many proxies: {@code play} is what any rehearsal has, beside it stand faults between the proxies and what befalls their
  * processes. {@code memoryMb}: limit of each; {@code settleS}: time after the last trouble until all views have to be right;
- * {@code leases}: null where there are none.
+ * {@code signals}: whether proxies tell each other of caches; {@code leases}: null where there are none.
  */
-public record FleetScenario(Scenario play, int proxies, int memoryMb, double periodMs, double settleS, Leases leases, List<LinkFault> links,
+public record FleetScenario(Scenario play, int proxies, int memoryMb, double periodMs, double settleS, boolean signals, Leases leases, List<LinkFault> links,
                             List<ProcessEvent> processes) {
     /**
      * Leases, of which the first three proxies are voters; {@code leaseMs}: of the one for the last list. {@code storeLateMs}: by how much the first write
--- a/src/main/java/dappleseam/lab/scenario/ScenarioReader.java
+++ b/src/main/java/dappleseam/lab/scenario/ScenarioReader.java
@@ -58,7 +58,7 @@
         Keys fleet = top.part("fleet");
         int proxies = (int) fleet.number("proxies", 2, 400);
         FleetScenario read = new FleetScenario(scenario, proxies, (int) fleet.number("memory_mb", 32, 1024), fleet.number("period_ms", 20, 60_000),
-                fleet.number("settle_s", 1, 600), fleet.has("leases") ? leases(fleet.part("leases")) : null,
+                fleet.number("settle_s", 1, 600), fleet.has("signals") && fleet.flag("signals"), fleet.has("leases") ? leases(fleet.part("leases")) : null,
                 fleet.list("links").stream().map(keys -> link(keys, proxies)).toList(),
                 fleet.list("processes").stream().map(keys -> event(keys, proxies)).toList());
         List.of(top, fleet).forEach(Keys::noMore);
--- a/src/main/java/dappleseam/list/ListReader.java
+++ b/src/main/java/dappleseam/list/ListReader.java
@@ -71,7 +71,7 @@
     }
 
     /** FNV-1a: the same at every proxy, which the address is not. */
-    private static long hash(String uid) {
+    public static long hash(String uid) {
         long hash = 0xcbf29ce484222325L;
         for (int i = 0; i < uid.length(); i++) {
             hash = (hash ^ uid.charAt(i)) * 0x100000001b3L;
--- /dev/null
+++ b/src/main/java/dappleseam/proxy/FleetLookout.java
@@ -0,0 +1,151 @@
+package dappleseam.proxy;
+
+import dappleseam.fleet.peers.Sightings;
+import dappleseam.fleet.share.Hearsay;
+import dappleseam.fleet.share.Hearsay.Held;
+import dappleseam.fleet.share.Hearsay.Order;
+import dappleseam.fleet.share.Said;
+import dappleseam.fleet.share.Seen;
+import dappleseam.router.Learnt;
+import dappleseam.router.NodeId;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+
+/** Between the I/O thread, where queries are, and the fleet's: what this proxy saw of caches goes out, what others say comes in. */
+final class FleetLookout implements Lookout, Sightings {
+    private static final double NANOS_PER_MS = 1e6;
+    private static final double MS_PER_S = 1000;
+    /** Time in ms over which the rate of queries is smoothed. */
+    private static final double SMOOTH_MS = 5000;
+    /** Latest answers over which the usual time of one is taken; multiple of it, and least in ms, from which none is silence. */
+    private static final double USUAL_OF = 64;
+    private static final double SILENT_TIMES = 8;
+    private static final double SILENT_LEAST_MS = 100;
+
+    private final Consumer<List<Said>> toLoop;
+    private final Consumer<List<Learnt>> orders;
+    private final Hearsay hearsay;
+    /** The I/O thread's. */
+    private final Map<NodeId, Double> heardAt = new HashMap<>();
+    private final Map<NodeId, double[]> failing = new HashMap<>();
+    /** Caches of which an execution had no answer, and that have not answered since. */
+    private final Map<NodeId, Double> struckAt = new HashMap<>();
+    private double usualMs;
+    private Map<NodeId, Learnt> learnt = Map.of();
+    private Map<NodeId, Double> startedAt = Map.of();
+    private double lookedAt = Double.NaN;
+    private long taken;
+    private double rate;
+    /** For any thread. */
+    private volatile Collection<Seen> seen = List.of();
+    private volatile double ratePerS;
+
+    /** {@code toLoop}: hands words to {@link #hear} on the I/O thread; {@code orders}: the router's, there. */
+    FleetLookout(long seed, Consumer<List<Learnt>> orders, Executor loop, DoubleSupplier nowMs) {
+        hearsay = new Hearsay(new SplittableRandom(seed));
+        this.orders = orders;
+        toLoop = words -> loop.execute(() -> hear(nowMs.getAsDouble(), words));
+    }
+
+    @Override
+    public void taken() {
+        taken++;
+    }
+
+    @Override
+    public void heard(NodeId node, double nowMs, double tookMs) {
+        heardAt.put(node, nowMs);
+        struckAt.remove(node);
+        usualMs += (tookMs - usualMs) / USUAL_OF;
+    }
+
+    @Override
+    public void unanswered(NodeId node, double sentAtMs, double nowMs, double tookMs) {
+        boolean silent = heardAt.getOrDefault(node, Double.NEGATIVE_INFINITY) < sentAtMs;
+        if (silent && tookMs > Math.max(SILENT_LEAST_MS, SILENT_TIMES * usualMs)) {
+            struckAt.put(node, nowMs);
+        }
+    }
+
+    @Override
+    public void look(double nowMs, List<Learnt> known, Map<NodeId, Double> caches) {
+        Map<NodeId, Learnt> now = new HashMap<>();
+        known.forEach(one -> now.put(one.node(), one));
+        learnt = now;
+        caches.forEach((node, started) -> {
+            if (!started.equals(startedAt.get(node))) { // what the process before it did is no word on this one
+                struckAt.remove(node);
+                heardAt.remove(node);
+                failing.remove(node);
+            }
+        });
+        startedAt = caches;
+        heardAt.keySet().retainAll(caches.keySet());
+        failing.keySet().retainAll(caches.keySet());
+        struckAt.keySet().retainAll(caches.keySet());
+        if (!Double.isNaN(lookedAt) && nowMs > lookedAt) {
+            double share = Math.min(1, (nowMs - lookedAt) / SMOOTH_MS);
+            rate += share * (taken * MS_PER_S / (nowMs - lookedAt) - rate);
+            taken = 0;
+        }
+        lookedAt = nowMs;
+        ratePerS = rate;
+        double shift = System.nanoTime() / NANOS_PER_MS - nowMs; // to the fleet's clock
+        List<Seen> all = new ArrayList<>();
+        caches.forEach((node, started) -> {
+            double until = until(node);
+            boolean fails = hearsay.isOwn(node, until);
+            if (!fails) {
+                failing.remove(node);
+            } else if (failing.get(node) == null || failing.get(node)[0] != until) { // found anew
+                failing.put(node, new double[] {until, nowMs});
+            }
+            double failedAt = Math.max(fails ? failing.get(node)[1] : Double.NEGATIVE_INFINITY, struckAt.getOrDefault(node, Double.NEGATIVE_INFINITY)) + shift;
+            all.add(new Seen(node, started, fails || struckAt.containsKey(node), failedAt, heardAt.getOrDefault(node, Double.NEGATIVE_INFINITY) + shift));
+        });
+        seen = all;
+    }
+
+    private double until(NodeId node) {
+        Learnt one = learnt.get(node);
+        return one == null || one.startedAtMs() != startedAt.getOrDefault(node, Double.NaN) ? 0 : one.asideUntilMs();
+    }
+
+    private void hear(double nowMs, List<Said> words) {
+        Map<NodeId, Held> caches = new HashMap<>();
+        startedAt.forEach((node, started) -> caches.put(node, new Held(started, until(node), heardAt.getOrDefault(node, Double.NEGATIVE_INFINITY))));
+        List<Learnt> told = new ArrayList<>();
+        for (Order order : hearsay.decide(nowMs, words, caches)) {
+            Learnt before = learnt.get(order.node());
+            Learnt one = before == null ? new Learnt(order.node(), order.startedAtMs(), order.asideUntilMs(), 0, 0, 0)
+                    : new Learnt(order.node(), order.startedAtMs(), order.asideUntilMs(), before.busyUntilMs(), before.idleScale(), before.shed());
+            told.add(one);
+        }
+        if (!told.isEmpty()) {
+            told.forEach(one -> learnt.put(one.node(), one)); // until the router is asked again
+            orders.accept(told);
+        }
+    }
+
+    @Override
+    public Collection<Seen> seen() {
+        return seen;
+    }
+
+    @Override
+    public double ratePerS() {
+        return ratePerS;
+    }
+
+    @Override
+    public void say(List<Said> words) {
+        toLoop.accept(words);
+    }
+}
--- a/src/main/java/dappleseam/proxy/InFleet.java
+++ b/src/main/java/dappleseam/proxy/InFleet.java
@@ -9,15 +9,21 @@
 import dappleseam.fleet.peers.FleetText;
 import dappleseam.fleet.peers.Identity;
 import dappleseam.fleet.peers.PeerSocket;
+import dappleseam.fleet.peers.Sightings;
+import dappleseam.fleet.share.Said;
+import dappleseam.fleet.share.Seen;
 import dappleseam.list.NodeList;
 import dappleseam.site.FleetFileReader;
 import dappleseam.site.Post;
+import dappleseam.wire.Loop;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.URI;
 import java.nio.file.Path;
+import java.util.Collection;
 import java.util.List;
+import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 
 /** This proxy's place in its fleet, where the operator's file gives it one. Queries pass it by. */
@@ -32,6 +38,8 @@
     private final Path file;
     private final Post post;
     private final PeerSocket socket;
+    private volatile FleetLookout lookout;
+    private final boolean signals;
     private final ListStore store;
 
     /**
@@ -44,7 +52,37 @@
         Identity identity = read();
         store = identity.listStore() == null ? null : identity.listStore().startsWith("http:") ? new HttpStore(URI.create(identity.listStore()))
                 : new FolderStore(Path.of(identity.listStore()));
-        socket = new PeerSocket(identity, post.seed(), left, store == null ? List.of() : List.of(new KeepList(last, store)));
+        signals = identity.signals();
+        socket = new PeerSocket(identity, post.seed(), left, store == null ? List.of() : List.of(new KeepList(last, store)), new Relay());
+    }
+
+    /** What the fleet's thread asks for, also before there is a proxy. */
+    private final class Relay implements Sightings {
+        @Override
+        public Collection<Seen> seen() {
+            return lookout == null ? List.of() : lookout.seen();
+        }
+
+        @Override
+        public double ratePerS() {
+            return lookout == null ? 0 : lookout.ratePerS();
+        }
+
+        @Override
+        public void say(List<Said> words) {
+            if (lookout != null) {
+                lookout.say(words);
+            }
+        }
+    }
+
+    /** On the I/O thread: from now on that proxy's caches are told of, and it hears of others'. */
+    void watch(Proxy proxy, Loop loop, Executor onLoop) {
+        if (signals) {
+            FleetLookout now = new FleetLookout(post.seed(), proxy::recall, onLoop, loop::nowMs);
+            proxy.tellOfCaches(now);
+            lookout = now;
+        }
     }
 
     /** Guards a start while the list service is down: the fleet's last known list, where it is newer than this proxy's own, drains included. */
--- /dev/null
+++ b/src/main/java/dappleseam/proxy/Lookout.java
@@ -0,0 +1,21 @@
+package dappleseam.proxy;
+
+import dappleseam.router.Learnt;
+import dappleseam.router.NodeId;
+import java.util.List;
+import java.util.Map;
+
+/** Looks over a proxy's shoulder, on its I/O thread, for its fleet; there is none where it is in none. */
+interface Lookout {
+    /** A query came. */
+    void taken();
+
+    /** A cache answered, whatever, after so many ms. */
+    void heard(NodeId node, double nowMs, double tookMs);
+
+    /** One did not, for so many ms, or could not be connected to ({@link Double#POSITIVE_INFINITY}). */
+    void unanswered(NodeId node, double sentAtMs, double nowMs, double tookMs);
+
+    /** From time to time: what the router has learnt, and all caches in service by the list with their starts. */
+    void look(double nowMs, List<Learnt> learnt, Map<NodeId, Double> startedAtMs);
+}
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -87,6 +87,8 @@
     private final ArrayDeque<Runnable> toTell = new ArrayDeque<>();
     private boolean telling;
     private boolean hasHeardList;
+    /** Null where this proxy tells nobody of its caches. */
+    private Lookout lookout;
     private double errorLoggedAt;
 
     /** A listed node and where it is dialled. */
@@ -122,7 +124,7 @@
         }
     }
 
-    private record Sent(Execution execution, Backend backend, Loop.Deadline deadline) {}
+    private record Sent(Execution execution, NodeId node, Backend backend, Loop.Deadline deadline) {}
 
     Proxy(Loop loop, Post post, Figures figures) throws IOException {
         this.loop = loop;
@@ -191,9 +193,28 @@
     /** Tells the figures what takes a walk to count. */
     void publish() {
         learnt = router.learnt();
+        if (lookout != null) {
+            lookout.look(loop.nowMs(), learnt, caches());
+        }
         figures.list(peers.size(), router.avoided(loop.nowMs()));
     }
 
+    /** Tells it from now on what it is there for. */
+    void tellOfCaches(Lookout to) {
+        lookout = to;
+    }
+
+    private Map<NodeId, Double> caches() {
+        Map<NodeId, Double> caches = new HashMap<>();
+        peers.forEach((node, peer) -> {
+            Member member = peer.entry.member();
+            if (member.state() == Member.State.READY && member.model() != site.deployment().originModel()) {
+                caches.put(node, member.startedAtMs());
+            }
+        });
+        return caches;
+    }
+
     /** Answers at once what has no answer yet: this process is about to end. */
     void abortAll() {
         for (Taken taken : queries.all()) {
@@ -333,6 +354,9 @@
         Taken taken = new Taken(command, owed, named, site.deployment().mostExecutions(),
                 loop.nowMs() + left);
         figures.taken();
+        if (lookout != null) {
+            lookout.taken();
+        }
         QueryId id = new QueryId(queries.put(taken));
         taken.forgotten = loop.at(taken.quitAt + FORGOTTEN_MS, () -> forgotten(id));
         tell(() -> router.query(loop.nowMs(), id, new Asking(grade, key(command.key()), taken.quitAt - loop.nowMs(),
@@ -411,12 +435,12 @@
         Peer peer = peers.get(node);
         taken.out++;
         if (taken.answered || peer == null || taken.execs.size() >= taken.mostExecutions) {
-            taken.execs.add(new Sent(execution, null, () -> { }));
+            taken.execs.add(new Sent(execution, node, null, () -> { }));
             execution.end(Ending.of(Outcome.UNSENT));
             return;
         }
         Loop.Deadline deadline = loop.at(until, () -> timedOut(execution, peer.backend));
-        taken.execs.add(new Sent(execution, peer.backend, deadline));
+        taken.execs.add(new Sent(execution, node, peer.backend, deadline));
         peer.backend.begin(execution);
     }
 
@@ -439,6 +463,9 @@
         Taken taken = queries.get(execution.query.value());
         taken.execs.get(execution.number).deadline.callOff();
         double took = loop.nowMs() - execution.sentAt;
+        if (lookout != null) {
+            tellOf(taken.execs.get(execution.number).node, execution.sentAt, took, ending.outcome());
+        }
         if (ending.outcome() == Outcome.COMPLETED) {
             if (taken.answered) {
                 ending.release();
@@ -464,6 +491,15 @@
         });
     }
 
+    private void tellOf(NodeId node, double sentAt, double took, Outcome outcome) {
+        switch (outcome) {
+            case COMPLETED, MISS, FULL -> lookout.heard(node, loop.nowMs(), took);
+            case TIMED_OUT, CANCELLED -> lookout.unanswered(node, sentAt, loop.nowMs(), took);
+            case CONNECT_FAILED -> lookout.unanswered(node, sentAt, loop.nowMs(), Double.POSITIVE_INFINITY);
+            default -> { } // it tells of its connection, or of this side
+        }
+    }
+
     @Override
     public void reject(QueryId id, double retryAfterMs) {
         answer(id, Figures.End.REJECTED, owed -> owed.busy(retryAfterMs));
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -192,6 +192,9 @@
                 try {
                     proxy = new Proxy(loop, told, figures);
                     proxy.recall(learntBefore(post));
+                    if (fleet != null) {
+                        fleet.watch(proxy, loop, worker.getIoThread());
+                    }
                     front = new ClientFront(loop, proxy, forClients(post, 1),
                             post.descriptors() / DESCRIPTORS_A_CLIENT);
                     publish();
--- a/src/main/java/dappleseam/site/FleetFileReader.java
+++ b/src/main/java/dappleseam/site/FleetFileReader.java
@@ -22,7 +22,7 @@
 /** Reads and checks the operator's file that {@code serve --fleet} names; a fault is told by its key. */
 public final class FleetFileReader {
     private static final Set<String> KEYS = Set.of("fleet", "name", "bind", "advertise", "seeds", "period_ms", "counted", "most",
-            "forget_s", "record", "leases");
+            "forget_s", "record", "leases", "signals");
     private static final Set<String> LEASE_KEYS = Set.of("voters", "number", "lease_ms", "drift", "voter_file", "list_store");
     private static final int MOST_SEEDS = 64;
     private static final double MS_PER_S = 1000;
@@ -73,7 +73,7 @@
                 true, Terms.HELPERS);
         return new Identity(name(root, "fleet", null).text(), name(root, "name", name), bind, advertise, List.copyOf(seeds), terms,
                 path(root, "record"), leases(root.path("leases")), path(root.path("leases"), "voter_file"),
-                listStore(root.path("leases")));
+                listStore(root.path("leases")), flag(root, "signals"));
     }
 
     private static LeaseTerms leases(JsonNode leases) {
@@ -127,6 +127,13 @@
         return store;
     }
 
+    private static boolean flag(JsonNode root, String key) {
+        if (root.has(key) && !root.get(key).isBoolean()) {
+            throw new FaultySettingException(key, "is neither true nor false");
+        }
+        return root.path(key).asBoolean(false);
+    }
+
     private static Path path(JsonNode root, String key) {
         return root.has(key) ? Path.of(text(root, key, null)) : null;
     }
--- a/src/test/java/dappleseam/fleet/peers/EnvelopeTest.java
+++ b/src/test/java/dappleseam/fleet/peers/EnvelopeTest.java
@@ -16,11 +16,16 @@
 import dappleseam.fleet.membership.Terms;
 import dappleseam.fleet.peers.Letter.Kind;
 import dappleseam.fleet.peers.Unreadable.Why;
+import dappleseam.fleet.share.Board;
+import dappleseam.fleet.share.Bulletin;
+import dappleseam.fleet.share.Sight;
 import dappleseam.lab.fleet.SimulatedFleet;
+import dappleseam.router.NodeId;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
@@ -57,11 +62,25 @@
                 new Letter(Kind.PING, self, 1, null, null, List.of(), false, null), new Letter(Kind.ACK, self, -1, null, self, news, false, null),
                 new Letter(Kind.NACK, self, 1, null, null, List.of(), false, null), new Letter(Kind.ASK, self, 1, null, self, news, false, null),
                 new Letter(Kind.SUMS, self, 0, null, null, List.of(), true, sums), new Letter(Kind.TELL, self, 0, null, null, news, false, null),
-                new Letter(Kind.BALLOT, self, 0, null, null, List.of(), false, null, new Ballot(Ballot.Op.PROMISED, Integer.MIN_VALUE,
+                Letter.of(self, fullest()),
+                Letter.of(self, new Ballot(Ballot.Op.PROMISED, Integer.MIN_VALUE,
                         new LeaseName("l".repeat(48)), new Token(Token.LAST, Long.MIN_VALUE), Token.NONE, self.name(), 86_400_000, Long.MAX_VALUE, -1,
                         Answers.Refusal.TOO_MANY)));
     }
 
+    private static List<Bulletin> fullest() {
+        List<Bulletin> bulletins = new ArrayList<>();
+        for (int room = Board.NEWS_BYTES, i = 0; ; i++) {
+            List<Sight> sights = Collections.nCopies(i % 2 * Bulletin.MOST_SIGHTS, new Sight(new NodeId(Long.MIN_VALUE), Sight.LATEST, true, 86_400_000));
+            Bulletin one = new Bulletin(new MemberName("n".repeat(1 + i % 48)), new Life(Life.LATEST, Long.MIN_VALUE), Long.MAX_VALUE, Bulletin.MOST_RATE, sights);
+            room -= one.bytes();
+            if (room < 0) {
+                return bulletins;
+            }
+            bulletins.add(one);
+        }
+    }
+
     private static byte[] sealed(byte[] bytes, int length) {
         CRC32C sum = new CRC32C();
         sum.update(bytes, HEAD, length - HEAD);
--- /dev/null
+++ b/src/test/java/dappleseam/fleet/share/SignalsTest.java
@@ -0,0 +1,82 @@
+package dappleseam.fleet.share;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dappleseam.fleet.membership.Life;
+import dappleseam.fleet.membership.MemberName;
+import dappleseam.router.NodeId;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What others' words come to, and what is said oneself: hints, agreement, liars, one's own bad link, age and new starts. */
+class SignalsTest {
+    private static final Life LIFE = new Life(5, 5);
+    private static final MemberName SELF = new MemberName("self");
+    private static final NodeId CACHE = new NodeId(7);
+    private static final double NEVER = Double.NEGATIVE_INFINITY;
+
+    private final Signals signals = new Signals(SELF);
+    private final List<Bulletin> bulletins = new ArrayList<>();
+
+    private void says(String who, long startedAt, boolean fails, long ageMs) {
+        bulletins.add(new Bulletin(new MemberName(who), LIFE, 1, 10, List.of(new Sight(CACHE, startedAt, fails, ageMs), new Sight(CACHE, startedAt, fails, ageMs))));
+    }
+
+    private List<Said> words() {
+        signals.hear(bulletins, b -> !b.who().text().startsWith("gone"));
+        return signals.words(what -> 3);
+    }
+
+    private static Seen seen(long node, boolean fails, double heardAt) {
+        return new Seen(new NodeId(node), 5, fails, fails ? 900 : NEVER, heardAt);
+    }
+
+    @Test
+    void oneIsAHintTwoAgreeAndAnEchoIsNoWitness() {
+        says("a", 5, true, 0);
+        assertThat(words()).containsExactly(new Said(CACHE, 5, Word.HINT, 1, 0, 0));
+        bulletins.add(bulletins.get(0)); // the same, told on by another
+        assertThat(words()).hasSize(1).allMatch(s -> s.fails() == 2 == (s.word() == Word.FAILS));
+        bulletins.remove(1);
+        says("self", 5, true, 0);
+        says("gone-1", 5, true, 0);
+        says("b", 6, true, 0);
+        says("c", 5, true, Sight.OLDEST_MS + 1);
+        assertThat(words()).as("not its own word, not of one that has gone, of another process, or too old")
+                .containsExactlyInAnyOrder(new Said(CACHE, 5, Word.HINT, 1, 0, 0), new Said(CACHE, 6, Word.HINT, 1, 0, 0));
+        says("d", 5, true, 0);
+        assertThat(words()).contains(new Said(CACHE, 5, Word.FAILS, 2, 0, 3));
+    }
+
+    @Test
+    void whoSaysThatItWorksOutvotesAsManyAndTheEndIsSaidOnce() {
+        says("a", 5, true, 0);
+        says("b", 5, true, 0);
+        assertThat(words()).extracting(Said::word).containsExactly(Word.FAILS);
+        says("c", 5, false, 0);
+        assertThat(words()).extracting(Said::word).containsExactly(Word.FAILS);
+        says("d", 5, false, 0);
+        assertThat(words()).containsExactly(new Said(CACHE, 5, Word.WORKS, 2, 2, 0));
+        assertThat(words()).isEmpty();
+    }
+
+    @Test
+    void ownFindingsAreSaidAndAnswersOnlyWhereSomebodyElseAccuses() {
+        List<Seen> mine = List.of(seen(7, false, 900), seen(8, true, 100), seen(9, false, 900), seen(10, false, 900));
+        assertThat(signals.own(1000, mine, true)).containsExactly(new Sight(new NodeId(8), 5, true, 100));
+        says("a", 5, true, 0);
+        signals.hear(bulletins, b -> true);
+        assertThat(signals.own(1000, mine, true)).containsExactlyInAnyOrder(new Sight(new NodeId(8), 5, true, 100), new Sight(CACHE, 5, false, 100));
+        assertThat(signals.own(4000, mine, true)).as("an answer of three seconds ago").containsExactly(new Sight(new NodeId(8), 5, true, 3100));
+        assertThat(signals.own(40_000, mine, true)).isEmpty();
+    }
+
+    @Test
+    void whoMayBeIllItselfConvictsNobody() {
+        List<Seen> mine = List.of(seen(7, true, 100), seen(8, true, 100), seen(9, false, 900), seen(10, false, 900));
+        assertThat(signals.own(1000, mine, true)).as("half of all: its own link").isEmpty();
+        assertThat(signals.own(1000, mine.subList(1, 4), false)).as("it stands slow").isEmpty();
+        assertThat(signals.own(1000, mine.subList(1, 4), true)).hasSize(1);
+    }
+}
--- a/src/test/java/dappleseam/lab/FleetRunTest.java
+++ b/src/test/java/dappleseam/lab/FleetRunTest.java
@@ -37,6 +37,7 @@
     private static final Path PLAYED = SHIPPED.resolve("faults-between-proxies.json");
     private static final Path LEASES = SHIPPED.resolve("leases.json");
     private static final Path SPLIT = SHIPPED.resolve("leases-split.json");
+    private static final Path LIES = SHIPPED.resolve("lies-about-caches.json");
 
     @TempDir
     Path folder;
@@ -106,6 +107,38 @@
         }
     }
 
+    /** Executions at the three caches that are lied about, as a share of all at caches. */
+    private static double shareAtAccused(FleetReport report) throws Exception {
+        JsonNode nodes = new ObjectMapper().readTree(report.json()).path("play").path("executions_by_node");
+        double accused = 0;
+        double all = 0;
+        for (int i = 0; i < 8; i++) {
+            accused += i < 3 ? nodes.path("cache-" + i).asInt() : 0;
+            all += nodes.path("cache-" + i).asInt();
+        }
+        return accused / all;
+    }
+
+    /** One member that lies about caches moves nobody; four of six do, or the check could not fail. */
+    @Test
+    void aLiarConvictsNoCache() throws Exception {
+        Map<Planted, Future<FleetReport>> runs = new EnumMap<>(Planted.class);
+        ExecutorService hands = Executors.newCachedThreadPool();
+        try {
+            for (Planted planted : EnumSet.of(Planted.NONE, Planted.LIAR, Planted.LIARS)) {
+                runs.put(planted, hands.submit(() -> play(LIES, planted)));
+            }
+            double usual = shareAtAccused(runs.get(Planted.NONE).get());
+            FleetReport lied = runs.get(Planted.LIAR).get();
+            assertThat(lied.broken()).as(lied.text()).isZero();
+            assertThat(shareAtAccused(lied)).as(lied.text()).isGreaterThan(0.8 * usual);
+            FleetReport believed = runs.get(Planted.LIARS).get();
+            assertThat(shareAtAccused(believed)).as(believed.text()).isLessThan(0.6 * usual);
+        } finally {
+            hands.shutdownNow();
+        }
+    }
+
     /** Else two rehearsals beside each other share a proxy's port without a word, and each sees the other's queries. */
     @Test
     void aPortThatWasTakenIsGivenToNobodyElseAndAProxyMayListenThere() throws Exception {
--- a/src/test/java/dappleseam/lab/check/RuleCheckerTest.java
+++ b/src/test/java/dappleseam/lab/check/RuleCheckerTest.java
@@ -28,7 +28,7 @@
     }
 
     private void asked(String id, String grade, double endedMs, Verdict verdict, int answers) {
-        ledger.queries.add(new Query(id, grade, false, 1000, 1000, endedMs, verdict, answers));
+        ledger.queries.add(new Query(id, grade, false, 1000, 1000, endedMs, verdict, answers, 1));
     }
 
     private void ran(String query, String node, double atMs, String mark) {
