--- a/src/main/java/dappleseam/lab/emulator/CacheEmulator.java
+++ b/src/main/java/dappleseam/lab/emulator/CacheEmulator.java
@@ -18,6 +18,7 @@
 public final class CacheEmulator extends Peer {
     private static final int MOST_PARTS = 8;
     private static final int LONGEST = 4 << 20;
+    private static final long SILENT_STEP_MS = 10;
 
     private final Caches rules;
     private final Ledger ledger;
@@ -108,11 +109,18 @@
         if (connections() > rules.connections()) {
             return;
         }
+        double cameAt = Double.NaN;
         while (true) {
             String[] words = command(in);
-            String answer = answer(words);
+            String answer = answer(words, Double.isNaN(cameAt) ? ledger.nowMs() : cameAt);
             while (silent) {
-                Thread.sleep(50); // a machine cut off says nothing, and goes on when it is back
+                Thread.sleep(SILENT_STEP_MS); // a machine cut off says nothing, and goes on when it is back
+                if (Double.isNaN(cameAt) && in.available() > 0) {
+                    cameAt = ledger.nowMs(); // guards the proxy: what is read late came now
+                }
+            }
+            if (in.available() == 0) {
+                cameAt = Double.NaN;
             }
             out.write(answer.getBytes(StandardCharsets.ISO_8859_1));
         }
@@ -135,7 +143,7 @@
         return words;
     }
 
-    private String answer(String[] words) throws InterruptedException {
+    private String answer(String[] words, double cameAt) throws InterruptedException {
         if (words[0].equals("PING")) {
             return "+PONG\r\n";
         }
@@ -145,7 +153,7 @@
         String query = words[2];
         boolean full = waiting.incrementAndGet() > rules.slots() + rules.queue();
         try {
-            ledger.executions.add(new Ledger.Execution(query, uid, ledger.nowMs(), "", !full, full));
+            ledger.executions.add(new Ledger.Execution(query, uid, cameAt, "", !full, full));
             if (full) {
                 return "-BUSY\r\n";
             }
