--- a/src/main/java/dappleseam/lab/FleetRun.java
+++ b/src/main/java/dappleseam/lab/FleetRun.java
@@ -327,8 +327,8 @@
             }
             case END -> {
                 ledger.isDown(seat.clients);
-                holder.down();
                 holder.process.end();
+                holder.down(); // until then it answers, and holds what it held
                 links.isUp(seat.reachedAt, false);
                 after(takeover.forS(), () -> {
                     start(seat);
