Say once how news is passed on, how simulated time runs, and how a rehearsal is told

Change: Rumours, SimulatedTime, Ranked, Told and the tests' Lists hold what was said twice; Membership.present() replaces three walks over the view. No behaviour is meant to change.

--- a/src/main/java/dappleseam/fleet/lease/Voter.java
+++ b/src/main/java/dappleseam/fleet/lease/Voter.java
@@ -49,6 +49,11 @@
         Held(Token promised) {
             this.promised = promised;
         }
+
+        /** What was accepted still holds. */
+        boolean runsAt(double nowMs) {
+            return until > nowMs;
+        }
     }
 
     /**
@@ -166,7 +171,7 @@
         Token before = held.promised;
         held.promised = ballot;
         if (ballot.equals(before) || written(from, lease, ballot)) {
-            boolean runs = held.until > nowMs;
+            boolean runs = held.runsAt(nowMs);
             out.promised(from, lease, ballot, runs ? held.accepted : Token.NONE, runs ? held.holder : null, runs ? held.until - nowMs : 0);
         } else {
             held.promised = before;
@@ -176,7 +181,7 @@
     public void ask(double nowMs, MemberName from, int set, LeaseName lease) {
         if (!turnsAway(nowMs, from, set, lease, Token.NONE)) {
             Held held = votes.get(lease);
-            boolean runs = held != null && held.until > nowMs;
+            boolean runs = held != null && held.runsAt(nowMs);
             out.told(from, lease, highest(lease), runs ? held.accepted : Token.NONE, runs ? held.holder : null, runs ? held.until - nowMs : 0);
         }
     }
--- a/src/main/java/dappleseam/fleet/membership/Membership.java
+++ b/src/main/java/dappleseam/fleet/membership/Membership.java
@@ -14,7 +14,6 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 
 /**
@@ -47,8 +46,7 @@
     private static final double SUSPICION_PERIODS = 4;
     private static final double SUSPICION_LONGEST = 6;
     private static final int ACCUSERS = 3;
-    /** A rumour is told so many times for each doubling of the fleet, to so many at once, every share of a period while there is one. */
-    private static final int TELLINGS = 3;
+    /** Rumours are told to so many at once, every share of a period while there is one. */
     private static final int TOLD_AT_ONCE = 2;
     private static final double TELL_SHARE = 0.25;
     /** Periods between tries of a seed once somebody is known; between comparisons of views that agree; between tries of one failed member; tries in a row that it is kept for. */
@@ -90,9 +88,7 @@
     private final ArrayDeque<Peer> gone = new ArrayDeque<>();
     private int nextProbed;
     private final int[] sums = new int[PARTS];
-    private final Map<MemberName, Rumour> rumours = new HashMap<>();
-    private final TreeSet<Rumour> leastTold = new TreeSet<>();
-    private long rumoursBegun;
+    private final Rumours<MemberName, Notice> rumours = new Rumours<>(Notice::bytes, notice -> false);
     private boolean telling;
     private final PriorityQueue<Due> dues = new PriorityQueue<>();
     private long duesMade;
@@ -152,22 +148,6 @@
         }
     }
 
-    private static final class Rumour implements Comparable<Rumour> {
-        final Notice notice;
-        final long number;
-        int told;
-
-        Rumour(Notice notice, long number) {
-            this.notice = notice;
-            this.number = number;
-        }
-
-        @Override
-        public int compareTo(Rumour other) {
-            return told != other.told ? Integer.compare(told, other.told) : Long.compare(other.number, number);
-        }
-    }
-
     private static final class Probe {
         final long number;
         final Peer peer;
@@ -758,13 +738,7 @@
     // Rumours and views.
 
     private void spread(Notice notice) {
-        Rumour before = rumours.get(notice.name());
-        if (before != null) {
-            leastTold.remove(before);
-        }
-        Rumour rumour = new Rumour(notice, rumoursBegun++);
-        rumours.put(notice.name(), rumour);
-        leastTold.add(rumour);
+        rumours.put(notice.name(), notice);
         if (!telling) {
             telling = true;
             due(TELL_SHARE * terms.periodMs(), "tell", this::tellSome);
@@ -791,21 +765,7 @@
             news.add(known.notice);
             room -= known.notice.bytes();
         }
-        List<Rumour> told = new ArrayList<>();
-        while (!leastTold.isEmpty() && leastTold.first().notice.bytes() <= room) {
-            Rumour rumour = leastTold.pollFirst();
-            told.add(rumour);
-            news.add(rumour.notice);
-            room -= rumour.notice.bytes();
-        }
-        int most = TELLINGS * (Integer.SIZE - Integer.numberOfLeadingZeros(present.size() + 1));
-        for (Rumour rumour : told) {
-            if (++rumour.told < most) {
-                leastTold.add(rumour);
-            } else {
-                rumours.remove(rumour.notice.name());
-            }
-        }
+        news.addAll(rumours.tell(room, present.size()));
         return news;
     }
 
@@ -1002,6 +962,11 @@
         return view;
     }
 
+    /** Of the view, those that are alive as far as anyone could prove, this process among them unless it has left. */
+    public List<Notice> present() {
+        return view().stream().filter(notice -> notice.state().isPresent()).toList();
+    }
+
     /** All that decides what it does next but chance, times from now on: for a checker that has to tell states apart. */
     public String state() {
         StringBuilder text = new StringBuilder(256);
@@ -1015,7 +980,7 @@
         }
         failed.forEach(peer -> text.append('\n').append(peer.notice).append(peer.refusals));
         peers.values().stream().filter(peer -> !peer.notice.state().isCounted()).forEach(peer -> text.append('\n').append(peer.notice));
-        leastTold.forEach(rumour -> text.append('\n').append(rumour.told).append(rumour.notice));
+        rumours.forEach((notice, told) -> text.append('\n').append(told).append(notice));
         dues.stream().sorted().forEach(due -> text.append('\n').append(due.what).append(Math.round(due.at - now)));
         if (probe != null) {
             text.append('\n').append(probe.peer.notice.name()).append(probe.answered).append(probe.directly).append(probe.asked).append(probe.nacks);
--- /dev/null
+++ b/src/main/java/dappleseam/fleet/membership/Rumours.java
@@ -0,0 +1,100 @@
+package dappleseam.fleet.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.ObjIntConsumer;
+import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
+
+/**
+ * News that is still to be passed on, one item a key, each told a number of times that grows with the logarithm of the fleet (rumour spreading, Demers and others 1987): what was told
+ * least goes first, and the newest of that. Not for several threads.
+ */
+public final class Rumours<K, T> {
+    /** A rumour is told so many times for each doubling of the fleet. */
+    private static final int TELLINGS = 3;
+
+    private final ToIntFunction<T> bytes;
+    private final Predicate<T> urgent;
+    private final Map<K, Rumour<K, T>> byKey = new HashMap<>();
+    private final TreeSet<Rumour<K, T>> leastTold = new TreeSet<>();
+    private long begun;
+
+    private static final class Rumour<K, T> implements Comparable<Rumour<K, T>> {
+        final K key;
+        final T item;
+        final boolean urgent;
+        final long number;
+        int told;
+
+        Rumour(K key, T item, boolean urgent, long number) {
+            this.key = key;
+            this.item = item;
+            this.urgent = urgent;
+            this.number = number;
+        }
+
+        @Override
+        public int compareTo(Rumour<K, T> other) {
+            if (urgent != other.urgent) {
+                return urgent ? -1 : 1;
+            }
+            return told != other.told ? Integer.compare(told, other.told) : Long.compare(other.number, number);
+        }
+    }
+
+    /** {@code bytes}: that an item takes in a datagram at most; {@code urgent}: whether it goes before all that are not. */
+    public Rumours(ToIntFunction<T> bytes, Predicate<T> urgent) {
+        this.bytes = bytes;
+        this.urgent = urgent;
+    }
+
+    /** From now on this is the news of that key. */
+    public void put(K key, T item) {
+        remove(key);
+        Rumour<K, T> rumour = new Rumour<>(key, item, urgent.test(item), begun++);
+        byKey.put(key, rumour);
+        leastTold.add(rumour);
+    }
+
+    public void remove(K key) {
+        Rumour<K, T> before = byKey.remove(key);
+        if (before != null) {
+            leastTold.remove(before);
+        }
+    }
+
+    public boolean isEmpty() {
+        return byKey.isEmpty();
+    }
+
+    /** What goes into so many bytes; it counts as told. {@code members}: to whom it may have to go. */
+    public List<T> tell(int roomBytes, int members) {
+        List<Rumour<K, T>> told = new ArrayList<>();
+        int room = roomBytes;
+        while (!leastTold.isEmpty() && bytes.applyAsInt(leastTold.first().item) <= room) {
+            Rumour<K, T> rumour = leastTold.pollFirst();
+            told.add(rumour);
+            room -= bytes.applyAsInt(rumour.item);
+        }
+        int most = TELLINGS * (Integer.SIZE - Integer.numberOfLeadingZeros(members + 1));
+        List<T> items = new ArrayList<>(told.size());
+        for (Rumour<K, T> rumour : told) {
+            items.add(rumour.item);
+            if (++rumour.told < most) {
+                leastTold.add(rumour);
+            } else {
+                byKey.remove(rumour.key);
+            }
+        }
+        return items;
+    }
+
+    /** Each with how often it was told, the next to be told first. */
+    public void forEach(ObjIntConsumer<T> each) {
+        leastTold.forEach(rumour -> each.accept(rumour.item, rumour.told));
+    }
+}
--- a/src/main/java/dappleseam/fleet/peers/LeaseDesk.java
+++ b/src/main/java/dappleseam/fleet/peers/LeaseDesk.java
@@ -171,13 +171,7 @@
 
     private void look() {
         lookAt = now + LOOK_MS;
-        List<MemberName> names = new ArrayList<>();
-        for (Notice notice : membership.view()) {
-            if (notice.state().isPresent()) {
-                names.add(notice.name());
-            }
-        }
-        present = names;
+        present = membership.present().stream().map(Notice::name).toList();
         if (voter != null) {
             if (membership.twin() != null) {
                 voter.twinSeen(now);
--- a/src/main/java/dappleseam/fleet/peers/SignalDesk.java
+++ b/src/main/java/dappleseam/fleet/peers/SignalDesk.java
@@ -1,7 +1,6 @@
 package dappleseam.fleet.peers;
 
 import dappleseam.fleet.lease.Ranking;
-import dappleseam.fleet.membership.MemberName;
 import dappleseam.fleet.membership.Membership;
 import dappleseam.fleet.membership.Notice;
 import dappleseam.fleet.membership.Standing;
@@ -72,13 +71,7 @@
 
     /** Of those that are present, by rendezvous: views that agree give one order. */
     private int turn(String what) {
-        List<MemberName> present = new ArrayList<>();
-        for (Notice notice : membership.view()) {
-            if (notice.state().isPresent()) {
-                present.add(notice.name());
-            }
-        }
-        return Ranking.rank(what, membership.self().name(), present);
+        return Ranking.rank(what, membership.self().name(), membership.present().stream().map(Notice::name).toList());
     }
 
     /** Whoever is thought to run, and by that process of its own. */
@@ -88,12 +81,8 @@
     }
 
     private void tell(double nowMs) {
-        List<Notice> others = new ArrayList<>();
-        for (Notice notice : membership.view()) {
-            if (notice.state().isPresent() && !notice.name().equals(membership.self().name())) {
-                others.add(notice);
-            }
-        }
+        List<Notice> others = new ArrayList<>(membership.present());
+        others.remove(membership.self());
         for (int i = 0; i < TOLD_AT_ONCE && !others.isEmpty(); i++) {
             Notice to = others.remove(random.nextInt(others.size()));
             List<Bulletin> news = board.toTell(nowMs, others.size() + 1);
--- a/src/main/java/dappleseam/fleet/share/Board.java
+++ b/src/main/java/dappleseam/fleet/share/Board.java
@@ -2,17 +2,16 @@
 
 import dappleseam.fleet.membership.Life;
 import dappleseam.fleet.membership.MemberName;
+import dappleseam.fleet.membership.Rumours;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeSet;
 
 /**
- * The bulletins of all members as this one has them, and which of them it still has to pass on: rumour spreading (Demers and others 1987), each told a number of times
- * that grows with the logarithm of the fleet. Free of I/O; times are ms of one process's clock. Not for several threads.
+ * The bulletins of all members as this one has them, and which of them it still has to pass on, as {@link Rumours}. Free of I/O; times are ms of one process's clock. Not for several threads.
  */
 public final class Board {
     /** Age in ms from which a bulletin says nothing; own ones are told anew well before. */
@@ -24,41 +23,19 @@
     private static final double ANEW_MS = 3000;
     /** Share by which the rate has to be another before that is told. */
     private static final double RATE_SHARE = 1.0 / 6;
-    /** Tellings for each doubling of the fleet. */
-    private static final int TELLINGS = 3;
     /** Bytes of bulletins in one datagram: 1,400 less the frame and a notice. */
     public static final int NEWS_BYTES = 1100;
 
     private final MemberName self;
     private final int most;
     private final Map<MemberName, Entry> entries = new LinkedHashMap<>();
-    private final TreeSet<Entry> leastTold = new TreeSet<>();
-    private long count;
+    /** Those that say something of a cache first: else a start of many proxies, who all tell their rates, would hold up the word on a dead cache. */
+    private final Rumours<MemberName, Entry> rumours = new Rumours<>(entry -> entry.bulletin.bytes(), entry -> !entry.bulletin.sights().isEmpty());
     private long number;
     private double saidAt = Double.NEGATIVE_INFINITY;
     private Bulletin own;
 
-    private static final class Entry implements Comparable<Entry> {
-        final Bulletin bulletin;
-        final double heardAt;
-        final long order;
-        int told;
-
-        Entry(Bulletin bulletin, double heardAt, long order) {
-            this.bulletin = bulletin;
-            this.heardAt = heardAt;
-            this.order = order;
-        }
-
-        /** Those that say something of a cache first: else a start of many proxies, who all tell their rates, would hold up the word on a dead cache. */
-        @Override
-        public int compareTo(Entry other) {
-            if (bulletin.sights().isEmpty() != other.bulletin.sights().isEmpty()) {
-                return bulletin.sights().isEmpty() ? 1 : -1;
-            }
-            return told != other.told ? Integer.compare(told, other.told) : Long.compare(other.order, order);
-        }
-    }
+    private record Entry(Bulletin bulletin, double heardAt) {}
 
     /** {@code most}: bulletins kept. */
     public Board(MemberName self, int most) {
@@ -85,13 +62,9 @@
     }
 
     private void put(double nowMs, Bulletin bulletin) {
-        Entry before = entries.get(bulletin.who());
-        if (before != null) {
-            leastTold.remove(before);
-        }
-        Entry entry = new Entry(bulletin, nowMs, count++);
+        Entry entry = new Entry(bulletin, nowMs);
         entries.put(bulletin.who(), entry);
-        leastTold.add(entry);
+        rumours.put(bulletin.who(), entry);
     }
 
     /** What came from another member, its own and others'. */
@@ -107,22 +80,7 @@
 
     /** One datagram's worth of what has been told least, with its age; empty where there is nothing to tell. */
     public List<Bulletin> toTell(double nowMs, int members) {
-        List<Bulletin> news = new ArrayList<>();
-        List<Entry> told = new ArrayList<>();
-        int room = NEWS_BYTES;
-        while (!leastTold.isEmpty() && leastTold.first().bulletin.bytes() <= room) {
-            Entry entry = leastTold.pollFirst();
-            told.add(entry);
-            news.add(entry.bulletin.olderBy(nowMs - entry.heardAt));
-            room -= entry.bulletin.bytes();
-        }
-        int tellings = TELLINGS * (Integer.SIZE - Integer.numberOfLeadingZeros(members + 1));
-        for (Entry entry : told) {
-            if (++entry.told < tellings) {
-                leastTold.add(entry);
-            }
-        }
-        return news;
+        return rumours.tell(NEWS_BYTES, members).stream().map(entry -> entry.bulletin.olderBy(nowMs - entry.heardAt)).toList();
     }
 
     /** All that says anything yet, with its age, this member's own among them; what is too old is forgotten. */
@@ -132,7 +90,7 @@
             Entry entry = all.next();
             if (nowMs - entry.heardAt > OLDEST_MS) {
                 all.remove();
-                leastTold.remove(entry);
+                rumours.remove(entry.bulletin.who());
             } else {
                 now.add(entry.bulletin.olderBy(nowMs - entry.heardAt));
             }
--- a/src/main/java/dappleseam/lab/FleetRun.java
+++ b/src/main/java/dappleseam/lab/FleetRun.java
@@ -246,7 +246,7 @@
         List<ViewChecker.Counted> counts = new ArrayList<>();
         List<LeaseChecker.Line> leases = new ArrayList<>();
         for (Instance instance : instances) {
-            read(instance, sights, counts, leases, true);
+            read(instance, sights, counts, leases);
         }
         double period = scenario.periodMs();
         List<ViewChecker.Breach> broken = ViewChecker.check(truth, sights, counts, new ViewChecker.Bounds(LATE_PERIODS * period, GRACE_PERIODS * period,
@@ -330,22 +330,18 @@
                 holder.process.end();
                 holder.down(); // until then it answers, and holds what it held
                 links.isUp(seat.reachedAt, false);
-                after(takeover.forS(), () -> {
-                    start(seat);
-                    awaitReady(seat.now);
-                    ledger.isBack(seat.clients);
-                });
+                startAgain(seat, takeover.forS());
             }
         }
     }
 
     private Instance holder() throws IOException {
         for (Instance instance : instances) {
-            List<LeaseChecker.Line> lines = new ArrayList<>();
-            if (instance.shouldRun && instance == instance.seat.now) {
-                read(instance, new ArrayList<>(), new ArrayList<>(), lines, false);
+            boolean runs = instance.shouldRun && instance == instance.seat.now;
+            LeaseChecker.Line last = null;
+            for (JsonNode one : runs ? lines(instance) : List.<JsonNode>of()) {
+                last = isOfLease(one) ? leaseLine(instance, one) : last;
             }
-            LeaseChecker.Line last = lines.isEmpty() ? null : lines.get(lines.size() - 1);
             if (last != null && last.untilMs() > nowMs()) { // not for one that was lost
                 return instance;
             }
@@ -374,11 +370,7 @@
             }
             case RESTART -> {
                 kill(seat);
-                after(event.forS(), () -> {
-                    start(seat);
-                    awaitReady(seat.now);
-                    ledger.isBack(seat.clients);
-                });
+                startAgain(seat, event.forS());
             }
             case SLOW_START -> {
                 kill(seat);
@@ -423,6 +415,15 @@
         }
     }
 
+    /** From nothing, after that time; clients come to it once it is ready. */
+    private void startAgain(Seat seat, double afterS) {
+        after(afterS, () -> {
+            start(seat);
+            awaitReady(seat.now);
+            ledger.isBack(seat.clients);
+        });
+    }
+
     private void after(double seconds, Work work) {
         clock.schedule(() -> hands.execute(safely(work)), Math.round(seconds * MS_PER_S), TimeUnit.MILLISECONDS);
     }
@@ -447,33 +448,43 @@
         seat.now = seat.spawn(seat.bindPort, seat.reachedAt, seat.config);
     }
 
-    /** A process's own record of its view; what it has no line for, it never came to. */
-    private void read(Instance instance, List<Sight> sights, List<ViewChecker.Counted> counts, List<LeaseChecker.Line> leases, boolean isOver)
-            throws IOException {
-        if (!Files.exists(instance.views)) {
-            return;
-        }
+    /** A process's own record, line by line. */
+    private static List<JsonNode> lines(Instance instance) throws IOException {
+        List<JsonNode> lines = new ArrayList<>();
         ObjectMapper json = new ObjectMapper();
-        long viewer = 0;
-        for (String line : Files.readAllLines(instance.views)) {
-            JsonNode one;
+        for (String line : Files.exists(instance.views) ? Files.readAllLines(instance.views) : List.<String>of()) {
             try {
-                one = json.readTree(line);
+                lines.add(json.readTree(line));
             } catch (IOException e) {
                 continue; // it was killed in the middle of a line
             }
+        }
+        return lines;
+    }
+
+    private static boolean isOfLease(JsonNode line) {
+        return line.has("held") || line.has("lost");
+    }
+
+    private static LeaseChecker.Line leaseLine(Instance instance, JsonNode line) {
+        boolean held = line.has("held");
+        return new LeaseChecker.Line(instance.title(), line.path(held ? "held" : "lost").asText(), line.path("round").asLong(), line.path("ms").asDouble(),
+                held ? line.path("until").asDouble() : Double.NaN, instance.endedMs);
+    }
+
+    /** A process's own record of its view; what it has no line for, it never came to. */
+    private void read(Instance instance, List<Sight> sights, List<ViewChecker.Counted> counts, List<LeaseChecker.Line> leases) throws IOException {
+        long viewer = 0;
+        for (JsonNode one : lines(instance)) {
             double ms = one.path("ms").asDouble();
             if (one.has("began")) {
                 viewer = one.path("nonce").asLong();
-                if (isOver) {
-                    truth.began(one.path("began").asText(), viewer, ms, instance.endedMs);
-                }
+                truth.began(one.path("began").asText(), viewer, ms, instance.endedMs);
             } else if (one.has("saw")) {
                 sights.add(new Sight(ms, viewer, one.path("saw").asText(), one.path("nonce").asLong(), one.path("incarnation").asInt(),
                         State.valueOf(one.path("state").asText())));
-            } else if (one.has("held") || one.has("lost")) {
-                leases.add(new LeaseChecker.Line(instance.title(), one.path(one.has("held") ? "held" : "lost").asText(),
-                        one.path("round").asLong(), ms, one.has("held") ? one.path("until").asDouble() : Double.NaN, instance.endedMs));
+            } else if (isOfLease(one)) {
+                leases.add(leaseLine(instance, one));
             } else if (one.has("counted")) {
                 counts.add(new ViewChecker.Counted(ms, viewer, one.path("counted").asInt()));
             }
--- a/src/main/java/dappleseam/lab/Lab.java
+++ b/src/main/java/dappleseam/lab/Lab.java
@@ -11,6 +11,7 @@
 import dappleseam.lab.proxies.ProxyProcess;
 import dappleseam.lab.report.FleetReport;
 import dappleseam.lab.report.Report;
+import dappleseam.lab.report.Told;
 import dappleseam.lab.scenario.FaultyScenarioException;
 import dappleseam.lab.scenario.FleetScenario;
 import dappleseam.lab.scenario.Scenario;
@@ -39,8 +40,8 @@
         return 2;
     }
 
-    /** What every rehearsal is told. */
-    abstract static class Rehearsal implements Callable<Integer> {
+    /** What every rehearsal is told, and how it ends. */
+    abstract static class Rehearsal<S, R extends Told> implements Callable<Integer> {
         @Parameters(paramLabel = "SCENARIO", description = "The scenario's file.")
         protected Path file;
 
@@ -53,30 +54,28 @@
         @Option(names = "--folder", description = "Where the proxies' files and logs go (default: a new one).")
         protected Path folder;
 
-        protected final Path home() throws IOException {
-            return folder == null ? Files.createTempDirectory("dappleseam-lab") : Files.createDirectories(folder);
-        }
-    }
+        abstract S read() throws IOException;
 
-    /** Plays one scenario, whole. */
-    @Command(name = "run", mixinStandardHelpOptions = true, description = "Play a scenario; status 1 where a rule is broken, 3 where that cannot be told.")
-    static final class Run extends Rehearsal {
-        @Option(names = "--proxies", defaultValue = "1", description = "Proxies beside each other (default: 1).")
-        private int proxies;
+        abstract R play(S scenario, Path home) throws IOException, InterruptedException;
+
+        /** What else is made of its report. */
+        void more(R report) throws IOException {
+            // nothing
+        }
 
         @Override
-        public Integer call() throws Exception {
-            Scenario scenario;
+        public final Integer call() throws Exception {
+            S scenario;
             try {
-                scenario = ScenarioReader.read(file);
+                scenario = read();
             } catch (FaultyScenarioException | IOException e) {
                 System.err.println("dappleseam lab: " + e.getMessage());
                 return 2;
             }
-            Path home = home();
-            Report report;
+            Path home = folder == null ? Files.createTempDirectory("dappleseam-lab") : Files.createDirectories(folder);
+            R report;
             try {
-                report = play(scenario, serve, proxies, home);
+                report = play(scenario, home);
             } catch (IOException e) {
                 System.err.println("dappleseam lab: " + e.getMessage() + "; logs are in " + home);
                 return 2;
@@ -85,13 +84,31 @@
             if (json != null) {
                 Files.writeString(json, report.json());
             }
+            more(report);
             return report.status();
         }
     }
 
+    /** Plays one scenario, whole. */
+    @Command(name = "run", mixinStandardHelpOptions = true, description = "Play a scenario; status 1 where a rule is broken, 3 where that cannot be told.")
+    static final class Run extends Rehearsal<Scenario, Report> {
+        @Option(names = "--proxies", defaultValue = "1", description = "Proxies beside each other (default: 1).")
+        private int proxies;
+
+        @Override
+        Scenario read() throws IOException {
+            return ScenarioReader.read(file);
+        }
+
+        @Override
+        Report play(Scenario scenario, Path home) throws IOException, InterruptedException {
+            return Lab.play(scenario, serve, proxies, home);
+        }
+    }
+
     /** Plays one scenario of many proxies, whole. */
     @Command(name = "fleet", mixinStandardHelpOptions = true, description = "Play a scenario of many proxies; status 1 where a promise is broken, 3 where that cannot be told.")
-    static final class FleetCommand extends Rehearsal {
+    static final class FleetCommand extends Rehearsal<FleetScenario, FleetReport> {
         @Option(names = "--plot", description = "Where a picture of how many views were right goes, as PNG.")
         private Path plot;
 
@@ -99,31 +116,23 @@
         private Planted planted;
 
         @Override
-        public Integer call() throws Exception {
-            FleetScenario scenario;
-            try {
-                scenario = ScenarioReader.readFleet(file);
-            } catch (FaultyScenarioException | IOException e) {
-                System.err.println("dappleseam lab: " + e.getMessage());
-                return 2;
-            }
-            Path home = home();
-            FleetReport report;
+        FleetScenario read() throws IOException {
+            return ScenarioReader.readFleet(file);
+        }
+
+        @Override
+        FleetReport play(FleetScenario scenario, Path home) throws IOException, InterruptedException {
             try (FleetRun run = new FleetRun(scenario, serve, home, planted)) {
                 Runtime.getRuntime().addShutdownHook(new Thread(run::stopAll)); // also after Ctrl-C
-                report = run.play();
-            } catch (IOException e) {
-                System.err.println("dappleseam lab: " + e.getMessage() + "; logs are in " + home);
-                return 2;
-            }
-            System.out.print(report.text());
-            if (json != null) {
-                Files.writeString(json, report.json());
+                return run.play();
             }
+        }
+
+        @Override
+        void more(FleetReport report) throws IOException {
             if (plot != null) {
                 report.plot(plot);
             }
-            return report.status();
         }
     }
 
--- a/src/main/java/dappleseam/lab/emulator/OriginEmulator.java
+++ b/src/main/java/dappleseam/lab/emulator/OriginEmulator.java
@@ -8,9 +8,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -55,13 +53,7 @@
             if (first.length != 3 || !first[1].startsWith("/")) {
                 throw new IOException("garbage: a close is all it gets");
             }
-            Map<String, String> headers = new HashMap<>();
-            for (String line = Blocking.line(in); !line.isEmpty(); line = Blocking.line(in)) {
-                int colon = line.indexOf(':');
-                if (colon > 0) {
-                    headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
-                }
-            }
+            Map<String, String> headers = Blocking.headers(in);
             in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
             String body = answer(first[0].equals("PUT"), first[1].substring(1), headers);
             out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
--- a/src/main/java/dappleseam/lab/emulator/StoreEmulator.java
+++ b/src/main/java/dappleseam/lab/emulator/StoreEmulator.java
@@ -9,9 +9,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
@@ -52,13 +50,7 @@
     void serve(InputStream in, OutputStream out) throws IOException, InterruptedException {
         while (true) {
             String[] first = Blocking.line(in).split(" ");
-            Map<String, String> headers = new HashMap<>();
-            for (String line = Blocking.line(in); !line.isEmpty(); line = Blocking.line(in)) {
-                int colon = line.indexOf(':');
-                if (colon > 0) {
-                    headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
-                }
-            }
+            Map<String, String> headers = Blocking.headers(in);
             byte[] sent = in.readNBytes(Math.min(LONGEST, Integer.parseInt(headers.getOrDefault("content-length", "0"))));
             if (first[0].equals("PUT")) {
                 put(headers, sent, out);
--- a/src/main/java/dappleseam/lab/fleet/LeaseCrowd.java
+++ b/src/main/java/dappleseam/lab/fleet/LeaseCrowd.java
@@ -16,7 +16,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -25,8 +24,10 @@
  * Many members that would all take some leases, in simulated time: what they send, how leases spread, and how long nobody holds one when holders die. The modules
  * are the shipped ones; views are right but for the dead, who are held for present a while. Times in ms.
  */
-public final class LeaseCrowd {
+public final class LeaseCrowd extends SimulatedTime {
     private static final double SECOND = 1000;
+    /** Clocks have run for a while. */
+    private static final double BEGIN_MS = 1_000_000;
     private static final double DELAY_MS = 2;
     /** Time for which the dead are held for present: what the membership takes at a period of 1 s. */
     private static final double UNKNOWN_MS = 8000;
@@ -37,7 +38,6 @@
     private final SplittableRandom random;
     private final LeaseTerms terms;
     private final List<LeaseName> leases = new ArrayList<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final Map<MemberName, Node> nodes = new HashMap<>();
     private final List<Node> order = new ArrayList<>();
     private final Map<LeaseName, Node> holders = new HashMap<>();
@@ -45,19 +45,9 @@
     private List<MemberName> view = new ArrayList<>();
     private final Map<LeaseName, Map<MemberName, Integer>> ranks = new HashMap<>();
     private final List<Double> gaps = new ArrayList<>();
-    private double now = 1_000_000;
-    private long count;
     private long sent;
     private long breaches;
 
-    private record Event(double at, long order, Runnable run) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            int byTime = Double.compare(at, other.at);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
-    }
-
     private final class Node implements LeaseHost, Answers {
         final MemberName name;
         Candidate candidate;
@@ -187,6 +177,7 @@
 
     /** {@code members}: all want each of so many leases; the first three vote. {@code loss}: share of messages that do not arrive. */
     public LeaseCrowd(int members, int leaseCount, double loss, long seed) {
+        super(BEGIN_MS);
         this.members = members;
         this.loss = loss;
         random = new SplittableRandom(seed);
@@ -208,20 +199,6 @@
         order.forEach(node -> leases.forEach(lease -> node.candidate.want(now, lease)));
     }
 
-    private void after(double ms, Runnable run) {
-        events.add(new Event(now + ms, count++, run));
-    }
-
-    private void runFor(double ms) {
-        double until = now + ms;
-        while (!events.isEmpty() && events.peek().at <= until) {
-            Event event = events.poll();
-            now = event.at;
-            event.run.run();
-        }
-        now = until;
-    }
-
     private void sees(MemberName name, boolean present) {
         view = new ArrayList<>(view);
         view.remove(name);
@@ -242,11 +219,6 @@
         after(UNKNOWN_MS, () -> sees(node.name, false));
     }
 
-    private static double at(List<Double> values, double share) {
-        double[] sorted = values.stream().mapToDouble(v -> v).sorted().toArray();
-        return sorted.length == 0 ? Double.NaN : sorted[(int) Math.max(0, Math.ceil(share * sorted.length) - 1)];
-    }
-
     /** Holders die one after the other, so many times, and come back from nothing: what is sent for a lease while it is held and while it is not; one line. */
     public String storm(int deaths) {
         runFor(6 * terms.leaseMs());
@@ -276,7 +248,7 @@
         }
         return String.format(Locale.ROOT, "%4d candidates, %d leases of %.0f s, loss %.0f%%: %.2f datagrams a lease and second while held, %.2f in the worst second after a death; "
                 + "without a holder %.1f s median, %.1f s 99 of 100 (%d deaths); %d times two at once", members, leases.size(), terms.leaseMs() / SECOND, 100 * loss, quiet, most,
-                at(gaps, 0.5) / SECOND, at(gaps, 0.99) / SECOND, gaps.size(), breaches);
+                Ranked.at(gaps, 0.5) / SECOND, Ranked.at(gaps, 0.99) / SECOND, gaps.size(), breaches);
     }
 
     /** How leases lie over members, and how many change hands as one that holds some dies, and comes back; one line. */
--- a/src/main/java/dappleseam/lab/fleet/SimulatedFleet.java
+++ b/src/main/java/dappleseam/lab/fleet/SimulatedFleet.java
@@ -16,7 +16,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -24,7 +23,7 @@
  * Many members in simulated time, one seed, one verdict: every datagram and wake-up is an event, and faults are set while it runs. The module
  * is the one that {@code serve} loads. Times in ms.
  */
-public final class SimulatedFleet {
+public final class SimulatedFleet extends SimulatedTime {
     /** Which module the members run. */
     public enum Module {
         SHIPPED,
@@ -47,11 +46,8 @@
     private final Module kind;
     private final Terms terms;
     private final SplittableRandom random;
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final List<Node> nodes = new ArrayList<>();
     private final Map<InetSocketAddress, Node> at = new HashMap<>();
-    private long count;
-    private double now;
     private Planted planted = Planted.NONE;
     private Watcher watcher = (nowMs, viewer, before, after) -> { };
     /** Share of datagrams lost everywhere, doubled, and the most by which one is delayed. */
@@ -61,14 +57,6 @@
     public long datagrams;
     public long bytes;
 
-    private record Event(double at, long order, Runnable run) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            int byTime = Double.compare(at, other.at);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
-    }
-
     /** One member's place: its process may be killed, stopped and started anew. */
     public final class Node extends LetterHost {
         public final int number;
@@ -246,6 +234,7 @@
     }
 
     public SimulatedFleet(Module kind, Terms terms, int members, long seed) {
+        super(0);
         this.kind = kind;
         this.terms = kind == Module.WITHOUT_LOCAL_HEALTH || kind == Module.PLAIN
                 ? new Terms(terms.periodMs(), terms.counted(), terms.most(), terms.forgetMs(), false, terms.helpers()) : terms;
@@ -304,10 +293,6 @@
         return nodes.get(number);
     }
 
-    public double nowMs() {
-        return now;
-    }
-
     public SplittableRandom random() {
         return random;
     }
@@ -319,23 +304,6 @@
         nodes.forEach(node -> after(random.nextDouble() * terms.periodMs(), () -> node.start(known)));
     }
 
-    public void after(double ms, Runnable run) {
-        events.add(new Event(now + ms, count++, run));
-    }
-
-    public void runUntil(double ms) {
-        while (!events.isEmpty() && events.peek().at <= ms) {
-            Event event = events.poll();
-            now = event.at;
-            event.run.run();
-        }
-        now = ms;
-    }
-
-    public void runFor(double ms) {
-        runUntil(now + ms);
-    }
-
     /** Whether each process that is up holds each other one for alive in its present life, and each that is down for not present. */
     public boolean agree() {
         return nodes.stream().filter(n -> n.up).allMatch(this::isRight);
--- a/src/main/java/dappleseam/lab/fleet/Sizes.java
+++ b/src/main/java/dappleseam/lab/fleet/Sizes.java
@@ -32,11 +32,6 @@
         return String.format(Locale.ROOT, "%-20s N %5d  ", module, members) + String.format(Locale.ROOT, what, of);
     }
 
-    private static double at(List<Double> values, double share) {
-        double[] sorted = values.stream().mapToDouble(d -> d).sorted().toArray();
-        return sorted.length == 0 ? Double.NaN : sorted[(int) Math.max(0, Math.ceil(share * sorted.length) - 1)];
-    }
-
     /** One dies, so many times: who knows when; and what a quiet member sends. */
     public String deaths(int times) {
         List<Double> first = new ArrayList<>();
@@ -70,7 +65,7 @@
             }
         });
         return line("quiet %.1f datagrams and %.0f bytes a second; one dies (%d times): first knows after %.1f s median, %.1f s 99 of 100; last %.1f and %.1f s later; log2 N %.1f",
-                wire[0], wire[1], first.size(), at(first, 0.5), at(first, 0.99), at(spread, 0.5), at(spread, 0.99), Math.log(members) / Math.log(2));
+                wire[0], wire[1], first.size(), Ranked.at(first, 0.5), Ranked.at(first, 0.99), Ranked.at(spread, 0.5), Ranked.at(spread, 0.99), Math.log(members) / Math.log(2));
     }
 
     /** Cut in two for two minutes: time until all views are right again. */
@@ -86,7 +81,7 @@
                 healed.add(ms / SECOND);
             }
         });
-        return line("a split in two heals in %.1f s median, %.1f s at most of %d", at(healed, 0.5), at(healed, 1), runs);
+        return line("a split in two heals in %.1f s median, %.1f s at most of %d", Ranked.at(healed, 0.5), Ranked.at(healed, 1), runs);
     }
 
     /** Nobody dies: how often a view holds for failed who runs; a share is lost everywhere, or a share of the members stands still by turns. */
--- a/src/main/java/dappleseam/lab/peer/Blocking.java
+++ b/src/main/java/dappleseam/lab/peer/Blocking.java
@@ -2,6 +2,9 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
 
 /** What all of the laboratory that blocks on sockets has in common. */
 public final class Blocking {
@@ -29,6 +32,18 @@
         thread.start();
     }
 
+    /** The headers of one message in HTTP, by their names in lower case. */
+    public static Map<String, String> headers(InputStream in) throws IOException {
+        Map<String, String> headers = new HashMap<>();
+        for (String line = line(in); !line.isEmpty(); line = line(in)) {
+            int colon = line.indexOf(':');
+            if (colon > 0) {
+                headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
+            }
+        }
+        return headers;
+    }
+
     /** A line without its end. */
     public static String line(InputStream in) throws IOException {
         StringBuilder line = new StringBuilder();
--- a/src/main/java/dappleseam/lab/report/FleetReport.java
+++ b/src/main/java/dappleseam/lab/report/FleetReport.java
@@ -37,7 +37,7 @@
 import org.jfree.data.xy.XYSeriesCollection;
 
 /** What a rehearsal of many proxies showed: their views against what was done, beside what one of any size shows. */
-public final class FleetReport {
+public final class FleetReport implements Told {
     private static final double MS_PER_S = 1000;
     private static final double SAMPLE_MS = 500;
     private static final int WIDTH = 1100;
@@ -184,6 +184,7 @@
         return Math.round(value * 100) / 100.0;
     }
 
+    @Override
     public String json() throws IOException {
         ObjectNode all = tree.deepCopy();
         ArrayNode samples = all.putArray("right_views_percent");
@@ -191,7 +192,7 @@
         return new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(all) + "\n";
     }
 
-    /** One line a thing. */
+    @Override
     public String text() {
         return Report.text(tree);
     }
@@ -227,6 +228,7 @@
     }
 
     /** As the command ends: 0 where all is kept, 1 where a rule or a promise is broken, 3 where that cannot be told. */
+    @Override
     public int status() {
         return broken > 0 ? 1 : complete ? played.status() : 3;
     }
--- a/src/main/java/dappleseam/lab/report/Report.java
+++ b/src/main/java/dappleseam/lab/report/Report.java
@@ -19,7 +19,7 @@
 import org.HdrHistogram.Histogram;
 
 /** What one run showed, as JSON and as text made of the same tree. */
-public final class Report {
+public final class Report implements Told {
     private static final double[] PERCENTILES = {50, 90, 99, 100};
     private static final int MOST_BREACHES = 20;
     /** Lateness of the tools in ms from which a run tells of the laboratory. */
@@ -77,11 +77,12 @@
         return tree;
     }
 
+    @Override
     public String json() throws IOException {
         return new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(tree) + "\n";
     }
 
-    /** One line a thing. */
+    @Override
     public String text() {
         return text(tree);
     }
@@ -121,6 +122,7 @@
     }
 
     /** As the command ends: 0 where all rules are kept, 1 where one is broken, 3 where that cannot be told. */
+    @Override
     public int status() {
         JsonNode rules = tree.path("rules");
         return rules.path("broken").asInt() > 0 ? 1
--- a/src/main/java/dappleseam/site/FleetFileReader.java
+++ b/src/main/java/dappleseam/site/FleetFileReader.java
@@ -110,10 +110,7 @@
         if (!leases.has("list_store")) {
             return null;
         }
-        if (!leases.get("list_store").isTextual() || leases.get("list_store").asText().isEmpty()) {
-            throw new FaultySettingException("leases.list_store", "is no text");
-        }
-        String store = leases.get("list_store").asText();
+        String store = text(leases, "leases.", "list_store", null);
         if (store.startsWith("http:") || store.startsWith("https:")) {
             try {
                 URI uri = new URI(store);
@@ -139,15 +136,19 @@
     }
 
     private static String text(JsonNode root, String key, String byDefault) {
+        return text(root, "", key, byDefault);
+    }
+
+    private static String text(JsonNode root, String at, String key, String byDefault) {
         JsonNode found = root.path(key);
         if (found.isMissingNode() && byDefault != null) {
             return byDefault;
         }
         if (found.isMissingNode()) {
-            throw new FaultySettingException(key, "is missing");
+            throw new FaultySettingException(at + key, "is missing");
         }
         if (!found.isTextual() || found.asText().isEmpty()) {
-            throw new FaultySettingException(key, "is no text");
+            throw new FaultySettingException(at + key, "is no text");
         }
         return found.asText();
     }
--- a/src/test/java/dappleseam/fleet/lastlist/FolderStoreTest.java
+++ b/src/test/java/dappleseam/fleet/lastlist/FolderStoreTest.java
@@ -5,11 +5,8 @@
 
 import dappleseam.fleet.lease.FleetTask.Permit;
 import dappleseam.fleet.lease.Token;
-import dappleseam.list.ListReader;
 import dappleseam.list.NodeList;
-import dappleseam.wire.Json;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -30,16 +27,10 @@
         store = new FolderStore(folder.resolve("store"));
     }
 
-    private static NodeList list(long version) throws IOException {
-        String json = "{\"rev\":" + version + ",\"all\":true,\"targets\":[{\"uid\":\"u1\",\"endpoint\":\"127.0.0.1:7\",\"az\":\"a\",\"model\":\"m\",\"pod_group\":0,"
-                + "\"state\":\"draining\",\"capacity_hint\":1,\"boot_ms\":0}]}";
-        return new ListReader(List.of("m"), List.of("a")).read(Json.read(json.getBytes(StandardCharsets.UTF_8)));
-    }
-
     @Test
     void whatIsWrittenIsReadDrainsIncluded() throws Exception {
         assertThatThrownBy(store::read).isInstanceOf(NoSuchFileException.class);
-        store.write(new Token(5, 7), 1, 1000, list(3));
+        store.write(new Token(5, 7), 1, 1000, Lists.list(3));
         ListStore.Stored read = store.read();
         assertThat(read.token()).isEqualTo(new Token(5, 7));
         assertThat(read.writtenMs()).isEqualTo(1000);
@@ -49,24 +40,24 @@
 
     @Test
     void anOlderTokenIsRefusedAndToldTheLater() throws Exception {
-        store.write(new Token(5, 7), 1, 1000, list(3));
-        store.write(new Token(5, 7), 2, 2000, list(4));
-        assertThatThrownBy(() -> store.write(new Token(5, 7), 1, 2500, list(8))).as("its own, long on its way").isInstanceOf(ListStore.FencedException.class);
-        store.write(new Token(6, 1), 1, 3000, list(5));
-        assertThatThrownBy(() -> store.write(new Token(5, 7), 3, 4000, list(9))).isInstanceOfSatisfying(ListStore.FencedException.class,
+        store.write(new Token(5, 7), 1, 1000, Lists.list(3));
+        store.write(new Token(5, 7), 2, 2000, Lists.list(4));
+        assertThatThrownBy(() -> store.write(new Token(5, 7), 1, 2500, Lists.list(8))).as("its own, long on its way").isInstanceOf(ListStore.FencedException.class);
+        store.write(new Token(6, 1), 1, 3000, Lists.list(5));
+        assertThatThrownBy(() -> store.write(new Token(5, 7), 3, 4000, Lists.list(9))).isInstanceOfSatisfying(ListStore.FencedException.class,
                 e -> assertThat(e.seen()).isEqualTo(new Token(6, 1)));
         assertThat(store.read().list().path("rev").asLong()).isEqualTo(5);
     }
 
     @Test
     void damageIsSeenAndWrittenOver() throws Exception {
-        store.write(new Token(5, 7), 1, 1000, list(3));
+        store.write(new Token(5, 7), 1, 1000, Lists.list(3));
         Path file = folder.resolve("store").resolve("list");
         byte[] bytes = Files.readAllBytes(file);
         bytes[bytes.length - 3] ^= 1;
         Files.write(file, bytes);
         assertThatThrownBy(store::read).isInstanceOf(IOException.class);
-        store.write(new Token(6, 1), 1, 2000, list(4));
+        store.write(new Token(6, 1), 1, 2000, Lists.list(4));
         assertThat(store.read().list().path("rev").asLong()).isEqualTo(4);
     }
 
@@ -89,16 +80,16 @@
         NodeList[] last = {null};
         KeepList task = new KeepList(() -> last[0], store);
         task.act(permit);
-        last[0] = list(3);
+        last[0] = Lists.list(3);
         task.act(permit);
         assertThatThrownBy(store::read).as("no permit, no write").isInstanceOf(NoSuchFileException.class);
         token[0] = new Token(2, 2);
         task.act(permit);
         assertThat(store.read().token()).isEqualTo(token[0]);
-        store.write(new Token(3, 3), 1, 1, list(4));
+        store.write(new Token(3, 3), 1, 1, Lists.list(4));
         task.act(permit);
         assertThat(fenced).as("it is the same list, and not written again").isEmpty();
-        last[0] = list(5);
+        last[0] = Lists.list(5);
         task.act(permit);
         assertThat(fenced).containsExactly(new Token(3, 3));
         assertThat(store.read().list().path("rev").asLong()).isEqualTo(4);
--- a/src/test/java/dappleseam/fleet/lastlist/HttpStoreTest.java
+++ b/src/test/java/dappleseam/fleet/lastlist/HttpStoreTest.java
@@ -5,28 +5,18 @@
 
 import dappleseam.fleet.lease.Token;
 import dappleseam.lab.emulator.StoreEmulator;
-import dappleseam.list.ListReader;
-import dappleseam.list.NodeList;
-import dappleseam.wire.Json;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** The fleet's last known list behind HTTP. */
 class HttpStoreTest {
-    private static NodeList list(long version) throws IOException {
-        String json = "{\"rev\":" + version + ",\"all\":true,\"targets\":[{\"uid\":\"u1\",\"endpoint\":\"127.0.0.1:7\",\"az\":\"a\",\"model\":\"m\",\"pod_group\":0,"
-                + "\"state\":\"draining\",\"capacity_hint\":1,\"boot_ms\":0}]}";
-        return new ListReader(List.of("m"), List.of("a")).read(Json.read(json.getBytes(StandardCharsets.UTF_8)));
-    }
-
     private static HttpStore at(int port) {
         return new HttpStore(URI.create("http://127.0.0.1:" + port + "/last-list"));
     }
@@ -37,11 +27,11 @@
             emulator.open();
             HttpStore store = at(emulator.port());
             assertThatThrownBy(store::read).isInstanceOf(IOException.class).hasMessageContaining("404");
-            store.write(new Token(5, -7), 1, 1000, list(3));
-            store.write(new Token(5, -7), 2, 2000, list(4));
-            assertThatThrownBy(() -> store.write(new Token(5, -7), 1, 1000, list(3))).isInstanceOf(ListStore.FencedException.class);
-            store.write(new Token(6, 1), 1, 3000, list(5));
-            assertThatThrownBy(() -> store.write(new Token(5, -7), 3, 4000, list(9))).isInstanceOfSatisfying(ListStore.FencedException.class,
+            store.write(new Token(5, -7), 1, 1000, Lists.list(3));
+            store.write(new Token(5, -7), 2, 2000, Lists.list(4));
+            assertThatThrownBy(() -> store.write(new Token(5, -7), 1, 1000, Lists.list(3))).isInstanceOf(ListStore.FencedException.class);
+            store.write(new Token(6, 1), 1, 3000, Lists.list(5));
+            assertThatThrownBy(() -> store.write(new Token(5, -7), 3, 4000, Lists.list(9))).isInstanceOfSatisfying(ListStore.FencedException.class,
                     e -> assertThat(e.seen()).isEqualTo(new Token(6, 1)));
             assertThat(store.read().token()).isEqualTo(new Token(6, 1));
             assertThat(store.read().list().path("rev").asLong()).isEqualTo(5);
@@ -56,7 +46,7 @@
             port = free.getLocalPort();
         }
         assertThatThrownBy(() -> at(port).read()).isInstanceOf(IOException.class);
-        assertThatThrownBy(() -> at(port).write(new Token(1, 1), 1, 0, list(1))).isInstanceOf(IOException.class);
+        assertThatThrownBy(() -> at(port).write(new Token(1, 1), 1, 0, Lists.list(1))).isInstanceOf(IOException.class);
     }
 
     /** A start may wait for it: an answer that never ends, never comes or is nothing ends within a second and a step. */
