A twin's end takes nobody out of the count, and a voter's disk holds up no membership

And a voter forced its file on the fleet's thread: a slow disk held up probes and leases. Change: who hears that a twin has ended or left goes above it at once; the counted fleet falls six periods after an end at the earliest. Ruled out: not counting down at all while a twin is known: nobody but the two knows of it.

--- a/src/main/java/dappleseam/fleet/membership/Membership.java
+++ b/src/main/java/dappleseam/fleet/membership/Membership.java
@@ -61,8 +61,9 @@
     private static final int MOST_LOOKS = 4;
     /** Periods without a word from anybody after which one is alone. */
     private static final double ALONE_PERIODS = 10;
-    /** Share by which the counted fleet falls in a period, one at least. */
+    /** Share by which the counted fleet falls in a period, one at least; periods from an end on in which it does not fall: a living process of that name is heard by then. */
     private static final double FALL_SHARE = 0.02;
+    private static final double FALL_AFTER_PERIODS = 6;
     /** Comparisons after which a process that came has caught up as well as it can. */
     private static final int CAUGHT_UP = 5;
     /** Probes in a row that only others got through. */
@@ -111,6 +112,7 @@
     private double heardAt;
     private boolean heardAny;
     private double counted;
+    private double fallsFrom;
     private Standing standing;
     private final Set<Long> outranked = new HashSet<>();
     private long twinAsked;
@@ -451,7 +453,7 @@
                 peers.remove(peer.notice.name());
             }
         }
-        if (counted > actual()) {
+        if (counted > actual() && now >= fallsFrom) {
             counted = Math.max(actual(), counted - Math.max(1, FALL_SHARE * counted));
         }
         stand();
@@ -709,6 +711,9 @@
         }
         if (!to.state().isCounted()) {
             gone.add(peer);
+            if (counted <= actual() + 1) { // guards the count against the end of a twin, which is not the member's
+                fallsFrom = now + FALL_AFTER_PERIODS * terms.periodMs();
+            }
         }
         counted = Math.max(counted, actual());
         spread(to);
@@ -840,7 +845,7 @@
             if (n.state().isCounted()) {
                 spread(self); // old news of the process before this one
             }
-        } else if (!n.state().isPresent() && twin() == null) {
+        } else if (!n.state().isCounted() || !n.state().isPresent() && twin() == null) {
             begin(n); // whoever that was is over
         } else if (outranked.size() < MOST_LIVES && outranked.add(n.life().nonce())) {
             begin(n); // the process before this one had a clock that was ahead
@@ -971,7 +976,7 @@
     public String state() {
         StringBuilder text = new StringBuilder(256);
         text.append(self).append(health).append(' ').append(caughtUp).append(heardAny).append(' ').append(compareIn).append(' ')
-                .append(periods % (RETRY_PERIODS * SEED_PERIODS)).append(' ').append(nextProbed).append(' ').append(Math.ceil(counted));
+                .append(periods % (RETRY_PERIODS * SEED_PERIODS)).append(' ').append(nextProbed).append(' ').append(Math.ceil(counted)).append(' ').append(Math.round(Math.max(0, fallsFrom - now)));
         for (Peer peer : present) {
             text.append('\n').append(peer.notice).append(peer.viaOthers);
             if (peer.suspicion != null) {
--- a/src/main/java/dappleseam/fleet/peers/Ballot.java
+++ b/src/main/java/dappleseam/fleet/peers/Ballot.java
@@ -29,29 +29,38 @@
         return new Ballot(op, set, NO_LEASE, new Token(0, nonce), Token.NONE, null, 0, start, known, Refusal.LOWER);
     }
 
-    /** Passes it on; {@code voter} is null where this process is none. */
-    void tell(double nowMs, MemberName from, Voter voter, Candidate candidate, Answers back) {
-        if (op.compareTo(Op.RECALL) <= 0 && voter == null) {
-            if (op != Op.RECALL && op != Op.RELEASE) {
-                back.refused(from, lease, ballot, Refusal.NO_VOTER, Token.NONE);
-            }
-            return;
-        }
+    static Ballot refused(LeaseName lease, Token ballot, Refusal why, Token highest) {
+        return new Ballot(Op.REFUSED, 0, lease, ballot, highest, null, 0, 0, 0, why);
+    }
+
+    boolean isForVoter() {
+        return op.compareTo(Op.RECALL) <= 0 || op == Op.RECALLED;
+    }
+
+    /** Whether whoever sent it asks a voter, and goes on sooner if told that there is none. */
+    boolean wantsAnswer() {
+        return op == Op.PREPARE || op == Op.ASK || op == Op.PROPOSE;
+    }
+
+    void tell(double nowMs, MemberName from, Voter voter) {
         switch (op) {
             case PREPARE -> voter.prepare(nowMs, from, set, lease, ballot);
             case ASK -> voter.ask(nowMs, from, set, lease);
             case PROPOSE -> voter.propose(nowMs, from, set, lease, ballot, count);
             case RELEASE -> voter.release(nowMs, from, set, lease, ballot);
             case RECALL -> voter.recall(from, set, count, ballot.nonce());
+            case RECALLED -> voter.recalled(from, count, ballot.nonce(), known);
+            default -> throw new IllegalStateException(op + " is for a candidate");
+        }
+    }
+
+    void tell(double nowMs, MemberName from, Candidate candidate) {
+        switch (op) {
             case PROMISED -> candidate.promised(nowMs, from, lease, ballot, other, leftMs);
             case TOLD -> candidate.told(nowMs, from, lease, ballot, other, leftMs);
             case ACCEPTED -> candidate.accepted(nowMs, from, lease, ballot, count);
             case REFUSED -> candidate.refused(nowMs, from, lease, ballot, why, other);
-            case RECALLED -> {
-                if (voter != null) {
-                    voter.recalled(from, count, ballot.nonce(), known);
-                }
-            }
+            default -> throw new IllegalStateException(op + " is for a voter");
         }
     }
 }
--- a/src/main/java/dappleseam/fleet/peers/LeaseDesk.java
+++ b/src/main/java/dappleseam/fleet/peers/LeaseDesk.java
@@ -8,13 +8,11 @@
 import dappleseam.fleet.lease.LeaseTerms;
 import dappleseam.fleet.lease.Ranking;
 import dappleseam.fleet.lease.Token;
-import dappleseam.fleet.lease.Voter;
 import dappleseam.fleet.lease.VoterDisk;
 import dappleseam.fleet.membership.MemberName;
 import dappleseam.fleet.membership.Membership;
 import dappleseam.fleet.membership.Notice;
 import dappleseam.fleet.peers.Ballot.Op;
-import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
@@ -27,10 +25,10 @@
 import java.util.random.RandomGenerator;
 
 /**
- * This process's leases: its voter where it is one, its candidate, and the threads of the tasks that it holds. All but the tasks runs on the
+ * This process's leases: its voter where it is one, its candidate, and the threads of the tasks that it holds. All but the tasks, and a voter with a disk, runs on the
  * fleet's thread.
  */
-final class LeaseDesk implements LeaseHost, Answers {
+final class LeaseDesk implements LeaseHost {
     private static final Logger LOG = System.getLogger(LeaseDesk.class.getName());
     /** Time in ms between looks at the view, at twins, at tasks that hang, and of a voter's words on its start. */
     private static final double LOOK_MS = 500;
@@ -45,11 +43,13 @@
     private final BiConsumer<MemberName, Ballot> out;
     private final Consumer<Runnable> onThread;
     private final ViewRecord record;
-    private final Voter voter;
+    /** Null where this process is no voter. */
+    private final VoterSeat voter;
     private final Candidate candidate;
     private final Map<LeaseName, Runner> runners = new LinkedHashMap<>();
     /** What this process says to itself, told once what is being told is over. */
     private final ArrayDeque<Ballot> toSelf = new ArrayDeque<>();
+    private boolean telling;
     private List<MemberName> present = List.of();
     private double candidateAt = Double.POSITIVE_INFINITY;
     private double lookAt;
@@ -134,8 +134,8 @@
         now = nowMs;
         long nonce = membership.self().life().nonce();
         MemberName name = membership.self().name();
-        voter = terms.voters().contains(name) ? new Voter(name, nonce, terms, this, disk, nowMs, System.currentTimeMillis()) : null;
         candidate = new Candidate(nonce, terms, this, random);
+        voter = terms.voters().contains(name) ? new VoterSeat(name, nonce, terms, disk, this::answered, onThread) : null;
         tasks.forEach(task -> runners.put(task.lease(), new Runner(task)));
         look();
     }
@@ -159,24 +159,42 @@
 
     void heard(double nowMs, MemberName from, Ballot ballot) {
         now = nowMs;
-        ballot.tell(now, from, voter, candidate, this);
+        tell(from, ballot);
         tellSelf();
     }
 
+    private void tell(MemberName from, Ballot ballot) {
+        if (!ballot.isForVoter()) {
+            ballot.tell(now, from, candidate);
+        } else if (voter != null) {
+            voter.heard(from, ballot);
+        } else if (ballot.wantsAnswer()) {
+            send(from, Ballot.refused(ballot.lease(), ballot.ballot(), Answers.Refusal.NO_VOTER, Token.NONE));
+        }
+    }
+
+    /** By this process's voter, which may have waited for its disk. */
+    private void answered(MemberName to, Ballot ballot) {
+        send(to, ballot);
+        if (!telling) {
+            now = PeerSocket.nowMs();
+            tellSelf();
+        }
+    }
+
     private void tellSelf() {
+        telling = true;
         for (Ballot ballot = toSelf.poll(); ballot != null; ballot = toSelf.poll()) {
-            ballot.tell(now, membership.self().name(), voter, candidate, this);
+            tell(membership.self().name(), ballot);
         }
+        telling = false;
     }
 
     private void look() {
         lookAt = now + LOOK_MS;
         present = membership.present().stream().map(Notice::name).toList();
         if (voter != null) {
-            if (membership.twin() != null) {
-                voter.twinSeen(now);
-            }
-            voter.woken();
+            voter.look(membership.twin() != null);
         }
         for (Runner runner : runners.values()) {
             double acting = runner.actingSince;
@@ -215,11 +233,7 @@
         }
         tellSelf();
         if (voter != null) {
-            try {
-                voter.close(now);
-            } catch (IOException e) {
-                LOG.log(Level.WARNING, "the voter's file is not closed: {0}", e.toString());
-            }
+            voter.close();
         }
     }
 
@@ -237,7 +251,7 @@
 
     /** Null where this process is no voter. */
     Boolean votes() {
-        return voter == null ? null : voter.speaks(now);
+        return voter == null ? null : voter.speaks();
     }
 
     @Override
@@ -308,34 +322,4 @@
     public void release(MemberName peer, int set, LeaseName lease, Token ballot) {
         send(peer, Ballot.to(Op.RELEASE, set, lease, ballot, 0));
     }
-
-    @Override
-    public void promised(MemberName peer, LeaseName lease, Token ballot, Token held, MemberName holder, double leftMs) {
-        send(peer, Ballot.of(Op.PROMISED, lease, ballot, held, holder, leftMs));
-    }
-
-    @Override
-    public void told(MemberName peer, LeaseName lease, Token highest, Token held, MemberName holder, double leftMs) {
-        send(peer, Ballot.of(Op.TOLD, lease, highest, held, holder, leftMs));
-    }
-
-    @Override
-    public void accepted(MemberName peer, LeaseName lease, Token ballot, long turn) {
-        send(peer, Ballot.to(Op.ACCEPTED, 0, lease, ballot, turn));
-    }
-
-    @Override
-    public void refused(MemberName peer, LeaseName lease, Token ballot, Answers.Refusal why, Token highest) {
-        send(peer, new Ballot(Op.REFUSED, 0, lease, ballot, highest, null, 0, 0, 0, why));
-    }
-
-    @Override
-    public void recall(MemberName peer, int set, long start, long nonce) {
-        send(peer, Ballot.recall(Op.RECALL, set, start, nonce, 0));
-    }
-
-    @Override
-    public void recalled(MemberName peer, long start, long nonce, long known) {
-        send(peer, Ballot.recall(Op.RECALLED, 0, start, nonce, known));
-    }
 }
--- a/src/test/java/dappleseam/fleet/membership/MembershipTest.java
+++ b/src/test/java/dappleseam/fleet/membership/MembershipTest.java
@@ -14,6 +14,7 @@
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -316,6 +317,20 @@
         assertThat(fleet.untilAgreed(MINUTE)).isNotNaN();
     }
 
+    /** The twin's end, proved or said by itself, is not the member's: its process that lives is counted throughout. */
+    @ParameterizedTest
+    @CsvSource({"true, 27", "false, 28", "true, 29", "false, 30"})
+    void theEndOfATwinTakesNobodyOutOfTheCount(boolean killed, long seed) {
+        start(5, seed);
+        List<Node> twins = List.of(fleet.twinOf(1), fleet.twinOf(4));
+        twins.forEach(twin -> twin.start(List.of(fleet.node(0).address)));
+        fleet.runFor(MINUTE);
+        twins.forEach(killed ? Node::kill : Node::leaveOrderly);
+        runWithinTheWhole(3 * MINUTE);
+        assertThat(fleet.untilAgreed(MINUTE)).isNotNaN();
+        assertThat(fleet.nodes()).allMatch(n -> n.membership().counted() == 5);
+    }
+
     @Test
     void whoLeavesIsNotMissedAndNotCounted() {
         start(20, 19);
--- a/src/test/java/dappleseam/fleet/peers/LeaseDeskTest.java
+++ b/src/test/java/dappleseam/fleet/peers/LeaseDeskTest.java
@@ -6,6 +6,7 @@
 import dappleseam.fleet.lease.LeaseName;
 import dappleseam.fleet.lease.LeaseTerms;
 import dappleseam.fleet.lease.Token;
+import dappleseam.fleet.lease.VoterDisk;
 import dappleseam.fleet.membership.FleetHost;
 import dappleseam.fleet.membership.Life;
 import dappleseam.fleet.membership.MemberName;
@@ -13,11 +14,14 @@
 import dappleseam.fleet.membership.Notice;
 import dappleseam.fleet.membership.Terms;
 import dappleseam.lab.fleet.SimulatedFleet;
+import java.io.IOException;
+import java.nio.file.NoSuchFileException;
 import java.util.List;
 import java.util.Queue;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
@@ -33,13 +37,17 @@
     private LeaseDesk desk;
 
     private void start(FleetTask task) {
+        start(task, null);
+    }
+
+    private void start(FleetTask task, VoterDisk disk) {
         double now = PeerSocket.nowMs();
         Notice self = new Notice(SELF, SimulatedFleet.address(1), new Life(1, 1), 0, Notice.State.ALIVE, 0);
         FleetHost nobody = (FleetHost) java.lang.reflect.Proxy.newProxyInstance(FleetHost.class.getClassLoader(), new Class<?>[] {FleetHost.class},
                 (proxy, method, args) -> null);
         Membership membership = new Membership(Terms.usual(1), self, nobody, new SplittableRandom(1), now);
         membership.begin(now, List.of());
-        desk = new LeaseDesk(membership, new LeaseTerms(List.of(SELF), 1, LEASE_MS, 0.01), null, List.of(task), (to, ballot) -> { }, posted::add,
+        desk = new LeaseDesk(membership, new LeaseTerms(List.of(SELF), 1, LEASE_MS, 0.01), disk, List.of(task), (to, ballot) -> { }, posted::add,
                 new ViewRecord(null), new SplittableRandom(1), now);
     }
 
@@ -145,4 +153,34 @@
         until(() -> tokens.stream().anyMatch(seen::isBelow));
         desk.end(PeerSocket.nowMs());
     }
+
+    /** A disk that takes long holds up its voter's answers, and nothing else on the fleet's thread. */
+    @Test
+    void aSlowDiskHoldsUpNobodyButItsVoter() throws Exception {
+        CountDownLatch slow = new CountDownLatch(1);
+        AtomicInteger writes = new AtomicInteger();
+        Queue<Token> tokens = new ConcurrentLinkedQueue<>();
+        start(new Task(permit -> tokens.add(permit.token(1))), new VoterDisk() {
+            @Override
+            public Kept read() throws IOException {
+                throw new NoSuchFileException("none");
+            }
+
+            @Override
+            public void write(Kept kept) throws IOException {
+                try {
+                    if (writes.getAndIncrement() > 0 && !slow.await(PATIENCE_MS, TimeUnit.MILLISECONDS)) {
+                        throw new IOException("the fleet's thread never came to say so");
+                    }
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+            }
+        });
+        until(() -> writes.get() > 1); // it waits, and this thread does not
+        assertThat(tokens).isEmpty();
+        slow.countDown();
+        until(() -> !tokens.isEmpty());
+        desk.end(PeerSocket.nowMs());
+    }
 }
