--- a/src/main/java/dappleseam/fleet/peers/FleetText.java
+++ b/src/main/java/dappleseam/fleet/peers/FleetText.java
@@ -35,6 +35,12 @@
                     .append(kind == shot.standing().kind() ? 1 : 0).append('\n');
         }
         line(text, "fleet_counted", "gauge", shot.counted());
+        if (!Double.isNaN(shot.share())) {
+            text.append("# TYPE app_fleet_share gauge\napp_fleet_share ").append(shot.share()).append('\n');
+        }
+        if (!Double.isNaN(shot.place())) {
+            text.append("# TYPE app_fleet_place gauge\napp_fleet_place ").append(shot.place()).append('\n');
+        }
         line(text, "fleet_own_health", "gauge", shot.health());
         line(text, "fleet_twin", "gauge", shot.twin() == null ? 0 : 1);
         line(text, "fleet_datagrams_sent_total", "counter", shot.sent());
@@ -88,6 +94,9 @@
                 }
                 json.writeEndArray();
                 json.writeNumberField("counted", shot.counted());
+                if (!Double.isNaN(shot.share())) {
+                    json.writeNumberField("share_percent", Math.round(1e4 * shot.share()) / 1e2);
+                }
                 json.writeNumberField("own_health", shot.health());
                 if (shot.twin() != null) {
                     json.writeStringField("twin_at", text(shot.twin().address()));
--- a/src/main/java/dappleseam/fleet/peers/Identity.java
+++ b/src/main/java/dappleseam/fleet/peers/Identity.java
@@ -3,6 +3,7 @@
 import dappleseam.fleet.lease.LeaseTerms;
 import dappleseam.fleet.membership.MemberName;
 import dappleseam.fleet.membership.Terms;
+import dappleseam.fleet.share.Choices;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
@@ -11,8 +12,8 @@
  * What the operator's fleet file says. {@code fleet}: whose datagrams are read. {@code bind}: where they are received; {@code advertise}: where
  * others send them. {@code seeds}: whom a start asks. {@code record}: where changes of the view are written down, a line each; null for nowhere.
  * {@code leases}: null where there are none; {@code voterFile}: where a voter keeps its promises, null where no disk lasts; {@code listStore}: where the
- * fleet's last known list is kept, a folder or an address that begins with {@code http:}, null for nowhere. {@code signals}: whether
- * members tell each other of caches.
+ * fleet's last known list is kept, a folder or an address that begins with {@code http:}, null for nowhere. {@code choices}: what
+ * members tell each other, and decide by it.
  */
 public record Identity(String fleet, MemberName name, InetSocketAddress bind, InetSocketAddress advertise, List<InetSocketAddress> seeds,
-                       Terms terms, Path record, LeaseTerms leases, Path voterFile, String listStore, boolean signals) {}
+                       Terms terms, Path record, LeaseTerms leases, Path voterFile, String listStore, Choices choices) {}
--- a/src/main/java/dappleseam/fleet/peers/PeerSocket.java
+++ b/src/main/java/dappleseam/fleet/peers/PeerSocket.java
@@ -35,6 +35,8 @@
  * Of two processes of one proxy the second waits until the address is free.
  */
 public final class PeerSocket extends LetterHost {
+    /** Share by which what it may take has to be another to be recorded. */
+    private static final double SHARE_NEWS = 0.01;
     /** Descriptors: two sockets, a selector with two, a record. */
     public static final int DESCRIPTORS = 6;
     private static final Logger LOG = System.getLogger(PeerSocket.class.getName());
@@ -85,6 +87,7 @@
     private double keepAt;
     private double busyMs;
     private int countedBefore;
+    private double shareBefore;
     private Notice twinBefore;
     private Thread thread;
 
@@ -117,13 +120,16 @@
         return snapshot;
     }
 
-    /** New terms and seeds; all else needs a new start. */
+    /** New terms, seeds and choices, these where one was on at the start; all else needs a new start. */
     public void change(Identity now) {
         identity = now;
         post(() -> {
             if (membership != null) {
                 membership.termsChanged(nowMs(), now.terms(), now.seeds());
             }
+            if (signals != null) {
+                signals.choose(now.choices());
+            }
         });
     }
 
@@ -230,8 +236,8 @@
             leases = new LeaseDesk(membership, identity.leases(), identity.voterFile() == null ? null : new VoterFile(identity.voterFile()), tasks,
                     this::sendBallot, this::post, views, random.split(), now);
         }
-        if (identity.signals()) {
-            signals = new SignalDesk(membership, identity.terms().periodMs(), identity.terms().most(), sightings,
+        if (identity.choices().any()) {
+            signals = new SignalDesk(membership, identity.terms().periodMs(), identity.terms().most(), identity.choices(), sightings,
                     (to, bulletins) -> send(to, Letter.of(membership.self(), bulletins)), random.split(), now);
         }
         publish(now);
@@ -369,11 +375,15 @@
         publishAt = now + PUBLISH_MS;
         snapshot = new Snapshot(now, membership.view(), membership.standing(), membership.counted(), membership.health(), membership.twin(),
                 sent, received, Map.copyOf(dropped), flooded, membership.turnedAway(), busyMs,
-                leases == null ? List.of() : leases.held(), leases == null ? null : leases.votes(), signals == null ? null : signals.said());
+                leases == null ? List.of() : leases.held(), leases == null ? null : leases.votes(), signals == null ? null : signals.said(), signals == null ? Double.NaN : signals.share(), signals == null ? Double.NaN : signals.place());
         if (membership.counted() != countedBefore) {
             countedBefore = membership.counted();
             views.counts(now, countedBefore);
         }
+        if (Math.abs(snapshot.share() - shareBefore) > SHARE_NEWS * shareBefore) {
+            shareBefore = snapshot.share();
+            views.takes(now, shareBefore);
+        }
         if (membership.twin() != null && membership.twin() != twinBefore) {
             twinBefore = membership.twin();
             views.twin(now, twinBefore);
--- a/src/main/java/dappleseam/fleet/peers/Sightings.java
+++ b/src/main/java/dappleseam/fleet/peers/Sightings.java
@@ -10,9 +10,12 @@
     /** What its own executions show of all caches, as it was a moment ago; times of {@link PeerSocket}'s clock. */
     Collection<Seen> seen();
 
-    /** Queries it takes a second. */
+    /** Queries it takes a second; NaN before that can be told. */
     double ratePerS();
 
     /** What others say, where it has changed or from time to time. */
     void say(List<Said> words);
+
+    /** What this proxy may take of the whole, over 0 to 1, and where it stands among all, 0 to 1; NaN for what is not told. Again and again. */
+    void stands(double share, double place);
 }
--- a/src/main/java/dappleseam/fleet/peers/SignalDesk.java
+++ b/src/main/java/dappleseam/fleet/peers/SignalDesk.java
@@ -1,21 +1,33 @@
 package dappleseam.fleet.peers;
 
 import dappleseam.fleet.lease.Ranking;
+import dappleseam.fleet.membership.MemberName;
 import dappleseam.fleet.membership.Membership;
 import dappleseam.fleet.membership.Notice;
+import dappleseam.fleet.membership.Notice.State;
 import dappleseam.fleet.membership.Standing;
 import dappleseam.fleet.share.Board;
 import dappleseam.fleet.share.Bulletin;
+import dappleseam.fleet.share.Choices;
+import dappleseam.fleet.share.ListTurns;
+import dappleseam.fleet.share.Places;
 import dappleseam.fleet.share.Said;
+import dappleseam.fleet.share.Shares;
+import dappleseam.fleet.share.Sight;
 import dappleseam.fleet.share.Signals;
+import dappleseam.router.NodeId;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 
-/** This process's bulletin, all others', and what they say of caches. On the fleet's thread. */
-final class SignalDesk {
+/** This process's bulletin, all others', and what comes of them: words on caches, and its share. On the fleet's thread, or in simulated time. */
+public final class SignalDesk {
     /** Share of a period between looks, each of which tells so many members. */
     private static final double LOOK_SHARE = 0.25;
     private static final double LOOK_LEAST_MS = 100;
@@ -30,54 +42,113 @@
     private final double lookMs;
     private final Board board;
     private final Signals signals;
+    private final Shares shares;
+    private Choices choices;
     private double lookAt;
     private int looks;
     private List<Said> said = List.of();
+    private double share = Double.NaN;
+    private double place = Double.NaN;
+    private boolean toldAnew;
 
-    SignalDesk(Membership membership, double periodMs, int most, Sightings sightings, BiConsumer<InetSocketAddress, List<Bulletin>> out, RandomGenerator random,
-               double nowMs) {
+    public SignalDesk(Membership membership, double periodMs, int most, Choices choices, Sightings sightings, BiConsumer<InetSocketAddress, List<Bulletin>> out,
+               RandomGenerator random, double nowMs) {
         this.membership = membership;
+        this.choices = choices;
         this.sightings = sightings;
         this.out = out;
         this.random = random;
         lookMs = Math.max(LOOK_LEAST_MS, LOOK_SHARE * periodMs);
         board = new Board(membership.self().name(), most);
         signals = new Signals(membership.self().name());
+        shares = new Shares(membership.self().name(), Math.max(periodMs, LOOK_LEAST_MS / LOOK_SHARE));
         lookAt = nowMs + random.nextDouble() * lookMs;
     }
 
+    /** From now on; what is off is let go by steps. */
+    void choose(Choices other) {
+        choices = other;
+        share = Double.NaN;
+        place = Double.NaN;
+    }
+
     /** When something is due. */
-    double wakeAt() {
-        return lookAt;
+    public double wakeAt() {
+        return choices.any() ? lookAt : Double.POSITIVE_INFINITY;
     }
 
-    void heard(double nowMs, List<Bulletin> bulletins) {
+    public void heard(double nowMs, List<Bulletin> bulletins) {
         board.heard(nowMs, bulletins);
     }
 
-    void woken(double nowMs) {
+    public void woken(double nowMs) {
         lookAt = nowMs + lookMs;
-        signals.hear(board.now(nowMs), this::counts);
+        Collection<Bulletin> now = board.now(nowMs);
+        signals.hear(now, this::runs);
+        double rate = sightings.ratePerS();
+        if (!Double.isNaN(rate)) {
+            board.say(nowMs, membership.self().life(), rate, choices.signals() || choices.turns() ? sights(nowMs) : List.of(), shares.tellsAnew(nowMs) && !toldAnew);
+            toldAnew = shares.tellsAnew(nowMs);
+        }
+        tell(nowMs);
+        if (choices.signals() || choices.turns()) {
+            sayWords();
+        }
+        if (choices.shares() || choices.subsets()) {
+            stand(nowMs, now);
+            sightings.stands(share, place);
+        }
+    }
+
+    private List<Sight> sights(double nowMs) {
         Standing.Kind kind = membership.standing().kind();
         boolean isWell = kind == Standing.Kind.WITH_ALL || kind == Standing.Kind.CUT_OFF;
-        board.say(nowMs, membership.self().life(), sightings.ratePerS(), signals.own(nowMs, sightings.seen(), isWell));
-        tell(nowMs);
-        List<Said> now = signals.words(this::turn);
+        return signals.own(nowMs, sightings.seen().stream().filter(one -> isChosen(one.node())).toList(), isWell);
+    }
+
+    private boolean isChosen(NodeId node) {
+        return node.equals(ListTurns.SERVICE) ? choices.turns() : choices.signals();
+    }
+
+    private void sayWords() {
+        List<Said> now = signals.words(this::turn).stream().filter(word -> isChosen(word.node())).toList();
         if (!now.equals(said) || ++looks % AGAIN == 0 && !now.isEmpty()) {
             sightings.say(now);
         }
         said = now;
     }
 
+    private void stand(double nowMs, Collection<Bulletin> bulletins) {
+        shares.hear(nowMs, bulletins.stream().filter(this::counts).toList());
+        Set<MemberName> names = new HashSet<>();
+        Set<MemberName> missing = new HashSet<>();
+        for (Notice notice : membership.view()) {
+            if (notice.state().isCounted()) {
+                names.add(notice.name());
+                if (notice.state() != State.ALIVE) {
+                    missing.add(notice.name());
+                }
+            }
+        }
+        share = choices.shares() ? shares.share(nowMs, names, missing, membership.counted(), membership.twin() != null) : Double.NaN;
+        Map<MemberName, Double> traffic = choices.subsets() ? shares.traffic(names) : null;
+        place = traffic == null ? Double.NaN : Places.of(membership.self().name(), traffic);
+    }
+
     /** Of those that are present, by rendezvous: views that agree give one order. */
     private int turn(String what) {
         return Ranking.rank(what, membership.self().name(), membership.present().stream().map(Notice::name).toList());
     }
 
     /** Whoever is thought to run, and by that process of its own. */
+    private boolean runs(Bulletin bulletin) {
+        return counts(bulletin) && membership.of(bulletin.who()).state().isPresent();
+    }
+
+    /** Whoever takes of the whole as far as anybody could prove, by its last process. */
     private boolean counts(Bulletin bulletin) {
         Notice known = membership.of(bulletin.who());
-        return known != null && known.state().isPresent() && known.life().equals(bulletin.life());
+        return known != null && known.state().isCounted() && known.life().equals(bulletin.life());
     }
 
     private void tell(double nowMs) {
@@ -93,8 +164,18 @@
         }
     }
 
-    /** What others' words come to now. */
+    /** What others' words came to at the last look; null where they are not heard. */
     List<Said> said() {
-        return said;
+        return choices.signals() || choices.turns() ? said : null;
+    }
+
+    /** Where it stands among all by the last look; NaN where that is by chance. */
+    double place() {
+        return place;
+    }
+
+    /** Of the whole, this process's by the last look; NaN where it goes by its settings. */
+    public double share() {
+        return share;
     }
 }
--- a/src/main/java/dappleseam/fleet/peers/Snapshot.java
+++ b/src/main/java/dappleseam/fleet/peers/Snapshot.java
@@ -11,10 +11,11 @@
 /**
  * What a proxy knew of its fleet a moment ago; for any thread. {@code view}: itself first. {@code takenAtMs}: of the monotonic clock that
  * {@code standing} goes by. {@code twin}: another process by its name, or null. {@code said}: others' words on caches, null where they are not heard.
+ * {@code share}: of the whole, what this proxy may take; {@code place}: where it stands among all; each NaN where it is not told.
  */
 public record Snapshot(double takenAtMs, List<Notice> view, Standing standing, int counted, int health, Notice twin, long sent,
                        long received, Map<Unreadable.Why, Long> dropped, long flooded, long turnedAway, double busyMs,
-                       List<HeldLease> leases, Boolean votes, List<Said> said) {
+                       List<HeldLease> leases, Boolean votes, List<Said> said, double share, double place) {
     /** A lease that this process holds since that time. */
     public record HeldLease(LeaseName lease, Token token, double sinceMs) {}
 
--- a/src/main/java/dappleseam/fleet/peers/ViewRecord.java
+++ b/src/main/java/dappleseam/fleet/peers/ViewRecord.java
@@ -91,6 +91,10 @@
         line(nowMs, to -> to.writeNumberField("counted", counted));
     }
 
+    void takes(double nowMs, double share) {
+        line(nowMs, to -> to.writeNumberField("share", share));
+    }
+
     void twin(double nowMs, Notice twin) {
         line(nowMs, to -> to.writeNumberField("twin", twin.life().nonce()));
     }
--- a/src/main/java/dappleseam/fleet/share/Board.java
+++ b/src/main/java/dappleseam/fleet/share/Board.java
@@ -45,8 +45,13 @@
 
     /** What this member has to tell of itself now; becomes a bulletin where that is news. {@code life}: of this process. */
     public void say(double nowMs, Life life, double ratePerS, List<Sight> sights) {
+        say(nowMs, life, ratePerS, sights, false);
+    }
+
+    /** {@code anew}: whether it is news though it is the same, as to members that were cut off. */
+    public void say(double nowMs, Life life, double ratePerS, List<Sight> sights, boolean anew) {
         int rate = (int) Math.min(Bulletin.MOST_RATE, Math.round(ratePerS));
-        boolean isNews = own == null || !own.life().equals(life) || !meansTheSame(nowMs - saidAt, own.sights(), sights) || nowMs >= saidAt + REFRESH_MS
+        boolean isNews = anew || own == null || !own.life().equals(life) || !meansTheSame(nowMs - saidAt, own.sights(), sights) || nowMs >= saidAt + REFRESH_MS
                 || Math.abs(rate - own.ratePerS()) > Math.max(1, RATE_SHARE * own.ratePerS());
         if (isNews && nowMs >= saidAt + LEAST_MS) {
             saidAt = nowMs;
--- a/src/main/java/dappleseam/fleet/share/Signals.java
+++ b/src/main/java/dappleseam/fleet/share/Signals.java
@@ -92,21 +92,25 @@
         List<Said> words = new ArrayList<>();
         Set<Process> now = new LinkedHashSet<>();
         votes.forEach((process, of) -> {
-            if (of.fails > 0 && of.fails > of.works) {
+            boolean isService = process.node().equals(ListTurns.SERVICE); // of which one answer is proof enough
+            if (of.fails > 0 && (isService ? of.works == 0 : of.fails > of.works)) {
                 now.add(process);
                 boolean agreed = of.fails >= AGREE;
-                int turn = agreed ? Math.max(0, turns.applyAsInt(Long.toHexString(process.node().value()) + '/' + process.startedAtMs())) : 0;
-                words.add(new Said(process.node(), process.startedAtMs(), agreed ? Word.FAILS : Word.HINT, of.fails, of.works, turn));
+                words.add(new Said(process.node(), process.startedAtMs(), agreed ? Word.FAILS : Word.HINT, of.fails, of.works, agreed ? turn(process, turns) : 0));
             }
         });
         for (Process process : against) {
             if (!now.contains(process)) {
                 Votes of = votes.get(process);
-                words.add(new Said(process.node(), process.startedAtMs(), Word.WORKS, of == null ? 0 : of.fails, of == null ? 0 : of.works, 0));
+                words.add(new Said(process.node(), process.startedAtMs(), Word.WORKS, of == null ? 0 : of.fails, of == null ? 0 : of.works, turn(process, turns)));
             }
         }
         against.clear();
         against.addAll(now);
         return words;
     }
+
+    private static int turn(Process process, ToIntFunction<String> turns) {
+        return Math.max(0, turns.applyAsInt(Long.toHexString(process.node().value()) + '/' + process.startedAtMs()));
+    }
 }
--- a/src/main/java/dappleseam/lab/check/Ledger.java
+++ b/src/main/java/dappleseam/lab/check/Ledger.java
@@ -29,6 +29,10 @@
     public final Queue<Told> told = new ConcurrentLinkedQueue<>();
     public final Queue<Started> started = new ConcurrentLinkedQueue<>();
     public final Queue<String> notes = new ConcurrentLinkedQueue<>();
+    /** A call came to the list service. */
+    public record ListCall(double atMs, boolean answered) {}
+
+    public final Queue<ListCall> callsForList = new ConcurrentLinkedQueue<>();
     public final AtomicInteger listCalls = new AtomicInteger();
     /** By a proxy's port, when the scenario took it down, and when it was there again. */
     private final Set<Integer> avoided = ConcurrentHashMap.newKeySet();
--- a/src/main/java/dappleseam/lab/emulator/Fleet.java
+++ b/src/main/java/dappleseam/lab/emulator/Fleet.java
@@ -100,7 +100,7 @@
     private void set(Trouble trouble, boolean begins) throws IOException {
         CacheEmulator cache = caches.get(trouble.cache());
         int port = reachedAt.get(trouble.cache());
-        ledger.notes.add(String.format("%.2f s: %s %s %s", ledger.nowMs() / 1000, cache.uid(), trouble.kind(),
+        ledger.notes.add(String.format("%.2f s: %s %s %s", ledger.nowMs() / 1000, trouble.kind() == Scenario.Kind.LIST_OUT ? "list" : cache.uid(), trouble.kind(),
                 begins ? "begins" : "ends"));
         switch (trouble.kind()) {
             case DIE -> {
@@ -126,6 +126,14 @@
             case SILENT -> cache.silent(begins);
             case SLOW -> cache.slower(begins ? Math.max(1, trouble.size()) : 1);
             case ERR -> cache.errs(begins ? trouble.size() : 0);
+            case LIST_OUT -> {
+                if (begins) {
+                    list.die();
+                } else {
+                    list.bears((int) trouble.size());
+                    list.comeBack();
+                }
+            }
             case SPOIL -> cache.spoils(begins ? trouble.size() : 0);
         }
     }
--- a/src/main/java/dappleseam/lab/emulator/ListEmulator.java
+++ b/src/main/java/dappleseam/lab/emulator/ListEmulator.java
@@ -27,11 +27,28 @@
     private final Ledger ledger;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private long rev = 1;
+    private int borne;
+    private int thisSecond;
+    private double secondFrom;
 
     ListEmulator(Ledger ledger) throws IOException {
         this.ledger = ledger;
     }
 
+    /** So many calls a second are answered from now on, the others turned away; 0 for all. */
+    synchronized void bears(int callsPerS) {
+        borne = callsPerS;
+    }
+
+    private synchronized boolean isBorne() {
+        double now = ledger.nowMs();
+        if (now >= secondFrom + 1000) {
+            secondFrom = now;
+            thisSecond = 0;
+        }
+        return ++thisSecond <= borne || borne == 0;
+    }
+
     /** A node as the list has it from now on; {@code port} is where the proxies reach it. */
     synchronized void tell(String uid, int port, String machine, String state, double bootMs) {
         entries.put(uid, new Entry(++rev, uid, port, machine, state, bootMs));
@@ -75,6 +92,12 @@
             if (!call.matches()) {
                 throw new IOException("garbage: a close is all it gets");
             }
+            boolean borne = isBorne();
+            ledger.callsForList.add(new Ledger.ListCall(ledger.nowMs(), borne));
+            if (!borne) {
+                out.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                continue;
+            }
             long from = call.group(2) == null ? 0 : Long.parseLong(call.group(2));
             await(from, call.group(3) == null ? 0 : Long.parseLong(call.group(3)));
             List<Entry> told = new ArrayList<>();
--- a/src/main/java/dappleseam/lab/fleet/Planted.java
+++ b/src/main/java/dappleseam/lab/fleet/Planted.java
@@ -29,7 +29,9 @@
     /** The first member says that the first three caches fail, whatever they do. */
     LIAR,
     /** The first four say so. */
-    LIARS;
+    LIARS,
+    /** Nobody hears of anybody's traffic but that there is none. */
+    NO_RATES;
 
     private static final List<MemberName> VOTERS = List.of(new MemberName("lab-0"), new MemberName("lab-1"), new MemberName("lab-2"));
 
@@ -76,6 +78,8 @@
             case NONE, MINORITY, NO_FENCE -> letter;
             case LIAR -> lying(letter, 1);
             case LIARS -> lying(letter, 4);
+            case NO_RATES -> letter.bulletins() == null ? letter
+                    : Letter.of(letter.self(), letter.bulletins().stream().map(b -> new Bulletin(b.who(), b.life(), b.number(), 0, b.sights())).toList());
             case FORGETFUL_VOTER -> to.equals(VOTERS.get(0)) && answer(letter.ballot()) != null ? null : letter;
             case NO_REFUTATION -> letter.with(letter.news().stream().filter(n -> !n.name().equals(to)).toList());
             case NO_INDIRECT_PROBE -> letter.kind() == Letter.Kind.ASK ? null : letter;
--- a/src/main/java/dappleseam/lab/fleet/SimulatedFleet.java
+++ b/src/main/java/dappleseam/lab/fleet/SimulatedFleet.java
@@ -8,10 +8,17 @@
 import dappleseam.fleet.membership.Terms;
 import dappleseam.fleet.peers.Letter;
 import dappleseam.fleet.peers.LetterHost;
+import dappleseam.fleet.peers.Sightings;
+import dappleseam.fleet.peers.SignalDesk;
+import dappleseam.fleet.share.Bulletin;
+import dappleseam.fleet.share.Choices;
+import dappleseam.fleet.share.Said;
+import dappleseam.fleet.share.Seen;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -55,6 +62,8 @@
     public double doubled;
     public double delayMs = 2;
     public long datagrams;
+    /** What members started from now on decide by what they tell each other. */
+    public Choices choices = Choices.NONE;
     public long bytes;
 
     /** One member's place: its process may be killed, stopped and started anew. */
@@ -71,6 +80,9 @@
         public double loss;
         /** By how much its wall clock is off. */
         public long clockOffMs;
+        /** Queries that it takes a second, as its proxy would tell; NaN where that is not known yet. */
+        public double ratePerS = Double.NaN;
+        public SignalDesk desk;
         public double upSince;
         public double downSince = Double.NaN;
         public Standing standing;
@@ -97,6 +109,40 @@
                 default -> new Subject.Shipped(new Membership(terms, self, this, random.split(), now));
             };
             subject.begin(now, seeds);
+            if (choices.any()) {
+                desk = new SignalDesk(membership(), terms.periodMs(), terms.most(), choices, new Rates(), (to, news) -> send(to, Letter.of(membership().self(), news)),
+                        random.split(), now);
+                wakeDesk(process);
+            }
+        }
+
+        private void wakeDesk(int mine) {
+            after(Math.max(desk.wakeAt(), stoppedUntil) - now, () -> {
+                if (process == mine && !isStopped()) {
+                    desk.woken(now);
+                }
+                if (process == mine) {
+                    wakeDesk(mine);
+                }
+            });
+        }
+
+        private final class Rates implements Sightings {
+            @Override
+            public Collection<Seen> seen() {
+                return List.of();
+            }
+
+            @Override
+            public double ratePerS() {
+                return ratePerS;
+            }
+
+            @Override
+            public void say(List<Said> words) { }
+
+            @Override
+            public void stands(double share, double place) { }
         }
 
         /** Of its process. */
@@ -174,7 +220,12 @@
                     if (!peer.up || peer.process != process) {
                         return;
                     }
-                    Runnable delivery = () -> letter.tell(from, peer.subject.heard(now));
+                    Runnable delivery = () -> {
+                        letter.tell(from, peer.subject.heard(now));
+                        if (letter.bulletins() != null && peer.desk != null) {
+                            peer.desk.heard(now, letter.bulletins());
+                        }
+                    };
                     if (!peer.isStopped()) {
                         delivery.run();
                     } else if (peer.waiting.size() < 500) {
@@ -259,7 +310,7 @@
         for (Notice notice : letter.news()) {
             size += notice.bytes();
         }
-        return size;
+        return size + (letter.bulletins() == null ? 0 : letter.bulletins().stream().mapToInt(Bulletin::bytes).sum());
     }
 
     /** Another that goes by that one's name, by mistake; it is not started, and not one of those that have to agree. */
--- a/src/main/java/dappleseam/lab/report/FleetReport.java
+++ b/src/main/java/dappleseam/lab/report/FleetReport.java
@@ -45,6 +45,8 @@
     /** Hits after which a holder acts no more, whatever its record says. */
     private static final Set<String> STOPS = Set.of("kill", "stop");
 
+    /** Time in ms after something was done in which what came of it is counted. */
+    private static final double AFTER_MS = 5000;
     /** Times in s since a cache fell silent from which executions there are counted apart. */
     private static final int[] SINCE_S = {0, 2, 5};
 
@@ -105,9 +107,51 @@
             spread(hit, "since_hit_ms", of.sinceHitMs());
         });
         wasted(scenario, ledger, playMs);
+        afterKills(ledger, playMs);
+        calls(ledger, playMs);
         tree.set("play", played.tree());
     }
 
+    /** What became of the queries of the seconds after proxies were taken down for good. */
+    private void afterKills(Ledger ledger, double playMs) {
+        for (FleetScenario.ProcessEvent event : scenario.processes()) {
+            if (event.kind() == FleetScenario.ProcessKind.KILL || event.kind() == FleetScenario.ProcessKind.END) {
+                double from = playMs + event.atS() * MS_PER_S;
+                Map<String, Integer> ends = new TreeMap<>();
+                ledger.queries.stream().filter(q -> q.sentMs() >= from && q.sentMs() < from + AFTER_MS)
+                        .forEach(q -> ends.merge(q.verdict().name().toLowerCase(Locale.ROOT), 1, Integer::sum));
+                ObjectNode after = tree.putObject("in_5_s_after_" + event.kind().name().toLowerCase(Locale.ROOT) + "_at_" + event.atS());
+                ends.forEach(after::put);
+            }
+        }
+    }
+
+    /** Calls that came to the list service after an outage of its own: the most in a tenth of a second and in one, and how many were turned away. */
+    private void calls(Ledger ledger, double playMs) {
+        for (Trouble out : scenario.play().troubles()) {
+            if (out.kind() == Scenario.Kind.LIST_OUT) {
+                double from = playMs + (out.atS() + out.forS()) * MS_PER_S;
+                List<Ledger.ListCall> calls = ledger.callsForList.stream().filter(c -> c.atMs() >= from && c.atMs() < from + 3 * AFTER_MS).toList();
+                double[] at = calls.stream().mapToDouble(Ledger.ListCall::atMs).sorted().toArray();
+                double[] answered = calls.stream().filter(Ledger.ListCall::answered).mapToDouble(Ledger.ListCall::atMs).sorted().limit(scenario.proxies()).toArray();
+                tree.putObject("list_calls_after_" + (out.atS() + out.forS())).put("in_15_s", at.length).put("turned_away", calls.size() - calls.stream().filter(Ledger.ListCall::answered).count())
+                        .put("most_in_100_ms", mostWithin(at, MS_PER_S / 10)).put("most_in_1_s", mostWithin(at, MS_PER_S))
+                        .put("as_many_answered_as_proxies_after_ms", answered.length < scenario.proxies() ? -1 : Math.round(answered[answered.length - 1] - from));
+            }
+        }
+    }
+
+    private static int mostWithin(double[] sorted, double ms) {
+        int most = 0;
+        for (int from = 0, to = 0; to < sorted.length; to++) {
+            while (sorted[to] - sorted[from] >= ms) {
+                from++;
+            }
+            most = Math.max(most, to - from + 1);
+        }
+        return most;
+    }
+
     /** While caches were silent: executions that came there all the same, by how long they had been, and what became of queries. {@code playMs}: the scenario's 0 in the ledger. */
     private void wasted(FleetScenario scenario, Ledger ledger, double playMs) {
         List<Trouble> silent = scenario.play().troubles().stream().filter(t -> t.kind() == Scenario.Kind.SILENT).toList();
--- a/src/main/java/dappleseam/lab/scenario/FleetScenario.java
+++ b/src/main/java/dappleseam/lab/scenario/FleetScenario.java
@@ -1,14 +1,15 @@
 package dappleseam.lab.scenario;
 
+import dappleseam.fleet.share.Choices;
 import java.util.List;
 import java.util.Set;
 
 /**
  * One rehearsal of many proxies: {@code play} is what any rehearsal has, beside it stand faults between the proxies and what befalls their
  * processes. {@code memoryMb}: limit of each; {@code settleS}: time after the last trouble until all views have to be right;
- * {@code signals}: whether proxies tell each other of caches; {@code leases}: null where there are none.
+ * {@code listPushed}: whether they follow the list all the time, rather than ask where they have to; {@code choices}: what they tell each other; {@code leases}: null where there are none.
  */
-public record FleetScenario(Scenario play, int proxies, int memoryMb, double periodMs, double settleS, boolean signals, Leases leases, List<LinkFault> links,
+public record FleetScenario(Scenario play, int proxies, int memoryMb, double periodMs, double settleS, boolean listPushed, Choices choices, Leases leases, List<LinkFault> links,
                             List<ProcessEvent> processes) {
     /**
      * Leases, of which the first three proxies are voters; {@code leaseMs}: of the one for the last list. {@code storeLateMs}: by how much the first write
--- a/src/main/java/dappleseam/list/ListWatch.java
+++ b/src/main/java/dappleseam/list/ListWatch.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
+import java.util.function.DoubleUnaryOperator;
 import org.xnio.StreamConnection;
 
 /** Follows the list service by watches, each begun as the one before is answered. */
@@ -28,20 +29,23 @@
     private ListReader lists;
     private final Consumer<NodeList> news;
     private final Consumer<String> failed;
+    private final DoubleUnaryOperator again;
     private long version;
     private boolean always;
     private double againMs = AGAIN_MS;
     /** The call that is out; null while nothing is followed. */
     private Call call;
 
+    /** {@code again}: what comes of the time in ms until a failed call is made again. */
     public ListWatch(Loop loop, InetSocketAddress service, ListReader lists, long version,
-                     Consumer<NodeList> news, Consumer<String> failed) {
+                     Consumer<NodeList> news, Consumer<String> failed, DoubleUnaryOperator again) {
         this.loop = loop;
         this.service = service;
         this.lists = lists;
         this.version = version;
         this.news = news;
         this.failed = failed;
+        this.again = again;
     }
 
     /** Begins to follow, unless a call is out already. The first call does not wait: it tells what was missed. */
@@ -163,7 +167,7 @@
                 end();
                 failed.accept(cause);
                 if (always) {
-                    loop.at(loop.nowMs() + againMs, ListWatch.this::follow);
+                    loop.at(loop.nowMs() + again.applyAsDouble(againMs), ListWatch.this::follow);
                     againMs = Math.min(AGAIN_MOST_MS, 2 * againMs);
                 }
             }
--- a/src/main/java/dappleseam/proxy/FleetLookout.java
+++ b/src/main/java/dappleseam/proxy/FleetLookout.java
@@ -4,6 +4,8 @@
 import dappleseam.fleet.share.Hearsay;
 import dappleseam.fleet.share.Hearsay.Held;
 import dappleseam.fleet.share.Hearsay.Order;
+import dappleseam.fleet.share.ListTurns;
+import dappleseam.fleet.share.Portion;
 import dappleseam.fleet.share.Said;
 import dappleseam.fleet.share.Seen;
 import dappleseam.router.Learnt;
@@ -24,13 +26,32 @@
     private static final double MS_PER_S = 1000;
     /** Time in ms over which the rate of queries is smoothed. */
     private static final double SMOOTH_MS = 5000;
+    /** Time in ms after which the rate of a new process is worth telling. */
+    private static final double RATE_FROM_MS = 1000;
     /** Latest answers over which the usual time of one is taken; multiple of it, and least in ms, from which none is silence. */
     private static final double USUAL_OF = 64;
     private static final double SILENT_TIMES = 8;
     private static final double SILENT_LEAST_MS = 100;
 
-    private final Consumer<List<Said>> toLoop;
+    /** What the proxy does by what it is told, on the I/O thread. */
+    interface Whole {
+        /** What limits are divided by without a fleet. */
+        double proxies();
+
+        /** What they are divided by from now on: the whole over this proxy's share; and where it stands among all, NaN for no change. */
+        void stands(double proxies, double place);
+
+        /** To call for the list in so many ms, unless that is followed. */
+        void callIn(double ms);
+    }
+
+    /** By how much a place has to be another to be told: of a hundred proxies, a fifth of one. */
+    private static final double PLACE_NEWS = 0.002;
+
     private final Consumer<List<Learnt>> orders;
+    private final Whole whole;
+    private final Executor loop;
+    private final DoubleSupplier nowMs;
     private final Hearsay hearsay;
     /** The I/O thread's. */
     private final Map<NodeId, Double> heardAt = new HashMap<>();
@@ -43,15 +64,26 @@
     private double lookedAt = Double.NaN;
     private long taken;
     private double rate;
+    private double bornAt = Double.NaN;
+    private final Portion portion;
     /** For any thread. */
     private volatile Collection<Seen> seen = List.of();
-    private volatile double ratePerS;
+    private volatile double ratePerS = Double.NaN;
+    private volatile Told told = new Told(Double.NaN, Double.NaN, Double.NEGATIVE_INFINITY);
+    private double placeTold = Double.NEGATIVE_INFINITY;
+    private final ListTurns turns = new ListTurns();
+    private Seen service = new Seen(ListTurns.SERVICE, 0, false, Double.NEGATIVE_INFINITY, Double.NEGATIVE_INFINITY);
 
-    /** {@code toLoop}: hands words to {@link #hear} on the I/O thread; {@code orders}: the router's, there. */
-    FleetLookout(long seed, Consumer<List<Learnt>> orders, Executor loop, DoubleSupplier nowMs) {
+    private record Told(double share, double place, double atMs) {}
+
+    /** {@code orders}: the router's, on the I/O thread, which {@code loop} runs things on, by its clock. */
+    FleetLookout(long seed, Consumer<List<Learnt>> orders, Whole whole, Executor loop, DoubleSupplier nowMs) {
         hearsay = new Hearsay(new SplittableRandom(seed));
         this.orders = orders;
-        toLoop = words -> loop.execute(() -> hear(nowMs.getAsDouble(), words));
+        this.whole = whole;
+        portion = new Portion(1 / whole.proxies());
+        this.loop = loop;
+        this.nowMs = nowMs;
     }
 
     @Override
@@ -91,14 +123,22 @@
         failing.keySet().retainAll(caches.keySet());
         struckAt.keySet().retainAll(caches.keySet());
         if (!Double.isNaN(lookedAt) && nowMs > lookedAt) {
-            double share = Math.min(1, (nowMs - lookedAt) / SMOOTH_MS);
+            double share = Math.min(1, (nowMs - lookedAt) / Math.min(SMOOTH_MS, nowMs - bornAt)); // at first over what there is
             rate += share * (taken * MS_PER_S / (nowMs - lookedAt) - rate);
             taken = 0;
         }
+        bornAt = Double.isNaN(bornAt) ? nowMs : bornAt;
         lookedAt = nowMs;
-        ratePerS = rate;
+        ratePerS = nowMs >= bornAt + RATE_FROM_MS ? rate : Double.NaN;
+        Told last = told;
+        boolean isNews = portion.look(nowMs, last.share, System.nanoTime() / NANOS_PER_MS - last.atMs, 1 / whole.proxies());
+        if (isNews || Math.abs(last.place - placeTold) > PLACE_NEWS) {
+            placeTold = Double.isNaN(last.place) ? placeTold : last.place;
+            whole.stands(1 / portion.share(), last.place);
+        }
         double shift = System.nanoTime() / NANOS_PER_MS - nowMs; // to the fleet's clock
         List<Seen> all = new ArrayList<>();
+        all.add(new Seen(service.node(), 0, service.fails(), service.failedAtMs() + shift, service.heardAtMs() + shift));
         caches.forEach((node, started) -> {
             double until = until(node);
             boolean fails = hearsay.isOwn(node, until);
@@ -118,7 +158,23 @@
         return one == null || one.startedAtMs() != startedAt.getOrDefault(node, Double.NaN) ? 0 : one.asideUntilMs();
     }
 
+    @Override
+    public void listCalled(double nowMs, boolean answered) {
+        service = new Seen(service.node(), 0, !answered, answered ? service.failedAtMs() : nowMs, answered ? nowMs : service.heardAtMs());
+    }
+
+    @Override
+    public double listAgainMs(double nowMs, double ownMs) {
+        return turns.again(nowMs, ownMs);
+    }
+
     private void hear(double nowMs, List<Said> words) {
+        for (Said said : words) {
+            double callIn = said.node().equals(ListTurns.SERVICE) ? turns.said(nowMs, said) : Double.NaN;
+            if (!Double.isNaN(callIn) && service.fails()) {
+                whole.callIn(callIn);
+            }
+        }
         Map<NodeId, Held> caches = new HashMap<>();
         startedAt.forEach((node, started) -> caches.put(node, new Held(started, until(node), heardAt.getOrDefault(node, Double.NEGATIVE_INFINITY))));
         List<Learnt> told = new ArrayList<>();
@@ -144,8 +200,13 @@
         return ratePerS;
     }
 
+    @Override
+    public void stands(double share, double place) {
+        told = new Told(share, place, System.nanoTime() / NANOS_PER_MS);
+    }
+
     @Override
     public void say(List<Said> words) {
-        toLoop.accept(words);
+        loop.execute(() -> hear(nowMs.getAsDouble(), words));
     }
 }
--- a/src/main/java/dappleseam/proxy/InFleet.java
+++ b/src/main/java/dappleseam/proxy/InFleet.java
@@ -39,7 +39,7 @@
     private final Post post;
     private final PeerSocket socket;
     private volatile FleetLookout lookout;
-    private final boolean signals;
+    private final boolean isAsked;
     private final ListStore store;
 
     /**
@@ -52,7 +52,7 @@
         Identity identity = read();
         store = identity.listStore() == null ? null : identity.listStore().startsWith("http:") ? new HttpStore(URI.create(identity.listStore()))
                 : new FolderStore(Path.of(identity.listStore()));
-        signals = identity.signals();
+        isAsked = identity.choices().any();
         socket = new PeerSocket(identity, post.seed(), left, store == null ? List.of() : List.of(new KeepList(last, store)), new Relay());
     }
 
@@ -65,7 +65,14 @@
 
         @Override
         public double ratePerS() {
-            return lookout == null ? 0 : lookout.ratePerS();
+            return lookout == null ? Double.NaN : lookout.ratePerS();
+        }
+
+        @Override
+        public void stands(double share, double place) {
+            if (lookout != null) {
+                lookout.stands(share, place);
+            }
         }
 
         @Override
@@ -78,8 +85,8 @@
 
     /** On the I/O thread: from now on that proxy's caches are told of, and it hears of others'. */
     void watch(Proxy proxy, Loop loop, Executor onLoop) {
-        if (signals) {
-            FleetLookout now = new FleetLookout(post.seed(), proxy::recall, onLoop, loop::nowMs);
+        if (isAsked) {
+            FleetLookout now = new FleetLookout(post.seed(), proxy::recall, proxy, onLoop, loop::nowMs);
             proxy.tellOfCaches(now);
             lookout = now;
         }
@@ -111,7 +118,7 @@
     }
 
     private Identity read() throws IOException {
-        return FleetFileReader.read(file, post.name(), post.site().deployment().proxies());
+        return FleetFileReader.read(file, post.name(), (int) post.site().deployment().proxies());
     }
 
     /** The file as it is now, checked; running it takes it into force. */
--- a/src/main/java/dappleseam/proxy/Lookout.java
+++ b/src/main/java/dappleseam/proxy/Lookout.java
@@ -16,6 +16,12 @@
     /** One did not, for so many ms, or could not be connected to ({@link Double#POSITIVE_INFINITY}). */
     void unanswered(NodeId node, double sentAtMs, double nowMs, double tookMs);
 
+    /** A call for the list was answered, or was not. */
+    void listCalled(double nowMs, boolean answered);
+
+    /** In how many ms to call again after one that failed; {@code ownMs}: without a fleet. */
+    double listAgainMs(double nowMs, double ownMs);
+
     /** From time to time: what the router has learnt, and all caches in service by the list with their starts. */
     void look(double nowMs, List<Learnt> learnt, Map<NodeId, Double> startedAtMs);
 }
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -18,6 +18,7 @@
 import dappleseam.query.Slots;
 import dappleseam.query.Transfer;
 import dappleseam.router.Asking;
+import dappleseam.router.Deployment;
 import dappleseam.router.Host;
 import dappleseam.router.Key;
 import dappleseam.router.Learnt;
@@ -49,7 +50,7 @@
 import java.util.regex.Pattern;
 
 /** Between the router and the peers: holds the queries taken, and does what the router decides. */
-final class Proxy implements Host, Queries {
+final class Proxy implements Host, Queries, FleetLookout.Whole {
     private static final Logger LOG = System.getLogger(Proxy.class.getName());
     /** The answer of an aborted query. */
     private static final String FAILED = "-ERR failed";
@@ -89,6 +90,8 @@
     private boolean hasHeardList;
     /** Null where this proxy tells nobody of its caches. */
     private Lookout lookout;
+    /** The whole over this proxy's share; NaN where that is as the settings say. */
+    private double sharedBy = Double.NaN;
     private double errorLoggedAt;
 
     /** A listed node and where it is dialled. */
@@ -135,7 +138,7 @@
         lists = new ListReader(site.machines(), site.zones());
         NodeList known = post.known().isObject() ? lists.read(post.known()) : new NodeList(0, true, List.of());
         RandomGenerator random = new SplittableRandom(post.seed()); // its factory would search for all there are
-        watch = new ListWatch(loop, post.listService(), lists, known.version(), this::news, this::listFailed);
+        watch = new ListWatch(loop, post.listService(), lists, known.version(), this::news, this::listFailed, this::againMs);
         router = new Router(site.deployment(), random, this, loop.nowMs());
         learn(known);
         tell(() -> router.listGiven(loop.nowMs(), members(known), true));
@@ -165,7 +168,8 @@
         figures.grades(site.gradeNames());
         connections = connections(site, connections.reuse());
         peers.values().forEach(peer -> peer.backend.limit(connections));
-        tell(() -> router.settingsChanged(loop.nowMs(), site.deployment()));
+        Deployment told = Double.isNaN(sharedBy) ? site.deployment() : site.deployment().sharedBy(sharedBy);
+        tell(() -> router.settingsChanged(loop.nowMs(), told));
         if (!before.machines().equals(site.machines()) || !before.zones().equals(site.zones())) {
             lists = new ListReader(site.machines(), site.zones());
             watch.readAnew(lists);
@@ -204,6 +208,26 @@
         lookout = to;
     }
 
+    @Override
+    public double proxies() {
+        return site.deployment().proxies();
+    }
+
+    @Override
+    public void stands(double proxies, double place) {
+        sharedBy = proxies;
+        tell(() -> router.toldOfFleet(proxies, place));
+    }
+
+    @Override
+    public void callIn(double ms) {
+        loop.at(loop.nowMs() + ms, watch::follow);
+    }
+
+    private double againMs(double ownMs) {
+        return lookout == null ? ownMs : lookout.listAgainMs(loop.nowMs(), ownMs);
+    }
+
     private Map<NodeId, Double> caches() {
         Map<NodeId, Double> caches = new HashMap<>();
         peers.forEach((node, peer) -> {
@@ -246,6 +270,9 @@
 
     private void news(NodeList list) {
         hasHeardList = true;
+        if (lookout != null) {
+            lookout.listCalled(loop.nowMs(), true);
+        }
         learn(list);
         List<Member> members = members(list);
         if (list.whole()) {
@@ -257,6 +284,9 @@
 
     private void listFailed(String cause) {
         LOG.log(Level.WARNING, "list: a call failed: {0}", cause);
+        if (lookout != null) {
+            lookout.listCalled(loop.nowMs(), false);
+        }
         if (!isPushed()) {
             tell(() -> router.listFailed(loop.nowMs()));
         }
@@ -529,7 +559,12 @@
 
     @Override
     public void followList() {
-        watch.follow();
+        double inMs = againMs(0);
+        if (inMs > 0) {
+            callIn(inMs);
+        } else {
+            watch.follow();
+        }
     }
 
     @Override
--- a/src/main/java/dappleseam/router/Deployment.java
+++ b/src/main/java/dappleseam/router/Deployment.java
@@ -3,13 +3,13 @@
 import java.util.List;
 
 /**
- * What one deployment allows and asks for, as far as the router reads it. {@code originModel} is -1 where the
+ * What one deployment allows and asks for, as far as the router reads it. {@code proxies}: the whole divided by this one's share of it; {@code originModel} is -1 where the
  * nodes fetch by themselves; {@code askEveryMs} is 0 where the list is pushed; the prices are points
  * of service for a hundred connections held open at each cache, and for a new one with each query.
  */
 public record Deployment(
         List<ServiceGrade> grades,
-        int proxies,
+        double proxies,
         int originModel,
         boolean scaleIsStable,
         boolean scaleMoves,
@@ -24,4 +24,10 @@
         double coldFrom,
         double warmAfterMs,
         double openPrice,
-        double handshakePrice) {}
+        double handshakePrice) {
+    /** The same where this proxy may take that share of the whole: 1 over {@code proxies}. */
+    public Deployment sharedBy(double proxies) {
+        return new Deployment(grades, proxies, originModel, scaleIsStable, scaleMoves, zone, crossPrice, tickMs, mostExecutions, parallelExecutions, mayCancel,
+                maxRetryAfterMs, askEveryMs, coldFrom, warmAfterMs, openPrice, handshakePrice);
+    }
+}
--- a/src/main/java/dappleseam/router/Hash.java
+++ b/src/main/java/dappleseam/router/Hash.java
@@ -1,11 +1,11 @@
 package dappleseam.router;
 
 /** The hash that places tokens and keys; alike at every proxy. */
-final class Hash {
+public final class Hash {
     private Hash() {}
 
     /** Finalizer of splitmix64: each bit of the input moves half of the output's. */
-    static long mix(long x) {
+    public static long mix(long x) {
         long z = x + 0x9E3779B97F4A7C15L;
         z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
         z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
--- a/src/main/java/dappleseam/router/Node.java
+++ b/src/main/java/dappleseam/router/Node.java
@@ -90,6 +90,9 @@
 
     /** Times to come are bounded by what this router itself would set; a node that is avoided comes back by trials. */
     void recall(Learnt known, double untilMost, double busyMost, int trials) {
+        if (known.startedAtMs() != startedAt) {
+            return; // of the process before this one
+        }
         asideUntil = Math.min(known.asideUntilMs(), untilMost);
         trialsLeft = asideUntil > 0 ? trials : 0;
         busyUntil = Math.min(known.busyUntilMs(), busyMost);
@@ -97,6 +100,10 @@
         shed = known.shed();
     }
 
+    boolean isReady() {
+        return state == Member.State.READY;
+    }
+
     void heard(double atMs) {
         heardAt = atMs;
         strikes = 0;
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -5,12 +5,9 @@
 import dappleseam.router.ServiceGrade.Repeat;
 import java.util.Arrays;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
-import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -127,7 +124,7 @@
     private final Host host;
     private double highestImportance;
     private final Map<NodeId, Node> nodes = new LinkedHashMap<>();
-    private final Map<QueryId, Query> queries = new HashMap<>();
+    private final Map<QueryId, Query> queries = new LinkedHashMap<>();
     private final Timers timers;
     private final Tally fleet = new Tally(BUCKETS, BUCKET_MS);
     private final Limit fleetLimit = new Limit(LIMIT_FIRST, LIMIT_LEAST);
@@ -158,7 +155,7 @@
     /** Share of the idle connections worth their price that the caches have room for, as failed ones tell. */
     private double hold = 1;
     /** Where this proxy stands among all, from 0 to 1; spreads hot keys. */
-    private final double place;
+    private double place;
 
     public Router(Deployment site, RandomGenerator random, Host host, double nowMs) {
         this.site = site;
@@ -182,6 +179,16 @@
         }
     }
 
+    /** The whole over this proxy's share, under which limits were learnt, and its place, NaN for the same. */
+    public void toldOfFleet(double proxies, double newPlace) {
+        place = Double.isNaN(newPlace) ? place : newPlace;
+        double by = site.proxies() / proxies;
+        site = site.sharedBy(proxies);
+        nodes.values().forEach(n -> n.limit.size *= by);
+        List.of(fleetLimit, fetchLimit).forEach(limit -> limit.size *= by);
+        fleetLimit.least = Math.max(1, FLEET_LEAST / proxies * caches.size());
+    }
+
     public void listGiven(double nowMs, List<Member> members, boolean remembered) {
         boolean before = followed;
         nodes.values().forEach(n -> n.state = Member.State.GONE);
@@ -231,9 +238,8 @@
     /** Builds the ring from the list alone, so that proxies with one list agree and no other key moves. */
     private void rebuildRing() {
         ringIsStale = false;
-        Predicate<Node> isReady = n -> n.state == Member.State.READY;
-        origin = nodes.values().stream().filter(isReady.and(n -> n.isOrigin)).findFirst().orElse(null);
-        List<Node> ready = nodes.values().stream().filter(isReady.and(n -> !n.isOrigin))
+        origin = nodes.values().stream().filter(n -> n.isReady() && n.isOrigin).findFirst().orElse(null);
+        List<Node> ready = nodes.values().stream().filter(n -> n.isReady() && !n.isOrigin)
                 .sorted(Comparator.comparingLong(n -> n.id.value())).toList();
         double largest = ready.stream().mapToDouble(n -> n.scale).max().orElse(1);
         // A power of two as the unit: tokens change only when the largest machine's class does.
@@ -400,10 +406,8 @@
                 || n.busyUntil > now && !overloaded();
     }
 
-    /**
-     * Guards a cache that the list tells to be full: a share of each proxy's keys goes on to successors,
-     * quickly more and slowly less, since news is late and the same for all: else they come and go together.
-     */
+    /** Guards a cache that the list tells to be full: a share of each proxy's keys goes on to successors,
+     * quickly more and slowly less, since news is late and the same for all: else they come and go as one. */
     private void shed(Node n) {
         double over = n.held / Math.max(HELD_FLOOR, SKIP_MULTIPLE * heldUsually) - 1;
         double due = over > 0 ? 1 - (1 - n.shed) / (over + 1) : 0; // of what it got, with what it got
@@ -441,7 +445,7 @@
     }
 
     private boolean usable(Node n, Query q) {
-        if (n.state != Member.State.READY || q.triedAt(n) || !mayGoTo(q, n)
+        if (!n.isReady() || q.triedAt(n) || !mayGoTo(q, n)
                 || n.asideUntil > now || n.asideUntil > 0 && n.out > 0) {
             return false;
         }
@@ -524,7 +528,7 @@
     }
 
     private boolean originFits(Query q) {
-        return origin != null && origin.state == Member.State.READY && mayGoTo(q, origin)
+        return origin != null && origin.isReady() && mayGoTo(q, origin)
                 && fits(origin.out, origin.limit, q);
     }
 
@@ -722,10 +726,9 @@
     }
 
     private void setAside(Node n, String why) {
-        double aside = caches.stream().filter(c -> c == n || c.asideUntil > 0)
-                .mapToDouble(c -> c.scale).sum();
+        double away = caches.stream().filter(c -> c == n || c.asideUntil > 0).mapToDouble(c -> c.scale).sum();
         // Guards against a trouble that all share, such as a slow origin: the ring is never emptied.
-        if (n.isOrigin || n.asideUntil == 0 && aside > ASIDE_MOST * ringScale) {
+        if (n.isOrigin || n.asideUntil == 0 && away > ASIDE_MOST * ringScale) {
             return;
         }
         host.log("aside " + Long.toHexString(n.id.value()) + ": " + why);
@@ -735,21 +738,19 @@
 
     /** What a router that takes over may know of the listed nodes. */
     public List<Learnt> learnt() {
-        return nodes.values().stream().map(Node::learnt).filter(Objects::nonNull).toList();
+        return nodes.values().stream().map(Node::learnt).filter(one -> one != null).toList();
     }
 
     /** Guards the first seconds after a switch; a node not listed, or started since, begins afresh. */
     public void recall(double nowMs, List<Learnt> known) {
         double asideMost = nowMs + ASIDE_MS + ASIDE_RANDOM_MS;
-        known.stream().filter(k -> nodes.containsKey(k.node())
-                && nodes.get(k.node()).startedAt == k.startedAtMs())
+        known.stream().filter(k -> nodes.containsKey(k.node()))
                 .forEach(k -> nodes.get(k.node()).recall(k, asideMost, nowMs + BUSY_MOST_MS, TRIAL_GOOD));
     }
 
     /** How many of the listed nodes are avoided now. */
     public int avoided(double nowMs) {
-        return (int) nodes.values().stream()
-                .filter(n -> n.state != Member.State.READY || n.asideUntil > nowMs).count();
+        return (int) nodes.values().stream().filter(n -> !n.isReady() || n.asideUntil > nowMs).count();
     }
 
     /** Answers at once, unless an execution is still out that may yet answer. */
--- a/src/main/java/dappleseam/site/FleetFileReader.java
+++ b/src/main/java/dappleseam/site/FleetFileReader.java
@@ -6,6 +6,7 @@
 import dappleseam.fleet.membership.MemberName;
 import dappleseam.fleet.membership.Terms;
 import dappleseam.fleet.peers.Identity;
+import dappleseam.fleet.share.Choices;
 import dappleseam.wire.Address;
 import dappleseam.wire.Json;
 import java.io.IOException;
@@ -22,7 +23,7 @@
 /** Reads and checks the operator's file that {@code serve --fleet} names; a fault is told by its key. */
 public final class FleetFileReader {
     private static final Set<String> KEYS = Set.of("fleet", "name", "bind", "advertise", "seeds", "period_ms", "counted", "most",
-            "forget_s", "record", "leases", "signals");
+            "forget_s", "record", "leases", "signals", "shares", "turns", "subsets");
     private static final Set<String> LEASE_KEYS = Set.of("voters", "number", "lease_ms", "drift", "voter_file", "list_store");
     private static final int MOST_SEEDS = 64;
     private static final double MS_PER_S = 1000;
@@ -73,7 +74,7 @@
                 true, Terms.HELPERS);
         return new Identity(name(root, "fleet", null).text(), name(root, "name", name), bind, advertise, List.copyOf(seeds), terms,
                 path(root, "record"), leases(root.path("leases")), path(root.path("leases"), "voter_file"),
-                listStore(root.path("leases")), flag(root, "signals"));
+                listStore(root.path("leases")), new Choices(flag(root, "signals"), flag(root, "shares"), flag(root, "turns"), flag(root, "subsets")));
     }
 
     private static LeaseTerms leases(JsonNode leases) {
--- /dev/null
+++ b/src/test/java/dappleseam/fleet/share/SharesTest.java
@@ -0,0 +1,132 @@
+package dappleseam.fleet.share;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import dappleseam.fleet.membership.Life;
+import dappleseam.fleet.membership.MemberName;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** One member's share, by what it is told; and its place. */
+class SharesTest {
+    private static final double PERIOD = 1000;
+    private static final List<MemberName> NAMES = IntStream.range(0, 10).mapToObj(i -> new MemberName("m" + i)).toList();
+    private static final Set<MemberName> ALL = Set.copyOf(NAMES);
+
+    private final Shares shares = new Shares(NAMES.get(0), PERIOD);
+    private double now = 100_000;
+
+    private static Bulletin tells(int member, int rate) {
+        return new Bulletin(NAMES.get(member), new Life(5, 5), 1, rate, List.of());
+    }
+
+    private void hear(int... rates) {
+        shares.hear(now, IntStream.range(0, rates.length).mapToObj(i -> tells(i, rates[i])).toList());
+    }
+
+    private double share(Set<MemberName> missing) {
+        return shares.share(now, ALL, missing, 10, false);
+    }
+
+    private void settle(int... rates) {
+        hear(rates);
+        share(Set.of());
+        now += 5 * PERIOD;
+        hear(rates);
+    }
+
+    @Test
+    void alikeAllTakeAnEvenOne() {
+        assertThat(share(Set.of())).as("nothing known").isCloseTo(0.1, within(1e-9));
+        settle(9, 9, 9, 9, 9, 9, 9, 9, 9, 9);
+        assertThat(share(Set.of())).isCloseTo(0.1, within(1e-9));
+        assertThat(shares.share(now, ALL, Set.of(), 10, true)).as("beside a twin").isCloseTo(0.05, within(1e-9));
+    }
+
+    @Test
+    void tenTimesTheTrafficTakesMoreAndNoneTakesHalf() {
+        settle(99, 9, 9, 9, 9, 9, 9, 9, 9, 9);
+        assertThat(share(Set.of())).isCloseTo(0.05 + 0.5 * 100 / 190, within(1e-9));
+        settle(0, 99, 99, 99, 99, 99, 99, 99, 99, 99);
+        assertThat(share(Set.of())).isBetween(0.05, 0.051);
+    }
+
+    @Test
+    void moreTrafficCountsOnceAllKnowAndLessAtOnce() {
+        settle(9, 9, 9, 9, 9, 9, 9, 9, 9, 9);
+        hear(39, 9, 9, 9, 9, 9, 9, 9, 9, 9);
+        now += 2 * PERIOD;
+        hear(39, 9, 9, 9, 9, 9, 9, 9, 9, 9);
+        assertThat(share(Set.of())).isCloseTo(0.1, within(1e-9));
+        now += 1.1 * PERIOD;
+        hear(39, 9, 9, 9, 9, 9, 9, 9, 9, 9);
+        assertThat(share(Set.of())).isCloseTo(0.05 + 0.5 * 40 / 130, within(1e-9));
+        hear(9, 9, 9, 9, 9, 9, 9, 9, 9, 9);
+        assertThat(share(Set.of())).isCloseTo(0.1, within(1e-9));
+    }
+
+    /** What the other half cannot hear of is bounded, and for a while after, until they have been told. */
+    @Test
+    void inASplitTrafficThatGrowsCountsForAQuarterMore() {
+        settle(9, 9, 9, 9, 9, 9, 9, 9, 9, 9);
+        share(Set.of());
+        Set<MemberName> missing = Set.copyOf(NAMES.subList(5, 10));
+        for (int seconds = 0; seconds < 20; seconds++) {
+            hear(79, 9, 9, 9, 9);
+            assertThat(share(missing)).isLessThanOrEqualTo(0.05 + 0.5 * 12.5 / 102.5 + 1e-9);
+            now += PERIOD;
+        }
+        assertThat(share(Set.of())).isLessThanOrEqualTo(0.05 + 0.5 * 12.5 / 102.5 + 1e-9);
+        assertThat(shares.tellsAnew(now)).isTrue();
+        now += 6 * PERIOD;
+        assertThat(share(Set.of())).isCloseTo(0.05 + 0.5 * 80 / 170, within(1e-9));
+        assertThat(shares.tellsAnew(now)).isFalse();
+    }
+
+    @Test
+    void oneThatTellsOfAbsurdTrafficTakesNoMoreThanItsBound() {
+        settle(9, 9, 9, 9, 9, 9, 9, 9, 9, Bulletin.MOST_RATE);
+        assertThat(share(Set.of())).isCloseTo(0.05 + 0.5 * 10 / (90 + 640), within(1e-9));
+    }
+
+    /** A new process that has heard of one idle member only does not take the whole. */
+    @Test
+    void whoHasHeardOfFewTakesAnEvenShareAtMost() {
+        hear(500, 0);
+        now += 10 * PERIOD;
+        hear(500, 0);
+        assertThat(share(Set.of())).isLessThanOrEqualTo(0.1 + 1e-9);
+    }
+
+    /** Members that are known for nothing but a number count as missing. */
+    @Test
+    void whoKnowsNobodyCountsForWhatItDid() {
+        shares.hear(now, List.of(tells(0, 500)));
+        now += 10 * PERIOD;
+        assertThat(shares.share(now, Set.of(NAMES.get(0)), Set.of(), 10, false)).isLessThanOrEqualTo(0.1 + 1e-9);
+    }
+
+    /** Copies of a hot key, each served by those whose place lies in its part: even by traffic, and one more moves few. */
+    @Test
+    void placesAreEvenByTrafficAndOneMoreMovesFew() {
+        SplittableRandom random = new SplittableRandom(1);
+        Map<MemberName, Double> traffic = new HashMap<>();
+        IntStream.range(0, 300).forEach(i -> traffic.put(new MemberName("proxy-" + i), 1 / (0.05 + random.nextDouble())));
+        double mean = traffic.values().stream().mapToDouble(t -> t).sum() / 8;
+        double largest = traffic.values().stream().mapToDouble(t -> t).max().orElseThrow();
+        double[] served = new double[8];
+        Map<MemberName, Integer> copies = traffic.keySet().stream().collect(Collectors.toMap(name -> name, name -> (int) (8 * Places.of(name, traffic))));
+        copies.forEach((name, copy) -> served[copy] += traffic.get(name));
+        assertThat(Arrays.stream(served).allMatch(s -> Math.abs(s - mean) <= largest)).as(Arrays.toString(served)).isTrue();
+        traffic.put(new MemberName("another"), 1.0);
+        assertThat(copies.keySet().stream().filter(name -> copies.get(name) != (int) (8 * Places.of(name, traffic))).count()).isLessThanOrEqualTo(8);
+    }
+}
--- a/src/test/java/dappleseam/lab/FleetRunTest.java
+++ b/src/test/java/dappleseam/lab/FleetRunTest.java
@@ -37,6 +37,7 @@
     private static final Path PLAYED = SHIPPED.resolve("faults-between-proxies.json");
     private static final Path LEASES = SHIPPED.resolve("leases.json");
     private static final Path SPLIT = SHIPPED.resolve("leases-split.json");
+    private static final Path SHARES = SHIPPED.resolve("shares-through-a-split.json");
     private static final Path LIES = SHIPPED.resolve("lies-about-caches.json");
 
     @TempDir
@@ -139,6 +140,21 @@
         }
     }
 
+    /** Six processes with all choices on: their shares come to no more than the whole and its margin, through a split, a restart, a stall and a kill; and do where no traffic is told. */
+    @Test
+    void sharesComeToTheWholeThroughASplit() throws Exception {
+        ExecutorService hands = Executors.newCachedThreadPool();
+        try {
+            Future<FleetReport> sound = hands.submit(() -> play(SHARES, Planted.NONE));
+            Future<FleetReport> blind = hands.submit(() -> play(SHARES, Planted.NO_RATES));
+            assertThat(sound.get().broken()).as(sound.get().text()).isZero();
+            assertThat(new ObjectMapper().readTree(sound.get().json()).path("play").path("rules").path("broken").asInt()).as(sound.get().text()).isZero();
+            assertThat(blind.get().text()).contains("SHARES_OVER_WHOLE");
+        } finally {
+            hands.shutdownNow();
+        }
+    }
+
     /** Else two rehearsals beside each other share a proxy's port without a word, and each sees the other's queries. */
     @Test
     void aPortThatWasTakenIsGivenToNobodyElseAndAProxyMayListenThere() throws Exception {
--- a/src/test/java/dappleseam/lab/fleet/HistoryTest.java
+++ b/src/test/java/dappleseam/lab/fleet/HistoryTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dappleseam.fleet.share.Shares;
 import dappleseam.lab.fleet.History.Kind;
 import dappleseam.lab.fleet.History.Step;
 import java.util.List;
@@ -31,6 +32,20 @@
         assertThat(history.play().breaches()).isEmpty();
     }
 
+    @Property(tries = 150, seed = "20261202", edgeCases = EdgeCasesMode.NONE)
+    void sharesComeToTheWholeAndNobodyStarves(@ForAll("histories") History history) {
+        History.Verdict verdict = history.withShares().play();
+        assertThat(verdict.breaches()).isEmpty();
+        assertThat(verdict.taken().most()).isLessThan(1 + ViewChecker.margin(6));
+        assertThat(verdict.taken().least()).as("half of an even share").isGreaterThan(Shares.EVEN - 1e-9);
+    }
+
+    /** Without what others tell of their traffic each takes it for all there is. */
+    @Test
+    void thatSharesGoOverTheWholeIsSeen() {
+        assertThat(History.draw(3, 6, 4).withShares().play(Planted.NO_RATES).taken().most()).isGreaterThan(1 + ViewChecker.margin(6));
+    }
+
     /** Each defence is seen to be missed, and what it takes is told in few steps. */
     @ParameterizedTest
     @EnumSource(value = Planted.class, names = {"NO_REFUTATION", "NO_MERGE"})
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -693,4 +693,22 @@
             assertThat(full.last()).isEqualTo(there.last());
         }
     }
+
+    /** What limits were learnt under goes along with the share: half of the whole's divisor, twice in flight; settings told anew keep it. */
+    @Test
+    void limitsGoAlongWithTheShare() {
+        assertThat(inFlightAtMost(1)).isPositive();
+        assertThat(inFlightAtMost(4)).isBetween(3.5 * inFlightAtMost(1), 4.5 * inFlightAtMost(1));
+    }
+
+    /** Queries that find room at once, where the share is so many times what the settings say. */
+    private static double inFlightAtMost(double times) {
+        OneProxy p = new OneProxy(OneProxy.through(OneProxy.READ)).listed(5);
+        p.ask(1000, 0, 0);
+        p.router.toldOfFleet(2 / times, Double.NaN);
+        for (int i = 1; i < 1000; i++) {
+            p.ask(1000, i, i);
+        }
+        return p.sentTo.size();
+    }
 }
