--- a/src/main/java/dappleseam/fleet/membership/Membership.java
+++ b/src/main/java/dappleseam/fleet/membership/Membership.java
@@ -213,6 +213,19 @@
         leave();
     }
 
+    /** For a simulation that begins in the middle of a fleet's life: all of these are known, and nothing of it is news. */
+    public void remember(double nowMs, List<Notice> known) {
+        enter(nowMs);
+        for (Notice notice : known) {
+            if (!notice.name().equals(self.name())) {
+                change(peers.computeIfAbsent(notice.name(), name -> new Peer(null)), notice);
+            }
+        }
+        rumours.clear();
+        caughtUp = true;
+        leave();
+    }
+
     /** Terms as they are now, for periods to come. */
     public void termsChanged(double nowMs, Terms other, List<InetSocketAddress> known) {
         enter(nowMs);
--- a/src/main/java/dappleseam/fleet/membership/Rumours.java
+++ b/src/main/java/dappleseam/fleet/membership/Rumours.java
@@ -67,6 +67,11 @@
         }
     }
 
+    public void clear() {
+        byKey.clear();
+        leastTold.clear();
+    }
+
     public boolean isEmpty() {
         return byKey.isEmpty();
     }
--- a/src/main/java/dappleseam/lab/fleet/SimulatedFleet.java
+++ b/src/main/java/dappleseam/lab/fleet/SimulatedFleet.java
@@ -355,6 +355,14 @@
         nodes.forEach(node -> after(random.nextDouble() * terms.periodMs(), () -> node.start(known)));
     }
 
+    /** All start within a period, and then all know each other: else the news of so many takes minutes to be told. */
+    public void startKnown() {
+        startAll(1);
+        runFor(terms.periodMs() + 1);
+        List<Notice> all = nodes.stream().map(n -> n.membership().self()).toList();
+        nodes.forEach(n -> n.membership().remember(now, all));
+    }
+
     /** Whether each process that is up holds each other one for alive in its present life, and each that is down for not present. */
     public boolean agree() {
         return nodes.stream().filter(n -> n.up).allMatch(this::isRight);
--- a/src/main/java/dappleseam/lab/fleet/Sizes.java
+++ b/src/main/java/dappleseam/lab/fleet/Sizes.java
@@ -18,13 +18,21 @@
     private static final double MINUTE = 60 * SECOND;
     /** Time in ms in which all know each other and the news of that has been told. */
     private static final double QUIET_MS = 3 * MINUTE;
+    /** Members from which on that takes too long: there, all know each other from the start, and what is left of it is over after so many ms. */
+    private static final int NEWS_MOST = 2000;
+    private static final double KNOWN_MS = 20 * SECOND;
     /** How long a member stands still that does so by turns, in ms; {@code runningMs} is how long it does not. */
     private static final double STOPPED_MS = 4 * SECOND;
 
     private SimulatedFleet begun(long seed) {
         SimulatedFleet fleet = new SimulatedFleet(module, Terms.usual(members), members, seed);
-        fleet.startAll(2);
-        fleet.runFor(QUIET_MS);
+        if (members > NEWS_MOST && module != Module.HEARTBEATS) {
+            fleet.startKnown();
+            fleet.runFor(KNOWN_MS);
+        } else {
+            fleet.startAll(2);
+            fleet.runFor(QUIET_MS);
+        }
         return fleet;
     }
 
--- a/src/main/java/dappleseam/proxy/FleetLookout.java
+++ b/src/main/java/dappleseam/proxy/FleetLookout.java
@@ -33,18 +33,6 @@
     private static final double SILENT_TIMES = 8;
     private static final double SILENT_LEAST_MS = 100;
 
-    /** What the proxy does by what it is told, on the I/O thread. */
-    interface Whole {
-        /** What limits are divided by without a fleet. */
-        double proxies();
-
-        /** What they are divided by from now on: the whole over this proxy's share; and where it stands among all, NaN for no change. */
-        void stands(double proxies, double place);
-
-        /** To call for the list in so many ms, unless that is followed. */
-        void callIn(double ms);
-    }
-
     /** By how much a place has to be another to be told: of a hundred proxies, a fifth of one. */
     private static final double PLACE_NEWS = 0.002;
 
--- a/src/main/java/dappleseam/proxy/Lookout.java
+++ b/src/main/java/dappleseam/proxy/Lookout.java
@@ -24,4 +24,16 @@
 
     /** From time to time: what the router has learnt, and all caches in service by the list with their starts. */
     void look(double nowMs, List<Learnt> learnt, Map<NodeId, Double> startedAtMs);
+
+    /** What the proxy does by what it is told, on the I/O thread. */
+    interface Whole {
+        /** What limits are divided by without a fleet. */
+        double proxies();
+
+        /** What they are divided by from now on: the whole over this proxy's share; and where it stands among all, NaN for no change. */
+        void stands(double proxies, double place);
+
+        /** To call for the list in so many ms, unless that is followed. */
+        void callIn(double ms);
+    }
 }
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -50,7 +50,7 @@
 import java.util.regex.Pattern;
 
 /** Between the router and the peers: holds the queries taken, and does what the router decides. */
-final class Proxy implements Host, Queries, FleetLookout.Whole {
+final class Proxy implements Host, Queries, Lookout.Whole {
     private static final Logger LOG = System.getLogger(Proxy.class.getName());
     /** The answer of an aborted query. */
     private static final String FAILED = "-ERR failed";
