A rise of traffic that all share moves no share: news carries its age, and counts at one time

Cause: own traffic counted for the least of three periods and others' at once. Change: a bulletin tells how long ago it was said; more traffic counts three periods after it was told, for all alike; less counts at once.

--- a/src/main/java/dappleseam/fleet/share/Shares.java
+++ b/src/main/java/dappleseam/fleet/share/Shares.java
@@ -30,13 +30,13 @@
     /** Multiple of the mean of the lesser half of all rates that one counts for at most: guards against one that tells of absurd traffic. */
     private static final double MOST_TIMES = 64;
 
+    /** Words of one member on its traffic that are kept: what comes more often is taken together, the least of it. */
+    private static final int MOST_TOLD = 16;
+
     private final MemberName self;
     private final double periodMs;
-    /** Queries a second, by members that are counted and have told. */
-    private final Map<MemberName, Integer> rates = new HashMap<>();
-    /** What this process told of itself: when, in order; the first is what others hold, or held. */
-    private final ArrayDeque<Told> told = new ArrayDeque<>();
-    private boolean isFirst = true;
+    /** Of members that are counted and have told, this one among them. */
+    private final Map<MemberName, Track> tracks = new HashMap<>();
     /** Members that were missing together, and the fewest that were known meanwhile; what its own word counted for before; until when those that came back are still telling theirs. */
     private final Set<MemberName> missed = new HashSet<>();
     private int present = Integer.MAX_VALUE;
@@ -45,6 +45,43 @@
 
     private record Told(double atMs, double ratePerS) {}
 
+    /**
+     * What one member told of its traffic. More of it counts once it is known to all, for everybody at the time at which it does for itself: a rise that all share moves no share; less of it
+     * counts at once.
+     */
+    private final class Track {
+        final ArrayDeque<Told> told = new ArrayDeque<>();
+        boolean isFirst = true;
+
+        void add(double nowMs, Told now) {
+            if (told.isEmpty() || told.getLast().ratePerS != now.ratePerS) {
+                if (told.size() >= MOST_TOLD) {
+                    told.add(new Told(now.atMs, Math.min(told.pollLast().ratePerS, now.ratePerS)));
+                } else {
+                    told.add(now);
+                }
+            }
+            age(nowMs);
+        }
+
+        void age(double nowMs) {
+            while (told.size() > 1 && second().atMs <= nowMs - KNOWN_PERIODS * periodMs) {
+                told.poll();
+                isFirst = false;
+            }
+        }
+
+        private Told second() {
+            Iterator<Told> each = told.iterator();
+            each.next();
+            return each.next();
+        }
+
+        double inForce() {
+            return told.stream().mapToDouble(Told::ratePerS).min().orElseThrow();
+        }
+    }
+
     public Shares(MemberName self, double periodMs) {
         this.self = self;
         this.periodMs = periodMs;
@@ -53,22 +90,9 @@
     /** Bulletins that count, this process's own among them once it has told one. What those told who are silent now goes on to count for as long as they are counted. */
     public void hear(double nowMs, Collection<Bulletin> bulletins) {
         for (Bulletin bulletin : bulletins) {
-            if (!bulletin.who().equals(self)) {
-                rates.put(bulletin.who(), LEAST_RATE + bulletin.ratePerS());
-            } else if (told.isEmpty() || told.getLast().ratePerS != LEAST_RATE + bulletin.ratePerS()) {
-                told.add(new Told(nowMs, LEAST_RATE + bulletin.ratePerS()));
-            }
-        }
-        while (told.size() > 1 && second().atMs <= nowMs - KNOWN_PERIODS * periodMs) {
-            told.poll();
-            isFirst = false;
+            tracks.computeIfAbsent(bulletin.who(), who -> new Track()).add(nowMs, new Told(nowMs - bulletin.ageMs(), LEAST_RATE + bulletin.ratePerS()));
         }
-    }
-
-    private Told second() {
-        Iterator<Told> each = told.iterator();
-        each.next();
-        return each.next();
+        tracks.values().forEach(track -> track.age(nowMs));
     }
 
     /**
@@ -76,12 +100,16 @@
      * counted fleet, at least as many; {@code hasTwin}: whether another process goes by this one's name.
      */
     public double share(double nowMs, Set<MemberName> names, Set<MemberName> missing, int counted, boolean hasTwin) {
-        rates.keySet().retainAll(names);
-        double most = MOST_TIMES * (rates.isEmpty() ? LEAST_RATE : lesserMean());
+        tracks.keySet().retainAll(names);
+        Map<MemberName, Double> rates = new HashMap<>();
+        tracks.forEach((name, track) -> rates.put(name, track.inForce()));
+        rates.remove(self);
+        double lesserMean = lesserMean(rates.values());
+        double most = MOST_TIMES * lesserMean;
         double known = rates.values().stream().mapToDouble(rate -> Math.min(most, rate)).sum();
         double mean = rates.isEmpty() ? LEAST_RATE : known / rates.size();
         double others = known + mean * Math.max(0, counted - 1 - rates.size());
-        double unknown = rates.isEmpty() ? mean : Math.min(mean, lesserMean()); // itself by less than others may take it for
+        double unknown = Math.min(mean, lesserMean); // itself by less than others may take it for
         double own = bounded(nowMs, Math.min(most, own(nowMs, unknown)), unknown, names, missing, counted);
         double even = 1.0 / counted;
         double byTraffic = own / (own + others);
@@ -93,23 +121,23 @@
 
     /** Traffic of all members as all others have it, by which they stand in order; null while too few are known. {@code names}: as for {@link #share}. */
     public Map<MemberName, Double> traffic(Set<MemberName> names) {
-        if (told.isEmpty() || names.size() - 1 - rates.size() > FEW * names.size()) {
+        if (!tracks.containsKey(self) || names.size() - tracks.size() > FEW * names.size()) {
             return null;
         }
         Map<MemberName, Double> traffic = new HashMap<>();
-        double mean = rates.values().stream().mapToInt(rate -> rate).average().orElse(LEAST_RATE);
-        names.forEach(name -> traffic.put(name, (double) rates.getOrDefault(name, (int) Math.max(LEAST_RATE, mean))));
-        traffic.put(self, told.getLast().ratePerS);
+        double mean = tracks.values().stream().mapToDouble(track -> track.told.getLast().ratePerS).average().orElseThrow();
+        names.forEach(name -> traffic.put(name, tracks.containsKey(name) ? tracks.get(name).told.getLast().ratePerS : mean));
         return traffic;
     }
 
     /** The least that others may hold it for by now. */
     private double own(double nowMs, double unknown) {
-        if (told.isEmpty()) {
+        Track own = tracks.get(self);
+        if (own == null) {
             return unknown;
         }
-        boolean isNew = isFirst && told.getFirst().atMs > nowMs - KNOWN_PERIODS * periodMs; // some have not heard its first word, and take it for any
-        return Math.min(isNew ? unknown : Double.POSITIVE_INFINITY, told.stream().mapToDouble(one -> one.ratePerS).min().orElse(0));
+        boolean isNew = own.isFirst && own.told.getFirst().atMs > nowMs - KNOWN_PERIODS * periodMs; // some have not heard its first word, and take it for any
+        return Math.min(isNew ? unknown : Double.POSITIVE_INFINITY, own.inForce());
     }
 
     /** Guards the sum in a split: both halves' traffic may grow, and neither can hear of the other's. */
@@ -140,8 +168,8 @@
     }
 
     /** One absurd word, or many, cannot lift it while they are the fewer. */
-    private double lesserMean() {
-        int[] sorted = rates.values().stream().mapToInt(rate -> rate).sorted().toArray();
-        return Arrays.stream(sorted, 0, (sorted.length + 1) / 2).average().orElse(0);
+    private static double lesserMean(Collection<Double> rates) {
+        double[] sorted = rates.stream().mapToDouble(rate -> rate).sorted().toArray();
+        return Arrays.stream(sorted, 0, (sorted.length + 1) / 2).average().orElse(LEAST_RATE);
     }
 }
--- a/src/test/java/dappleseam/fleet/share/SharesTest.java
+++ b/src/test/java/dappleseam/fleet/share/SharesTest.java
@@ -73,6 +73,20 @@
         assertThat(share(Set.of())).isCloseTo(0.1, within(1e-9));
     }
 
+    /** As when most proxies die and the rest take their clients: news comes at various times, and counts at one. */
+    @Test
+    void aRiseThatAllShareMovesNoShare() {
+        settle(9, 9, 9, 9, 9, 9, 9, 9, 9, 9);
+        double saidAt = now;
+        for (int step = 0; step < 40; step++) {
+            int heardOf = Math.min(10, 1 + step); // each later than the one before
+            double age = now - saidAt;
+            shares.hear(now, IntStream.range(0, heardOf).mapToObj(i -> new Bulletin(NAMES.get(i), new Life(5, 5), 2, Math.round(age), 39, List.of())).toList());
+            assertThat(share(Set.of())).as("after %.0f ms", age).isCloseTo(0.1, within(1e-9));
+            now += 0.25 * PERIOD;
+        }
+    }
+
     /** What the other half cannot hear of is bounded, and for a while after, until they have been told. */
     @Test
     void inASplitTrafficThatGrowsCountsForAQuarterMore() {
