A member tells what its traffic counts for, and what it will count for and when

Change: Traffic, one small record: before, now, and how long ago; more waits until it is known to all, the same at all, and no more is told until the last counts. It replaces the tracks of words. A rise told at ten different times moves no share (a test).

--- a/src/main/java/dappleseam/fleet/peers/Envelope.java
+++ b/src/main/java/dappleseam/fleet/peers/Envelope.java
@@ -16,6 +16,7 @@
 import dappleseam.fleet.peers.Unreadable.Why;
 import dappleseam.fleet.share.Bulletin;
 import dappleseam.fleet.share.Sight;
+import dappleseam.fleet.share.Traffic;
 import dappleseam.router.NodeId;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -44,7 +45,7 @@
     /** Notices in a datagram at most: each takes over thirty bytes. */
     private static final int MOST_NOTICES = 64;
     private static final int BALLOT_FIELDS = 12;
-    private static final int BULLETIN_FIELDS = 6;
+    private static final int BULLETIN_FIELDS = 7;
     private static final int SIGHT_FIELDS = 4;
     /** Bulletins in a datagram at most: each takes over thirty bytes. */
     private static final int MOST_BULLETINS = 48;
@@ -162,8 +163,9 @@
         cbor.writeNumber(bulletin.life().start());
         cbor.writeNumber(bulletin.life().nonce());
         cbor.writeNumber(bulletin.number());
-        cbor.writeNumber(Math.min(bulletin.ageMs(), LONGEST_LEFT_MS));
-        cbor.writeNumber(bulletin.ratePerS());
+        cbor.writeNumber(bulletin.traffic().before());
+        cbor.writeNumber(bulletin.traffic().now());
+        cbor.writeNumber(Math.min(bulletin.traffic().ageMs(), LONGEST_LEFT_MS));
         for (Sight sight : bulletin.sights()) {
             cbor.writeNumber(sight.node().value());
             cbor.writeNumber(sight.startedAtMs());
@@ -179,8 +181,7 @@
         MemberName who = new MemberName(cbor.getText());
         Life life = new Life(whole(cbor, 0, Life.LATEST), whole(cbor, Long.MIN_VALUE, Long.MAX_VALUE));
         long number = whole(cbor, 0, Long.MAX_VALUE);
-        long age = whole(cbor, 0, LONGEST_LEFT_MS);
-        int rate = (int) whole(cbor, 0, Bulletin.MOST_RATE);
+        Traffic traffic = new Traffic((int) whole(cbor, 0, Traffic.MOST), (int) whole(cbor, 0, Traffic.MOST), whole(cbor, 0, LONGEST_LEFT_MS));
         List<Sight> sights = new ArrayList<>();
         while (cbor.nextToken() == JsonToken.VALUE_NUMBER_INT) {
             need(sights.size() < Bulletin.MOST_SIGHTS);
@@ -191,7 +192,7 @@
             sights.add(new Sight(node, startedAt, fails, whole(cbor, 0, LONGEST_LEFT_MS)));
         }
         need(cbor.currentToken() == JsonToken.END_ARRAY);
-        return new Bulletin(who, life, number, age, rate, sights);
+        return new Bulletin(who, life, number, traffic, sights);
     }
 
     private static List<Bulletin> bulletins(JsonParser cbor) throws IOException {
--- a/src/main/java/dappleseam/fleet/peers/SignalDesk.java
+++ b/src/main/java/dappleseam/fleet/peers/SignalDesk.java
@@ -59,9 +59,9 @@
         this.out = out;
         this.random = random;
         lookMs = Math.max(LOOK_LEAST_MS, LOOK_SHARE * periodMs);
-        board = new Board(membership.self().name(), most);
-        signals = new Signals(membership.self().name());
         shares = new Shares(membership.self().name(), Math.max(periodMs, LOOK_LEAST_MS / LOOK_SHARE));
+        board = new Board(membership.self().name(), most, shares.knownMs());
+        signals = new Signals(membership.self().name());
         lookAt = nowMs + random.nextDouble() * lookMs;
     }
 
--- a/src/main/java/dappleseam/fleet/share/Board.java
+++ b/src/main/java/dappleseam/fleet/share/Board.java
@@ -21,13 +21,12 @@
     private static final double LEAST_MS = 250;
     /** Time in ms by which a sight has to be younger than what was told of it before it is told anew: well under its life. */
     private static final double ANEW_MS = 3000;
-    /** Share by which the rate has to be another before that is told. */
-    private static final double RATE_SHARE = 1.0 / 6;
     /** Bytes of bulletins in one datagram: 1,400 less the frame and a notice. */
     public static final int NEWS_BYTES = 1100;
 
     private final MemberName self;
     private final int most;
+    private final double knownMs;
     private final Map<MemberName, Entry> entries = new LinkedHashMap<>();
     /** Those that say something of a cache first: else a start of many proxies, who all tell their rates, would hold up the word on a dead cache. */
     private final Rumours<MemberName, Entry> rumours = new Rumours<>(entry -> entry.bulletin.bytes(), entry -> !entry.bulletin.sights().isEmpty());
@@ -37,9 +36,10 @@
 
     private record Entry(Bulletin bulletin, double heardAt) {}
 
-    /** {@code most}: bulletins kept. */
-    public Board(MemberName self, int most) {
+    /** {@code most}: bulletins kept; {@code knownMs}: time in which a word is known to all. */
+    public Board(MemberName self, int most, double knownMs) {
         this.self = self;
+        this.knownMs = knownMs;
         this.most = most;
     }
 
@@ -50,12 +50,13 @@
 
     /** {@code anew}: whether it is news though it is the same, as to members that were cut off. */
     public void say(double nowMs, Life life, double ratePerS, List<Sight> sights, boolean anew) {
-        int rate = (int) Math.min(Bulletin.MOST_RATE, Math.round(ratePerS));
-        boolean isNews = anew || own == null || !own.life().equals(life) || !meansTheSame(nowMs - saidAt, own.sights(), sights) || nowMs >= saidAt + REFRESH_MS
-                || Math.abs(rate - own.ratePerS()) > Math.max(1, RATE_SHARE * own.ratePerS());
+        Traffic before = own == null ? null : own.traffic().olderBy(nowMs - saidAt);
+        Traffic traffic = own == null ? Traffic.of(ratePerS) : before.next(ratePerS, knownMs);
+        boolean isNews = anew || own == null || traffic != before || !own.life().equals(life) || !meansTheSame(nowMs - saidAt, own.sights(), sights)
+                || nowMs >= saidAt + REFRESH_MS;
         if (isNews && nowMs >= saidAt + LEAST_MS) {
             saidAt = nowMs;
-            own = new Bulletin(self, life, ++number, rate, sights.subList(0, Math.min(Bulletin.MOST_SIGHTS, sights.size())));
+            own = new Bulletin(self, life, ++number, traffic, sights.subList(0, Math.min(Bulletin.MOST_SIGHTS, sights.size())));
             put(nowMs, own);
         }
     }
--- a/src/main/java/dappleseam/fleet/share/Shares.java
+++ b/src/main/java/dappleseam/fleet/share/Shares.java
@@ -1,12 +1,10 @@
 package dappleseam.fleet.share;
 
 import dappleseam.fleet.membership.MemberName;
-import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
 
@@ -30,55 +28,19 @@
     /** Multiple of the mean of the lesser half of all rates that one counts for at most: guards against one that tells of absurd traffic. */
     private static final double MOST_TIMES = 64;
 
-    /** Words of one member on its traffic that are kept: what comes more often is taken together, the least of it. */
-    private static final int MOST_TOLD = 16;
-
     private final MemberName self;
     private final double periodMs;
     /** Of members that are counted and have told, this one among them. */
-    private final Map<MemberName, Track> tracks = new HashMap<>();
+    private final Map<MemberName, Heard> heard = new HashMap<>();
     /** Members that were missing together, and the fewest that were known meanwhile; what its own word counted for before; until when those that came back are still telling theirs. */
     private final Set<MemberName> missed = new HashSet<>();
     private int present = Integer.MAX_VALUE;
     private double before = Double.NaN;
     private double anewUntil = Double.NEGATIVE_INFINITY;
 
-    private record Told(double atMs, double ratePerS) {}
-
-    /**
-     * What one member told of its traffic. More of it counts once it is known to all, for everybody at the time at which it does for itself: a rise that all share moves no share; less of it
-     * counts at once.
-     */
-    private final class Track {
-        final ArrayDeque<Told> told = new ArrayDeque<>();
-        boolean isFirst = true;
-
-        void add(double nowMs, Told now) {
-            if (told.isEmpty() || told.getLast().ratePerS != now.ratePerS) {
-                if (told.size() >= MOST_TOLD) {
-                    told.add(new Told(now.atMs, Math.min(told.pollLast().ratePerS, now.ratePerS)));
-                } else {
-                    told.add(now);
-                }
-            }
-            age(nowMs);
-        }
-
-        void age(double nowMs) {
-            while (told.size() > 1 && second().atMs <= nowMs - KNOWN_PERIODS * periodMs) {
-                told.poll();
-                isFirst = false;
-            }
-        }
-
-        private Told second() {
-            Iterator<Told> each = told.iterator();
-            each.next();
-            return each.next();
-        }
-
-        double inForce() {
-            return told.stream().mapToDouble(Told::ratePerS).min().orElseThrow();
+    private record Heard(Traffic traffic, double atMs) {
+        Traffic at(double nowMs) {
+            return traffic.olderBy(nowMs - atMs);
         }
     }
 
@@ -87,12 +49,14 @@
         this.periodMs = periodMs;
     }
 
+    /** Time in ms in which what one tells is known to all. */
+    public double knownMs() {
+        return KNOWN_PERIODS * periodMs;
+    }
+
     /** Bulletins that count, this process's own among them once it has told one. What those told who are silent now goes on to count for as long as they are counted. */
     public void hear(double nowMs, Collection<Bulletin> bulletins) {
-        for (Bulletin bulletin : bulletins) {
-            tracks.computeIfAbsent(bulletin.who(), who -> new Track()).add(nowMs, new Told(nowMs - bulletin.ageMs(), LEAST_RATE + bulletin.ratePerS()));
-        }
-        tracks.values().forEach(track -> track.age(nowMs));
+        bulletins.forEach(bulletin -> heard.put(bulletin.who(), new Heard(bulletin.traffic(), nowMs)));
     }
 
     /**
@@ -100,17 +64,17 @@
      * counted fleet, at least as many; {@code hasTwin}: whether another process goes by this one's name.
      */
     public double share(double nowMs, Set<MemberName> names, Set<MemberName> missing, int counted, boolean hasTwin) {
-        tracks.keySet().retainAll(names);
+        heard.keySet().retainAll(names);
         Map<MemberName, Double> rates = new HashMap<>();
-        tracks.forEach((name, track) -> rates.put(name, track.inForce()));
-        rates.remove(self);
+        heard.forEach((name, one) -> rates.put(name, (double) LEAST_RATE + one.at(nowMs).inForce(knownMs())));
+        Double told = rates.remove(self);
         double lesserMean = lesserMean(rates.values());
         double most = MOST_TIMES * lesserMean;
         double known = rates.values().stream().mapToDouble(rate -> Math.min(most, rate)).sum();
         double mean = rates.isEmpty() ? LEAST_RATE : known / rates.size();
         double others = known + mean * Math.max(0, counted - 1 - rates.size());
         double unknown = Math.min(mean, lesserMean); // itself by less than others may take it for
-        double own = bounded(nowMs, Math.min(most, own(nowMs, unknown)), unknown, names, missing, counted);
+        double own = bounded(nowMs, Math.min(most, told == null ? unknown : told), unknown, names, missing, counted);
         double even = 1.0 / counted;
         double byTraffic = own / (own + others);
         if (counted - 1 - rates.size() > FEW * counted) {
@@ -121,25 +85,16 @@
 
     /** Traffic of all members as all others have it, by which they stand in order; null while too few are known. {@code names}: as for {@link #share}. */
     public Map<MemberName, Double> traffic(Set<MemberName> names) {
-        if (!tracks.containsKey(self) || names.size() - tracks.size() > FEW * names.size()) {
+        if (!heard.containsKey(self) || names.size() - heard.size() > FEW * names.size()) {
             return null;
         }
         Map<MemberName, Double> traffic = new HashMap<>();
-        double mean = tracks.values().stream().mapToDouble(track -> track.told.getLast().ratePerS).average().orElseThrow();
-        names.forEach(name -> traffic.put(name, tracks.containsKey(name) ? tracks.get(name).told.getLast().ratePerS : mean));
+        heard.forEach((name, one) -> traffic.put(name, (double) LEAST_RATE + one.traffic.now()));
+        double mean = traffic.values().stream().mapToDouble(rate -> rate).average().orElseThrow();
+        names.forEach(name -> traffic.putIfAbsent(name, mean));
         return traffic;
     }
 
-    /** The least that others may hold it for by now. */
-    private double own(double nowMs, double unknown) {
-        Track own = tracks.get(self);
-        if (own == null) {
-            return unknown;
-        }
-        boolean isNew = own.isFirst && own.told.getFirst().atMs > nowMs - KNOWN_PERIODS * periodMs; // some have not heard its first word, and take it for any
-        return Math.min(isNew ? unknown : Double.POSITIVE_INFINITY, own.inForce());
-    }
-
     /** Guards the sum in a split: both halves' traffic may grow, and neither can hear of the other's. */
     private double bounded(double nowMs, double own, double unknown, Set<MemberName> names, Set<MemberName> missing, int counted) {
         double few = FEW * counted;
--- a/src/test/java/dappleseam/fleet/peers/EnvelopeTest.java
+++ b/src/test/java/dappleseam/fleet/peers/EnvelopeTest.java
@@ -19,6 +19,7 @@
 import dappleseam.fleet.share.Board;
 import dappleseam.fleet.share.Bulletin;
 import dappleseam.fleet.share.Sight;
+import dappleseam.fleet.share.Traffic;
 import dappleseam.lab.fleet.SimulatedFleet;
 import dappleseam.router.NodeId;
 import java.io.ByteArrayOutputStream;
@@ -72,7 +73,7 @@
         List<Bulletin> bulletins = new ArrayList<>();
         for (int room = Board.NEWS_BYTES, i = 0; ; i++) {
             List<Sight> sights = Collections.nCopies(i % 2 * Bulletin.MOST_SIGHTS, new Sight(new NodeId(Long.MIN_VALUE), Sight.LATEST, true, 86_400_000));
-            Bulletin one = new Bulletin(new MemberName("n".repeat(1 + i % 48)), new Life(Life.LATEST, Long.MIN_VALUE), Long.MAX_VALUE, Bulletin.MOST_RATE, sights);
+            Bulletin one = new Bulletin(new MemberName("n".repeat(1 + i % 48)), new Life(Life.LATEST, Long.MIN_VALUE), Long.MAX_VALUE, new Traffic(Traffic.MOST, Traffic.MOST, 86_400_000), sights);
             room -= one.bytes();
             if (room < 0) {
                 return bulletins;
--- a/src/test/java/dappleseam/fleet/share/SharesTest.java
+++ b/src/test/java/dappleseam/fleet/share/SharesTest.java
@@ -25,7 +25,11 @@
     private double now = 100_000;
 
     private static Bulletin tells(int member, int rate) {
-        return new Bulletin(NAMES.get(member), new Life(5, 5), 1, rate, List.of());
+        return tells(member, Traffic.of(rate));
+    }
+
+    private static Bulletin tells(int member, Traffic traffic) {
+        return new Bulletin(NAMES.get(member), new Life(5, 5), 1, traffic, List.of());
     }
 
     private void hear(int... rates) {
@@ -62,31 +66,42 @@
     @Test
     void moreTrafficCountsOnceAllKnowAndLessAtOnce() {
         settle(9, 9, 9, 9, 9, 9, 9, 9, 9, 9);
-        hear(39, 9, 9, 9, 9, 9, 9, 9, 9, 9);
+        shares.hear(now, List.of(tells(0, new Traffic(9, 39, 0))));
         now += 2 * PERIOD;
-        hear(39, 9, 9, 9, 9, 9, 9, 9, 9, 9);
         assertThat(share(Set.of())).isCloseTo(0.1, within(1e-9));
         now += 1.1 * PERIOD;
-        hear(39, 9, 9, 9, 9, 9, 9, 9, 9, 9);
         assertThat(share(Set.of())).isCloseTo(0.05 + 0.5 * 40 / 130, within(1e-9));
-        hear(9, 9, 9, 9, 9, 9, 9, 9, 9, 9);
+        hear(9);
         assertThat(share(Set.of())).isCloseTo(0.1, within(1e-9));
     }
 
-    /** As when most proxies die and the rest take their clients: news comes at various times, and counts at one. */
+    /** As when most proxies die and the rest take their clients: news comes at various times, some before what it follows, and counts at one. */
     @Test
     void aRiseThatAllShareMovesNoShare() {
         settle(9, 9, 9, 9, 9, 9, 9, 9, 9, 9);
-        double saidAt = now;
         for (int step = 0; step < 40; step++) {
+            Traffic risen = new Traffic(9, 39, Math.round(step * PERIOD / 4));
             int heardOf = Math.min(10, 1 + step); // each later than the one before
-            double age = now - saidAt;
-            shares.hear(now, IntStream.range(0, heardOf).mapToObj(i -> new Bulletin(NAMES.get(i), new Life(5, 5), 2, Math.round(age), 39, List.of())).toList());
-            assertThat(share(Set.of())).as("after %.0f ms", age).isCloseTo(0.1, within(1e-9));
-            now += 0.25 * PERIOD;
+            shares.hear(now, IntStream.range(0, heardOf).mapToObj(i -> tells(i, risen)).toList());
+            assertThat(share(Set.of())).as("step " + step).isCloseTo(0.1, within(1e-9));
+            now += PERIOD / 4;
         }
     }
 
+    /** What is told next: more waits for what was told last to count, less does not. */
+    @Test
+    void moreIsToldOnlyOnceTheLastCounts() {
+        Traffic first = Traffic.of(12);
+        assertThat(first.next(13, 3000)).as("no news").isSameAs(first);
+        assertThat(first.next(40, 3000)).as("it may be new").isSameAs(first);
+        Traffic risen = first.olderBy(3000).next(40, 3000);
+        assertThat(risen).isEqualTo(new Traffic(12, 40, 0));
+        assertThat(risen.olderBy(2999).inForce(3000)).isEqualTo(12);
+        assertThat(risen.olderBy(1000).next(30, 3000)).as("less than was told, more than counts").isEqualTo(new Traffic(12, 30, 1000));
+        assertThat(risen.olderBy(1000).next(5, 3000)).isEqualTo(Traffic.of(5));
+        assertThat(risen.olderBy(3000).next(80, 3000)).isEqualTo(new Traffic(40, 80, 0));
+    }
+
     /** What the other half cannot hear of is bounded, and for a while after, until they have been told. */
     @Test
     void inASplitTrafficThatGrowsCountsForAQuarterMore() {
@@ -107,7 +122,7 @@
 
     @Test
     void oneThatTellsOfAbsurdTrafficTakesNoMoreThanItsBound() {
-        settle(9, 9, 9, 9, 9, 9, 9, 9, 9, Bulletin.MOST_RATE);
+        settle(9, 9, 9, 9, 9, 9, 9, 9, 9, Traffic.MOST);
         assertThat(share(Set.of())).isCloseTo(0.05 + 0.5 * 10 / (90 + 640), within(1e-9));
     }
 
