--- a/src/main/java/dappleseam/fleet/peers/SignalDesk.java
+++ b/src/main/java/dappleseam/fleet/peers/SignalDesk.java
@@ -60,7 +60,7 @@
         this.random = random;
         lookMs = Math.max(LOOK_LEAST_MS, LOOK_SHARE * periodMs);
         shares = new Shares(membership.self().name(), Math.max(periodMs, LOOK_LEAST_MS / LOOK_SHARE));
-        board = new Board(membership.self().name(), most, shares.knownMs());
+        board = new Board(membership.self().name(), most, shares.ownMs());
         signals = new Signals(membership.self().name());
         lookAt = nowMs + random.nextDouble() * lookMs;
     }
@@ -85,9 +85,21 @@
         lookAt = nowMs + lookMs;
         Collection<Bulletin> now = board.now(nowMs);
         signals.hear(now, this::runs);
+        shares.hear(nowMs, now.stream().filter(this::counts).toList());
+        Set<MemberName> names = new HashSet<>();
+        Set<MemberName> missing = new HashSet<>();
+        for (Notice notice : membership.view()) {
+            if (notice.state().isCounted()) {
+                names.add(notice.name());
+                if (notice.state() != State.ALIVE) {
+                    missing.add(notice.name());
+                }
+            }
+        }
         double rate = sightings.ratePerS();
         if (!Double.isNaN(rate)) {
-            board.say(nowMs, membership.self().life(), rate, choices.signals() || choices.turns() ? sights(nowMs) : List.of(), shares.tellsAnew(nowMs) && !toldAnew);
+            double tellable = shares.tellable(nowMs, rate, names, missing, membership.counted());
+            board.say(nowMs, membership.self().life(), tellable, shares.usualPerS(nowMs), choices.signals() || choices.turns() ? sights(nowMs) : List.of(), shares.tellsAnew(nowMs) && !toldAnew);
             toldAnew = shares.tellsAnew(nowMs);
         }
         tell(nowMs);
@@ -95,7 +107,9 @@
             sayWords();
         }
         if (choices.shares() || choices.subsets()) {
-            stand(nowMs, now);
+            share = choices.shares() ? shares.share(nowMs, names, membership.counted(), membership.twin() != null) : Double.NaN;
+            Map<MemberName, Double> traffic = choices.subsets() ? shares.traffic(names) : null;
+            place = traffic == null ? Double.NaN : Places.of(membership.self().name(), traffic);
             sightings.stands(share, place);
         }
     }
@@ -118,23 +132,6 @@
         said = now;
     }
 
-    private void stand(double nowMs, Collection<Bulletin> bulletins) {
-        shares.hear(nowMs, bulletins.stream().filter(this::counts).toList());
-        Set<MemberName> names = new HashSet<>();
-        Set<MemberName> missing = new HashSet<>();
-        for (Notice notice : membership.view()) {
-            if (notice.state().isCounted()) {
-                names.add(notice.name());
-                if (notice.state() != State.ALIVE) {
-                    missing.add(notice.name());
-                }
-            }
-        }
-        share = choices.shares() ? shares.share(nowMs, names, missing, membership.counted(), membership.twin() != null) : Double.NaN;
-        Map<MemberName, Double> traffic = choices.subsets() ? shares.traffic(names) : null;
-        place = traffic == null ? Double.NaN : Places.of(membership.self().name(), traffic);
-    }
-
     /** Of those that are present, by rendezvous: views that agree give one order. */
     private int turn(String what) {
         return Ranking.rank(what, membership.self().name(), membership.present().stream().map(Notice::name).toList());
--- a/src/main/java/dappleseam/fleet/share/Board.java
+++ b/src/main/java/dappleseam/fleet/share/Board.java
@@ -45,13 +45,13 @@
 
     /** What this member has to tell of itself now; becomes a bulletin where that is news. {@code life}: of this process. */
     public void say(double nowMs, Life life, double ratePerS, List<Sight> sights) {
-        say(nowMs, life, ratePerS, sights, false);
+        say(nowMs, life, ratePerS, ratePerS, sights, false);
     }
 
-    /** {@code anew}: whether it is news though it is the same, as to members that were cut off. */
-    public void say(double nowMs, Life life, double ratePerS, List<Sight> sights, boolean anew) {
+    /** {@code usualPerS}: what this process counts for until it has told; {@code anew}: whether it is news though it is the same, as to members that were cut off. */
+    public void say(double nowMs, Life life, double ratePerS, double usualPerS, List<Sight> sights, boolean anew) {
         Traffic before = own == null ? null : own.traffic().olderBy(nowMs - saidAt);
-        Traffic traffic = own == null ? Traffic.of(ratePerS) : before.next(ratePerS, knownMs);
+        Traffic traffic = own == null ? Traffic.first(ratePerS, usualPerS) : before.next(ratePerS, knownMs);
         boolean isNews = anew || own == null || traffic != before || !own.life().equals(life) || !meansTheSame(nowMs - saidAt, own.sights(), sights)
                 || nowMs >= saidAt + REFRESH_MS;
         if (isNews && nowMs >= saidAt + LEAST_MS) {
--- a/src/main/java/dappleseam/fleet/share/Shares.java
+++ b/src/main/java/dappleseam/fleet/share/Shares.java
@@ -17,6 +17,8 @@
     public static final double EVEN = 0.5;
     /** Periods in which what one tells of its traffic is known to all: until then its own word counts for the least of it. */
     public static final double KNOWN_PERIODS = 3;
+    /** Periods by which that is later for itself than for the others: two of their looks, which come at times of their own. */
+    private static final double OWN_LATER_PERIODS = 0.5;
     /** Periods for each member after a split has healed, in which all have told theirs anew. */
     public static final double TOLD_ANEW_PERIODS = 0.25;
     /** Multiple of what its word counted for before members went missing that it counts for at most until they are back: they cannot know of more. */
@@ -49,32 +51,75 @@
         this.periodMs = periodMs;
     }
 
-    /** Time in ms in which what one tells is known to all. */
-    public double knownMs() {
+    private double knownMs() {
         return KNOWN_PERIODS * periodMs;
     }
 
+    /** Time in ms after which more traffic of its own counts for this process: a little after it does for the others. */
+    public double ownMs() {
+        return (KNOWN_PERIODS + OWN_LATER_PERIODS) * periodMs;
+    }
+
     /** Bulletins that count, this process's own among them once it has told one. What those told who are silent now goes on to count for as long as they are counted. */
     public void hear(double nowMs, Collection<Bulletin> bulletins) {
         bulletins.forEach(bulletin -> heard.put(bulletin.who(), new Heard(bulletin.traffic(), nowMs)));
     }
 
+    private Map<MemberName, Double> weights(double nowMs) {
+        Map<MemberName, Double> weights = new HashMap<>();
+        heard.forEach((name, one) -> weights.put(name, (double) LEAST_RATE + one.at(nowMs).inForce(name.equals(self) ? ownMs() : knownMs())));
+        return weights;
+    }
+
     /**
-     * From half of an even share to nearly all. {@code names}: members that are counted, this one among them; {@code missing}: those of them that cannot be heard; {@code counted}: the
-     * counted fleet, at least as many; {@code hasTwin}: whether another process goes by this one's name.
+     * What of its own traffic this process may tell, queries a second. Guards the sum in a split: both halves' traffic may grow, and neither can hear of the other's. Told less rather than
+     * counted for less, so that all who hear each other go on counting alike. {@code names}: members that are counted, this one among them; {@code missing}: those of them that cannot be
+     * heard; {@code counted}: the counted fleet, at least as many.
      */
-    public double share(double nowMs, Set<MemberName> names, Set<MemberName> missing, int counted, boolean hasTwin) {
+    public double tellable(double nowMs, double ratePerS, Set<MemberName> names, Set<MemberName> missing, int counted) {
+        double few = FEW * counted;
+        if (missing.size() + counted - names.size() > few) {
+            missed.addAll(missing);
+            present = Math.min(present, names.size());
+        } else if (present < Integer.MAX_VALUE) {
+            missed.retainAll(names); // those that are proved ended need not hear of anything
+            if (missed.size() + names.size() - present > few) {
+                anewUntil = nowMs + (KNOWN_PERIODS + TOLD_ANEW_PERIODS * counted) * periodMs;
+            }
+            missed.clear();
+            present = Integer.MAX_VALUE;
+        }
+        boolean isFree = present == Integer.MAX_VALUE && nowMs >= anewUntil;
+        if (isFree || Double.isNaN(before)) {
+            Map<MemberName, Double> others = weights(nowMs);
+            Double own = others.remove(self);
+            before = own == null ? unknown(others.values()) : own;
+        }
+        return isFree ? ratePerS : Math.min(ratePerS, MISSING_GROWTH * before - LEAST_RATE);
+    }
+
+    /** Queries a second that this process counts for until it has told. */
+    public double usualPerS(double nowMs) {
+        Map<MemberName, Double> others = weights(nowMs);
+        others.remove(self);
+        return unknown(others.values()) - LEAST_RATE;
+    }
+
+    /** What one counts for of whom nothing is known, by itself: less than others may take it for. */
+    private static double unknown(Collection<Double> others) {
+        return Math.min(lesserMean(others), others.stream().mapToDouble(rate -> rate).average().orElse(LEAST_RATE));
+    }
+
+    /** From half of an even share to nearly all. {@code names} and {@code counted} as for {@link #tellable}; {@code hasTwin}: whether another process goes by this one's name. */
+    public double share(double nowMs, Set<MemberName> names, int counted, boolean hasTwin) {
         heard.keySet().retainAll(names);
-        Map<MemberName, Double> rates = new HashMap<>();
-        heard.forEach((name, one) -> rates.put(name, (double) LEAST_RATE + one.at(nowMs).inForce(knownMs())));
+        Map<MemberName, Double> rates = weights(nowMs);
         Double told = rates.remove(self);
-        double lesserMean = lesserMean(rates.values());
-        double most = MOST_TIMES * lesserMean;
+        double most = MOST_TIMES * lesserMean(rates.values());
         double known = rates.values().stream().mapToDouble(rate -> Math.min(most, rate)).sum();
         double mean = rates.isEmpty() ? LEAST_RATE : known / rates.size();
         double others = known + mean * Math.max(0, counted - 1 - rates.size());
-        double unknown = Math.min(mean, lesserMean); // itself by less than others may take it for
-        double own = bounded(nowMs, Math.min(most, told == null ? unknown : told), unknown, names, missing, counted);
+        double own = Math.min(most, told == null ? unknown(rates.values()) : told);
         double even = 1.0 / counted;
         double byTraffic = own / (own + others);
         if (counted - 1 - rates.size() > FEW * counted) {
@@ -95,28 +140,6 @@
         return traffic;
     }
 
-    /** Guards the sum in a split: both halves' traffic may grow, and neither can hear of the other's. */
-    private double bounded(double nowMs, double own, double unknown, Set<MemberName> names, Set<MemberName> missing, int counted) {
-        double few = FEW * counted;
-        if (missing.size() + counted - names.size() > few) {
-            missed.addAll(missing);
-            present = Math.min(present, names.size());
-        } else if (present < Integer.MAX_VALUE) {
-            missed.retainAll(names); // those that are proved ended need not hear of anything
-            if (missed.size() + names.size() - present > few) {
-                anewUntil = nowMs + (KNOWN_PERIODS + TOLD_ANEW_PERIODS * counted) * periodMs;
-            }
-            missed.clear();
-            present = Integer.MAX_VALUE;
-        }
-        if (present == Integer.MAX_VALUE && nowMs >= anewUntil) {
-            before = own;
-            return own;
-        }
-        before = Double.isNaN(before) ? unknown : before;
-        return Math.min(own, MISSING_GROWTH * before);
-    }
-
     /** Whether those that were missing are back, and all have to hear of each other's traffic anew. */
     public boolean tellsAnew(double nowMs) {
         return nowMs < anewUntil;
--- a/src/main/java/dappleseam/fleet/share/Traffic.java
+++ b/src/main/java/dappleseam/fleet/share/Traffic.java
@@ -15,7 +15,12 @@
         }
     }
 
-    /** The first that is told. */
+    /** The first that a process tells; {@code usualPerS}: what others that have not heard it may take it for, which holds until they have. */
+    public static Traffic first(double perS, double usualPerS) {
+        return new Traffic((int) Math.min(of(perS).now, Math.max(0, usualPerS)), of(perS).now, 0);
+    }
+
+    /** The same since ever. */
     public static Traffic of(double perS) {
         int rate = (int) Math.min(MOST, Math.round(Math.max(0, perS)));
         return new Traffic(rate, rate, 0);
