At the end, queries are aborted and their connections closed in one go, so that none is taken after

Change: Serve.abortAndClose aborts and closes in one event, again every 10 ms until none is left. A small test over sockets that provokes it was tried twice and did not fail without the change, so there is none.

--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -457,7 +457,7 @@
                     endClients(now + killAfterMs - CLOSE_LEAD_MS, done);
                 });
             }
-            loop.at(now + killAfterMs - ABORT_LEAD_MS, proxy::abortAll);
+            loop.at(now + killAfterMs - ABORT_LEAD_MS, this::abortAndClose);
         });
         try {
             done.await((long) (killAfterMs - END_LEAD_MS), TimeUnit.MILLISECONDS);
@@ -472,6 +472,18 @@
         Runtime.getRuntime().halt(0);
     }
 
+    /**
+     * Answers all that is open and closes its connections in one go, and again until the end: a client that is answered sends its next query at once, and what
+     * would be taken between the last answer and the end would be lost.
+     */
+    private void abortAndClose() {
+        proxy.abortAll();
+        front.closeIdle();
+        if (front.hasClients()) {
+            loop.at(loop.nowMs() + LOOK_AGAIN_MS, this::abortAndClose);
+        }
+    }
+
     /** Closes clients as they fall idle from that time on; all is done once none is left. */
     private void endClients(double closeFromMs, CountDownLatch done) {
         if (loop.nowMs() >= closeFromMs) {
