Forget the traffic of members that are counted no more whatever choice is on

Cause: what others told was forgotten in Shares.share only, which is not asked where shares is off: with signals, turns or subsets alone, names that came and went were kept for good. Found in a read of the whole change. Change: Shares.keep, called at each look; what an untold process counts for is worked out once.

--- a/src/main/java/dappleseam/fleet/peers/SignalDesk.java
+++ b/src/main/java/dappleseam/fleet/peers/SignalDesk.java
@@ -96,6 +96,7 @@
                 }
             }
         }
+        shares.keep(names);
         double rate = sightings.ratePerS();
         if (!Double.isNaN(rate)) {
             double tellable = shares.tellable(nowMs, rate, names, missing, membership.counted());
--- a/src/main/java/dappleseam/fleet/share/Shares.java
+++ b/src/main/java/dappleseam/fleet/share/Shares.java
@@ -65,6 +65,11 @@
         bulletins.forEach(bulletin -> heard.put(bulletin.who(), new Heard(bulletin.traffic(), nowMs)));
     }
 
+    /** From now on only those are counted: what others told is forgotten. */
+    public void keep(Set<MemberName> names) {
+        heard.keySet().retainAll(names);
+    }
+
     private Map<MemberName, Double> weights(double nowMs) {
         Map<MemberName, Double> weights = new HashMap<>();
         heard.forEach((name, one) -> weights.put(name, (double) LEAST_RATE + one.at(nowMs).inForce(name.equals(self) ? ownMs() : knownMs())));
@@ -91,18 +96,21 @@
         }
         boolean isFree = present == Integer.MAX_VALUE && nowMs >= anewUntil;
         if (isFree || Double.isNaN(before)) {
-            Map<MemberName, Double> others = weights(nowMs);
-            Double own = others.remove(self);
-            before = own == null ? unknown(others.values()) : own;
+            Double own = weights(nowMs).get(self);
+            before = own == null ? unknown(nowMs) : own;
         }
         return isFree ? ratePerS : Math.min(ratePerS, MISSING_GROWTH * before - LEAST_RATE);
     }
 
     /** Queries a second that this process counts for until it has told. */
     public double usualPerS(double nowMs) {
+        return unknown(nowMs) - LEAST_RATE;
+    }
+
+    private double unknown(double nowMs) {
         Map<MemberName, Double> others = weights(nowMs);
         others.remove(self);
-        return unknown(others.values()) - LEAST_RATE;
+        return unknown(others.values());
     }
 
     /** What one counts for of whom nothing is known, by itself: less than others may take it for. */
@@ -112,7 +120,6 @@
 
     /** From half of an even share to nearly all. {@code names} and {@code counted} as for {@link #tellable}; {@code hasTwin}: whether another process goes by this one's name. */
     public double share(double nowMs, Set<MemberName> names, int counted, boolean hasTwin) {
-        heard.keySet().retainAll(names);
         Map<MemberName, Double> rates = weights(nowMs);
         Double told = rates.remove(self);
         double most = MOST_TIMES * lesserMean(rates.values());
