A conviction of a cache needs a witness by the records; the liars' test no longer hangs on a share alone

At 100 queries a second most proxies have an own answer of each cache within the 1.5 s in which it outweighs others' words, so the lie moved little.

Proxies now write down what they say of caches by own sight and what others' words came to; the checker (FALSE_SIGNAL) wants a witness for each conviction, in every rehearsal.

--- a/src/main/java/dappleseam/fleet/peers/PeerSocket.java
+++ b/src/main/java/dappleseam/fleet/peers/PeerSocket.java
@@ -6,6 +6,7 @@
 import dappleseam.fleet.membership.Membership;
 import dappleseam.fleet.membership.Notice;
 import dappleseam.fleet.membership.Standing;
+import dappleseam.router.NodeId;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -89,6 +90,8 @@
     private int countedBefore;
     private double shareBefore;
     private Notice twinBefore;
+    private Set<NodeId> failingBefore = Set.of();
+    private Set<NodeId> convictedBefore = Set.of();
     private Thread thread;
 
     /**
@@ -260,6 +263,7 @@
         }
         if (signals != null && now >= signals.wakeAt()) {
             signals.woken(now);
+            recordWords(now);
         }
         if (now >= publishAt) {
             publish(now);
@@ -394,6 +398,17 @@
         }
     }
 
+    /** What is new of caches since the last look. */
+    private void recordWords(double now) {
+        Set<NodeId> failing = signals.sightsOfFailing();
+        failing.stream().filter(node -> !failingBefore.contains(node)).forEach(node -> views.says(now, node, "FAILS"));
+        failingBefore.stream().filter(node -> !failing.contains(node)).forEach(node -> views.says(now, node, "CLEARED"));
+        failingBefore = failing;
+        Set<NodeId> convicted = signals.convicted();
+        convicted.stream().filter(node -> !convictedBefore.contains(node)).forEach(node -> views.says(now, node, "CONVICTED"));
+        convictedBefore = convicted;
+    }
+
     private void keep() {
         if (left == null) {
             return;
--- a/src/main/java/dappleseam/fleet/peers/SignalDesk.java
+++ b/src/main/java/dappleseam/fleet/peers/SignalDesk.java
@@ -15,6 +15,7 @@
 import dappleseam.fleet.share.Shares;
 import dappleseam.fleet.share.Sight;
 import dappleseam.fleet.share.Signals;
+import dappleseam.fleet.share.Word;
 import dappleseam.router.NodeId;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -25,6 +26,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 /** This process's bulletin, all others', and what comes of them: words on caches, and its share. On the fleet's thread, or in simulated time. */
 public final class SignalDesk {
@@ -46,6 +48,7 @@
     private Choices choices;
     private double lookAt;
     private int looks;
+    private List<Sight> own = List.of();
     private List<Said> said = List.of();
     private double share = Double.NaN;
     private double place = Double.NaN;
@@ -99,8 +102,9 @@
         shares.keep(names);
         double rate = sightings.ratePerS();
         if (!Double.isNaN(rate)) {
+            own = choices.signals() || choices.turns() ? sights(nowMs) : List.of();
             double tellable = shares.tellable(nowMs, rate, names, missing, membership.counted());
-            board.say(nowMs, membership.self().life(), tellable, shares.usualPerS(nowMs), choices.signals() || choices.turns() ? sights(nowMs) : List.of(), shares.tellsAnew(nowMs) && !toldAnew);
+            board.say(nowMs, membership.self().life(), tellable, shares.usualPerS(nowMs), own, shares.tellsAnew(nowMs) && !toldAnew);
             toldAnew = shares.tellsAnew(nowMs);
         }
         tell(nowMs);
@@ -167,6 +171,16 @@
         return choices.signals() || choices.turns() ? said : null;
     }
 
+    /** Of what this process says by its own sight. */
+    Set<NodeId> sightsOfFailing() {
+        return own.stream().filter(Sight::fails).map(Sight::node).collect(Collectors.toUnmodifiableSet());
+    }
+
+    /** Of what others' words came to. */
+    Set<NodeId> convicted() {
+        return said.stream().filter(word -> word.word() == Word.FAILS).map(Said::node).collect(Collectors.toUnmodifiableSet());
+    }
+
     /** Where it stands among all by the last look; NaN where that is by chance. */
     double place() {
         return place;
--- a/src/main/java/dappleseam/fleet/peers/ViewRecord.java
+++ b/src/main/java/dappleseam/fleet/peers/ViewRecord.java
@@ -6,6 +6,7 @@
 import dappleseam.fleet.lease.Token;
 import dappleseam.fleet.membership.Notice;
 import dappleseam.fleet.membership.Standing;
+import dappleseam.router.NodeId;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.lang.System.Logger;
@@ -95,6 +96,14 @@
         line(nowMs, to -> to.writeNumberField("share", share));
     }
 
+    /** {@code FAILS}, {@code CLEARED}: what is said of a cache by own sight from now on; {@code CONVICTED}: what others' words have come to. */
+    void says(double nowMs, NodeId cache, String verdict) {
+        line(nowMs, to -> {
+            to.writeStringField("cache", Long.toHexString(cache.value()));
+            to.writeStringField("verdict", verdict);
+        });
+    }
+
     void twin(double nowMs, Notice twin) {
         line(nowMs, to -> to.writeNumberField("twin", twin.life().nonce()));
     }
--- a/src/main/java/dappleseam/lab/FleetRun.java
+++ b/src/main/java/dappleseam/lab/FleetRun.java
@@ -247,19 +247,17 @@
         }
         endAll();
         metronome.interrupt();
-        List<Sight> sights = new ArrayList<>();
-        List<ViewChecker.Counted> counts = new ArrayList<>();
-        List<ViewChecker.Counted> shares = new ArrayList<>();
+        ViewChecker.Records records = new ViewChecker.Records();
         List<LeaseChecker.Line> leases = new ArrayList<>();
         for (Instance instance : instances) {
-            read(instance, sights, counts, shares, leases);
+            read(instance, records, leases);
         }
         double period = scenario.periodMs();
-        List<ViewChecker.Breach> broken = ViewChecker.check(truth, sights, counts, shares, new ViewChecker.Bounds(LATE_PERIODS * period, GRACE_PERIODS * period,
+        List<ViewChecker.Breach> broken = ViewChecker.check(truth, records, new ViewChecker.Bounds(LATE_PERIODS * period, GRACE_PERIODS * period,
                 settledMs, RUMOUR_PERIODS * period));
         links.close();
         Report played = new Report(scenario.play(), ledger, load, RuleChecker.check(scenario.play(), ledger, false), 0, 0);
-        return new FleetReport(scenario, played, truth, sights, broken, List.copyOf(timeline), beganMs, settledMs, readyMs, links, !failed,
+        return new FleetReport(scenario, played, truth, records.sights(), broken, List.copyOf(timeline), beganMs, settledMs, readyMs, links, !failed,
                 LeaseChecker.check(leases.stream().filter(l -> l.ms() <= settledMs).toList()), List.copyOf(hits),
                 store == null ? List.of() : List.copyOf(store.writes()), ledger, playMs);
     }
@@ -479,8 +477,7 @@
     }
 
     /** A process's own record of its view; what it has no line for, it never came to. */
-    private void read(Instance instance, List<Sight> sights, List<ViewChecker.Counted> counts, List<ViewChecker.Counted> shares,
-                      List<LeaseChecker.Line> leases) throws IOException {
+    private void read(Instance instance, ViewChecker.Records records, List<LeaseChecker.Line> leases) throws IOException {
         long viewer = 0;
         for (JsonNode one : lines(instance)) {
             double ms = one.path("ms").asDouble();
@@ -488,14 +485,16 @@
                 viewer = one.path("nonce").asLong();
                 truth.began(one.path("began").asText(), viewer, ms, instance.endedMs);
             } else if (one.has("saw")) {
-                sights.add(new Sight(ms, viewer, one.path("saw").asText(), one.path("nonce").asLong(), one.path("incarnation").asInt(),
+                records.sights().add(new Sight(ms, viewer, one.path("saw").asText(), one.path("nonce").asLong(), one.path("incarnation").asInt(),
                         State.valueOf(one.path("state").asText())));
             } else if (isOfLease(one)) {
                 leases.add(leaseLine(instance, one));
             } else if (one.has("share")) {
-                shares.add(new ViewChecker.Counted(ms, viewer, 1 / one.path("share").asDouble()));
+                records.shares().add(new ViewChecker.Counted(ms, viewer, 1 / one.path("share").asDouble()));
+            } else if (one.has("cache")) {
+                records.words().add(new ViewChecker.Word(ms, viewer, ViewChecker.Verdict.valueOf(one.path("verdict").asText()), one.path("cache").asText()));
             } else if (one.has("counted")) {
-                counts.add(new ViewChecker.Counted(ms, viewer, one.path("counted").asInt()));
+                records.counts().add(new ViewChecker.Counted(ms, viewer, one.path("counted").asInt()));
             }
         }
     }
--- a/src/main/java/dappleseam/lab/fleet/History.java
+++ b/src/main/java/dappleseam/lab/fleet/History.java
@@ -94,8 +94,7 @@
     private final class Run {
         final SimulatedFleet fleet;
         final Truth truth = new Truth();
-        final List<Sight> sights = new ArrayList<>();
-        final List<ViewChecker.Counted> counts = new ArrayList<>();
+        final ViewChecker.Records records = new ViewChecker.Records();
         final int[] counted = new int[members];
         /** Those that are down for good, or until a step's own end. */
         final Set<Integer> busy = new HashSet<>();
@@ -144,7 +143,7 @@
         }
 
         void saw(double nowMs, Node viewer, Notice before, Notice after) {
-            sights.add(new Sight(nowMs, viewer.nonce(), after.name().text(), after.life().nonce(), after.incarnation(), after.state()));
+            records.sights().add(new Sight(nowMs, viewer.nonce(), after.name().text(), after.life().nonce(), after.incarnation(), after.state()));
         }
 
         Verdict play() {
@@ -163,7 +162,7 @@
             double calm = fleet.nowMs();
             double agreed = untilAgreed(SETTLE_MS);
             run(Math.max(0, calm + SETTLE_MS - fleet.nowMs()));
-            return new Verdict(ViewChecker.check(truth, sights, counts, new ViewChecker.Bounds(LATE_MS, GRACE_MS, fleet.nowMs(), RUMOUR_MS)), agreed,
+            return new Verdict(ViewChecker.check(truth, records, new ViewChecker.Bounds(LATE_MS, GRACE_MS, fleet.nowMs(), RUMOUR_MS)), agreed,
                     fleet.datagrams, new Taken(most, mostAt, least, last));
         }
 
@@ -188,7 +187,7 @@
                 for (Node node : fleet.nodes()) {
                     if (node.up && node.membership().counted() != counted[node.number]) {
                         counted[node.number] = node.membership().counted();
-                        counts.add(new ViewChecker.Counted(fleet.nowMs(), node.nonce(), counted[node.number]));
+                        records.counts().add(new ViewChecker.Counted(fleet.nowMs(), node.nonce(), counted[node.number]));
                     }
                 }
             }
--- a/src/main/java/dappleseam/lab/fleet/ViewChecker.java
+++ b/src/main/java/dappleseam/lab/fleet/ViewChecker.java
@@ -28,7 +28,9 @@
         /** All together divided by so little that they took more than the whole. */
         MORE_THAN_WHOLE,
         /** All together went by shares that come to more than the whole and their margin. */
-        SHARES_OVER_WHOLE
+        SHARES_OVER_WHOLE,
+        /** A process was told by others that a cache fails, and nobody else's record says that it saw so. */
+        FALSE_SIGNAL
     }
 
     /** One broken promise, told with its history. */
@@ -37,6 +39,18 @@
     /** What a process divided the whole by, from then on: the counted fleet, or one over its share. */
     public record Counted(double ms, long viewer, double counted) {}
 
+    /** What a process said of a cache by its own sight, or came to hold of it by others' words. */
+    public enum Verdict { FAILS, CLEARED, CONVICTED }
+
+    public record Word(double ms, long viewer, Verdict verdict, String cache) {}
+
+    /** What processes wrote down. {@code shares}: what those that go by their shares divided by. */
+    public record Records(List<Sight> sights, List<Counted> counts, List<Counted> shares, List<Word> words) {
+        public Records() {
+            this(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+        }
+    }
+
     /**
      * {@code lateMs}: from an end until all know it. {@code graceMs}: after a trouble in which failures are still told.
      * {@code settledMs}: the time at which all views have to be right; what comes later, as the fleet is taken down, tells nothing. {@code rumourMs}: the time without troubles in which a new process
@@ -48,6 +62,9 @@
     /** Suspicions of one process that one view may hold within the time of grace: chance brings one, not so many. */
     private static final int MOST_SUSPICIONS = 4;
 
+    /** Time in ms that a sight may be on its way. */
+    private static final double TOLD_MS = 2000;
+
     private final Truth truth;
     private final Bounds bounds;
     private final List<Breach> breaches = new ArrayList<>();
@@ -59,19 +76,15 @@
         this.bounds = bounds;
     }
 
-    public static List<Breach> check(Truth truth, List<Sight> sights, List<Counted> counts, Bounds bounds) {
-        return check(truth, sights, counts, List.of(), bounds);
-    }
-
-    /** {@code shares}: what processes that go by their shares divided by. */
-    public static List<Breach> check(Truth truth, List<Sight> sights, List<Counted> counts, List<Counted> shares, Bounds bounds) {
+    public static List<Breach> check(Truth truth, Records records, Bounds bounds) {
         ViewChecker checker = new ViewChecker(truth, bounds);
-        List<Sight> ordered = sights.stream().filter(s -> s.ms() <= bounds.settledMs()).sorted(Comparator.comparingDouble(Sight::ms)).toList();
+        List<Sight> ordered = records.sights.stream().filter(s -> s.ms() <= bounds.settledMs()).sorted(Comparator.comparingDouble(Sight::ms)).toList();
         ordered.forEach(checker::see);
         checker.late();
         checker.agreement();
-        checker.within(counts, Promise.MORE_THAN_WHOLE, 0);
-        checker.within(shares, Promise.SHARES_OVER_WHOLE, margin((int) truth.processes().stream().map(Truth.Process::member).distinct().count()));
+        checker.within(records.counts, Promise.MORE_THAN_WHOLE, 0);
+        checker.within(records.shares, Promise.SHARES_OVER_WHOLE, margin((int) truth.processes().stream().map(Truth.Process::member).distinct().count()));
+        checker.convictions(records.words);
         return checker.breaches.stream().sorted(Comparator.comparingDouble(Breach::ms)).limit(MOST_TOLD).toList();
     }
 
@@ -170,6 +183,21 @@
         return new int[] {running - wrong.size(), running};
     }
 
+    /** Guards caches against what nobody saw: each conviction has to have a witness, whose sight was at most so old as one is told on. */
+    private void convictions(List<Word> words) {
+        List<Word> ordered = words.stream().sorted(Comparator.comparingDouble(Word::ms)).toList();
+        Map<List<Object>, Double> until = new HashMap<>(); // by witness and cache
+        for (Word word : ordered) {
+            Truth.Process viewer = truth.process(word.viewer);
+            if (word.verdict != Verdict.CONVICTED) {
+                until.put(List.of(word.viewer, word.cache), word.verdict == Verdict.FAILS ? Double.POSITIVE_INFINITY : word.ms);
+            } else if (until.entrySet().stream().noneMatch(e -> e.getKey().get(1).equals(word.cache) && !truth.process((long) e.getKey().get(0)).member().equals(viewer.member())
+                    && e.getValue() + dappleseam.fleet.share.Sight.OLDEST_MS + TOLD_MS >= word.ms)) {
+                breach(Promise.FALSE_SIGNAL, word.ms, "%s was told that %s fails, and nobody saw so", viewer.member(), word.cache);
+            }
+        }
+    }
+
     /** By how much of the whole all shares together may be over it: a fifth for splits and news that is late, and an even share and a half for processes that are new. */
     public static double margin(int members) {
         return 0.2 + 1.5 / members;
--- a/src/test/java/dappleseam/lab/FleetRunTest.java
+++ b/src/test/java/dappleseam/lab/FleetRunTest.java
@@ -134,6 +134,7 @@
             assertThat(lied.broken()).as(lied.text()).isZero();
             assertThat(shareAtAccused(lied)).as(lied.text()).isGreaterThan(0.8 * usual);
             FleetReport believed = runs.get(Planted.LIARS).get();
+            assertThat(believed.text()).contains("FALSE_SIGNAL");
             assertThat(shareAtAccused(believed)).as(believed.text()).isLessThan(0.8 * usual);
         } finally {
             hands.shutdownNow();
--- a/src/test/java/dappleseam/lab/fleet/ViewCheckerTest.java
+++ b/src/test/java/dappleseam/lab/fleet/ViewCheckerTest.java
@@ -7,7 +7,9 @@
 import dappleseam.lab.fleet.ViewChecker.Breach;
 import dappleseam.lab.fleet.ViewChecker.Counted;
 import dappleseam.lab.fleet.ViewChecker.Promise;
-import java.util.ArrayList;
+import dappleseam.lab.fleet.ViewChecker.Records;
+import dappleseam.lab.fleet.ViewChecker.Verdict;
+import dappleseam.lab.fleet.ViewChecker.Word;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -17,8 +19,7 @@
     private static final Bounds BOUNDS = new Bounds(10, 10, 1000, 10);
 
     private final Truth truth = new Truth();
-    private final List<Sight> sights = new ArrayList<>();
-    private final List<Counted> counts = new ArrayList<>();
+    private final Records records = new Records();
 
     @BeforeEach
     void threeThatKnowEachOther() {
@@ -31,16 +32,16 @@
                     see(1, viewer, other, State.ALIVE);
                 }
             }
-            counts.add(new Counted(1, viewer, 3));
+            records.counts().add(new Counted(1, viewer, 3));
         }
     }
 
     private void see(double ms, int viewer, int other, State state) {
-        sights.add(new Sight(ms, viewer, "p" + other, other, 0, state));
+        records.sights().add(new Sight(ms, viewer, "p" + other, other, 0, state));
     }
 
     private List<Promise> broken() {
-        return ViewChecker.check(truth, sights, counts, BOUNDS).stream().map(Breach::promise).distinct().toList();
+        return ViewChecker.check(truth, records, BOUNDS).stream().map(Breach::promise).distinct().toList();
     }
 
     @Test
@@ -49,8 +50,8 @@
         see(505, 1, 3, State.FAILED);
         see(506, 2, 3, State.FAILED);
         assertThat(broken()).isEmpty();
-        assertThat(ViewChecker.right(truth, sights, 503)).containsExactly(0, 2);
-        assertThat(ViewChecker.right(truth, sights, 505)).containsExactly(1, 2);
+        assertThat(ViewChecker.right(truth, records.sights(), 503)).containsExactly(0, 2);
+        assertThat(ViewChecker.right(truth, records.sights(), 505)).containsExactly(1, 2);
     }
 
     @Test
@@ -113,31 +114,55 @@
     void whoHoldsTheProcessBeforeAtTheEndIsSeen() {
         truth.ended("p3", 500);
         truth.began("p3", 33, 501);
-        sights.add(new Sight(505, 1, "p3", 33, 0, State.ALIVE));
+        records.sights().add(new Sight(505, 1, "p3", 33, 0, State.ALIVE));
         see(505, 2, 3, State.FAILED);
-        sights.add(new Sight(505, 33, "p1", 1, 0, State.ALIVE));
-        sights.add(new Sight(505, 33, "p2", 2, 0, State.ALIVE));
+        records.sights().add(new Sight(505, 33, "p1", 1, 0, State.ALIVE));
+        records.sights().add(new Sight(505, 33, "p2", 2, 0, State.ALIVE));
         assertThat(broken()).containsExactly(Promise.NO_AGREEMENT);
     }
 
     @Test
     void halvesThatEachTakeTheWholeAreSeen() {
         truth.troubled(null, 100, 900);
-        counts.add(new Counted(500, 1, 1));
+        records.counts().add(new Counted(500, 1, 1));
         assertThat(broken()).containsExactly(Promise.MORE_THAN_WHOLE);
     }
 
     @Test
     void aNewProcessMayComeOnTopForTheTimeOfARumour() {
         truth.began("p4", 4, 500);
-        counts.add(new Counted(501, 4, 4));
+        records.counts().add(new Counted(501, 4, 4));
         for (int i = 1; i <= 3; i++) {
             see(505, i, 4, State.ALIVE);
             see(505, 4, i, State.ALIVE);
-            counts.add(new Counted(505, i, 4));
+            records.counts().add(new Counted(505, i, 4));
         }
         assertThat(broken()).isEmpty();
-        counts.add(new Counted(600, 2, 3));
+        records.counts().add(new Counted(600, 2, 3));
         assertThat(broken()).containsExactly(Promise.MORE_THAN_WHOLE);
     }
+
+    private void say(double ms, int viewer, Verdict verdict) {
+        records.words().add(new Word(ms, viewer, verdict, "cache"));
+    }
+
+    @Test
+    void whoIsToldWhatNobodySawOfACacheIsSeen() {
+        say(400, 2, Verdict.FAILS);
+        say(500, 1, Verdict.CONVICTED);
+        say(600, 2, Verdict.CLEARED);
+        assertThat(broken()).isEmpty();
+        say(500, 2, Verdict.CONVICTED); // by its own sight alone
+        assertThat(broken()).containsExactly(Promise.FALSE_SIGNAL);
+    }
+
+    @Test
+    void aWordOnACacheThatIsTooOldIsSeen() {
+        say(400, 2, Verdict.FAILS);
+        say(600, 2, Verdict.CLEARED);
+        say(30_000, 1, Verdict.CONVICTED);
+        assertThat(broken()).isEmpty();
+        say(40_000, 3, Verdict.CONVICTED);
+        assertThat(broken()).containsExactly(Promise.FALSE_SIGNAL);
+    }
 }
