--- a/src/main/java/dappleseam/fleet/membership/Membership.java
+++ b/src/main/java/dappleseam/fleet/membership/Membership.java
@@ -6,9 +6,11 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -71,6 +73,8 @@
     private static final long AGREES = 0;
     /** Periods between comparisons until then, at most. */
     private static final int CATCH_UP_PERIODS = 3;
+    /** Members drawn for each helper that is wanted. */
+    private static final int HELPER_DRAWS = 4;
     /** Probes in a row that only others got through. */
     private static final int VIA_OTHERS = 2;
     /** Probes carried out for others at once; lives of one's own name that are answered; names told of as missing. */
@@ -148,6 +152,8 @@
     private static final class Suspicion {
         final double beganAt;
         final Set<Integer> accusers = new HashSet<>();
+        /** This process has doubted its own ear because of it. */
+        boolean blamedSelf;
         /** Somebody holds it for failed already. */
         boolean foundFailed;
 
@@ -162,8 +168,8 @@
         boolean answered;
         boolean directly;
         boolean tellsNothing;
-        int asked;
-        int nacks;
+        final Set<Peer> asked = new LinkedHashSet<>();
+        final Set<MemberName> nacks = new HashSet<>();
 
         Probe(long number, Peer peer) {
             this.number = number;
@@ -333,7 +339,7 @@
     public void nack(InetSocketAddress from, Notice sender, long number) {
         if (hear(from, sender, List.of())) {
             if (probe != null && probe.number == number) {
-                probe.nacks++;
+                probe.nacks.add(sender.name());
             }
             leave();
         }
@@ -514,8 +520,8 @@
             return;
         }
         host.ping(open.peer.notice.address(), self, open.number, open.peer.notice.name(), news(open.peer.notice));
-        for (Peer helper : some(terms.helpers(), open.peer)) {
-            open.asked++;
+        for (Peer helper : helpers(open.peer)) {
+            open.asked.add(helper);
             host.ask(helper.notice.address(), self, open.number, open.peer.notice, news(helper.notice));
         }
     }
@@ -531,11 +537,16 @@
             over.peer.viaOthers = over.directly ? 0 : over.peer.viaOthers + 1;
             return;
         }
-        if (over.nacks < over.asked || over.asked == 0) {
+        boolean unheard = over.asked.isEmpty() || over.asked.stream().anyMatch(helper -> !missedByOthers(helper) && !over.nacks.contains(helper.notice.name()));
+        boolean doubtful = unheard && !missedByOthers(over.peer);
+        if (doubtful) {
             worse(); // those that were asked did not even say no: it may be this one's own ear
         }
         if (over.peer.notice.state().isPresent() && !(terms.localHealth() && now < doubtUntil)) {
             suspect(over.peer, self.name().hashCode());
+            if (over.peer.suspicion != null) {
+                over.peer.suspicion.blamedSelf |= doubtful;
+            }
         }
     }
 
@@ -552,6 +563,10 @@
             return;
         } else {
             spread(peer.notice.with(State.SUSPECT, accuser));
+            if (peer.suspicion.blamedSelf) { // another found the same: it was not this one's ear
+                peer.suspicion.blamedSelf = false;
+                health = Math.max(0, health - 1);
+            }
         }
         watch(peer, peer.suspicion);
     }
@@ -625,6 +640,18 @@
         }
     }
 
+    /** Whether somebody else found it silent, too. */
+    private boolean missedByOthers(Peer peer) {
+        return !peer.notice.state().isPresent() || peer.suspicion != null && peer.suspicion.accusers.stream().anyMatch(a -> a != 0 && a != self.name().hashCode());
+    }
+
+    /** Whom to ask to probe in one's stead: by chance, of those that nobody suspects as long as there are. Guards against the silence of many that died at once, which is taken for one's own. */
+    private List<Peer> helpers(Peer but) {
+        List<Peer> drawn = some(HELPER_DRAWS * terms.helpers(), but);
+        drawn.sort(Comparator.comparing(peer -> peer.suspicion != null));
+        return drawn.subList(0, Math.min(terms.helpers(), drawn.size()));
+    }
+
     /** So many present members by chance, without that one. */
     private List<Peer> some(int count, Peer but) {
         List<Peer> chosen = new ArrayList<>(count);
@@ -1015,7 +1042,7 @@
         rumours.forEach((notice, told) -> text.append('\n').append(told).append(notice));
         dues.stream().sorted().forEach(due -> text.append('\n').append(due.what).append(Math.round(due.at - now)));
         if (probe != null) {
-            text.append('\n').append(probe.peer.notice.name()).append(probe.answered).append(probe.directly).append(probe.asked).append(probe.nacks);
+            text.append('\n').append(probe.peer.notice.name()).append(probe.answered).append(probe.directly).append(probe.asked.size()).append(probe.nacks.size());
         }
         errands.values().forEach(errand -> text.append('\n').append(errand.target));
         return text.toString();
--- a/src/main/java/dappleseam/lab/SizesCommand.java
+++ b/src/main/java/dappleseam/lab/SizesCommand.java
@@ -25,10 +25,13 @@
     @Option(names = "--deaths", defaultValue = "5", description = "Members that die one after the other (default: 5).")
     private int deaths;
 
+    @Option(names = "--together", defaultValue = "0.5", description = "Share of the members that die at one instant (default: 0.5).")
+    private double together;
+
     @Option(names = "--running-ms", defaultValue = "8000", description = "How long those that stand still by turns run between two stalls of 4 s (default: 8000).")
     private double runningMs;
 
-    @Option(names = "--only", description = "Only one part: deaths, false, heal.")
+    @Option(names = "--only", description = "Only one part: deaths, together, false, heal.")
     private String only;
 
     @Override
@@ -39,6 +42,9 @@
                 if (only == null || only.equals("deaths")) {
                     System.out.println(sizes.deaths(deaths));
                 }
+                if (only == null || only.equals("together")) {
+                    System.out.println(sizes.together(together));
+                }
                 if (only == null || only.equals("heal")) {
                     System.out.println(sizes.heal());
                 }
--- a/src/main/java/dappleseam/lab/fleet/History.java
+++ b/src/main/java/dappleseam/lab/fleet/History.java
@@ -256,7 +256,7 @@
                 }
                 case ONE_WAY -> {
                     if (a != b && b.deafTo.add(a.number)) {
-                        if (members < ENOUGH_TO_HELP) {
+                        if (fleet.nodes().stream().filter(n -> n.up).count() < ENOUGH_TO_HELP) {
                             truth.troubled(a.name.text(), now, end);
                             truth.troubled(b.name.text(), now, end);
                         }
--- a/src/main/java/dappleseam/lab/fleet/Sizes.java
+++ b/src/main/java/dappleseam/lab/fleet/Sizes.java
@@ -76,6 +76,54 @@
                 wire[0], wire[1], first.size(), Ranked.at(first, 0.5), Ranked.at(first, 0.99), Ranked.at(spread, 0.5), Ranked.at(spread, 0.99), Math.log(members) / Math.log(2));
     }
 
+    /** That share dies at one instant: time until a half, all but one of a hundred, and all of what the living hold of the dead is right. */
+    public String together(double share) {
+        List<Double> half = new ArrayList<>();
+        List<Double> most = new ArrayList<>();
+        List<Double> all = new ArrayList<>();
+        List<Double> wronged = new ArrayList<>();
+        double[] wire = new double[1];
+        IntStream.rangeClosed(1, runs).parallel().forEach(seed -> {
+            SimulatedFleet fleet = begun(seed);
+            int dead = (int) Math.round(share * members);
+            int pairs = dead * (members - dead);
+            double from = fleet.nowMs();
+            Set<Long> knew = new HashSet<>();
+            Set<Integer> wrongly = new HashSet<>();
+            double[] at = {Double.NaN, Double.NaN, Double.NaN};
+            fleet.watch((now, viewer, before, after) -> {
+                int number = Integer.parseInt(after.name().text().substring(1));
+                if (after.state().isPresent()) {
+                    return;
+                }
+                if (number >= dead) {
+                    wrongly.add(number);
+                } else if (viewer.number >= dead && knew.add((long) viewer.number << 32 | number)) {
+                    double s = (now - from) / SECOND;
+                    at[0] = knew.size() <= pairs / 2 ? s : at[0];
+                    at[1] = knew.size() <= 0.99 * pairs ? s : at[1];
+                    at[2] = knew.size() == pairs ? s : at[2];
+                }
+            });
+            for (int i = 0; i < dead; i++) {
+                fleet.node(i).kill();
+            }
+            long datagrams = fleet.datagrams;
+            for (int i = 0; i < 3 * MINUTE / SECOND && Double.isNaN(at[2]); i++) {
+                fleet.runFor(SECOND);
+            }
+            synchronized (half) {
+                half.add(at[0]);
+                most.add(at[1]);
+                all.add(at[2]);
+                wronged.add((double) wrongly.size());
+                wire[0] += (fleet.datagrams - datagrams) / ((fleet.nowMs() - from) / SECOND) / (members - dead) / runs;
+            }
+        });
+        return line("%.0f%% die at once: half of what is held of them is right after %.1f s median, 99 of 100 after %.1f s, all after %.1f s median, %.1f s at most of %d; %.1f datagrams a second meanwhile; living held for failed %.1f a run",
+                100 * share, Ranked.at(half, 0.5), Ranked.at(most, 0.5), Ranked.at(all, 0.5), Ranked.at(all, 1), runs, wire[0], wronged.stream().mapToDouble(w -> w).average().orElse(0));
+    }
+
     /** Cut in two for two minutes: time until all views are right again. */
     public String heal() {
         List<Double> healed = new ArrayList<>();
--- a/src/test/java/dappleseam/fleet/membership/MembershipTest.java
+++ b/src/test/java/dappleseam/fleet/membership/MembershipTest.java
@@ -92,6 +92,30 @@
         assertThat(holding(dead, s -> s == State.FAILED)).isEqualTo(49);
     }
 
+    /** The dead give no help, and their silence is none of the living's ears: else these doubt themselves and take twice as long. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void sevenInTenThatDieAtOnceAreKnownSoon(long seed) {
+        start(50, seed);
+        fleet.nodes().subList(0, 35).forEach(Node::kill);
+        assertThat(fleet.untilAgreed(35 * SECOND)).isNotNaN();
+        assertThat(fleet.nodes().subList(35, 50)).allMatch(n -> holding(n, State.FAILED::equals) == 0);
+    }
+
+    /** What others find weighs against one's own doubt, but only where they find the same. */
+    @Test
+    void whoseOwnLinkLosesMostDoubtsItselfAndFailsNobody() {
+        start(20, 4);
+        fleet.node(5).loss = 0.6;
+        int worst = 0;
+        for (int i = 0; i < 120; i++) {
+            fleet.runFor(SECOND);
+            worst = Math.max(worst, fleet.node(5).membership().health());
+        }
+        assertThat(worst).isGreaterThanOrEqualTo(4);
+        assertThat(sights.stream().filter(n -> n.state() == State.FAILED && !n.name().equals(fleet.node(5).name))).isEmpty();
+    }
+
     @Test
     void halfThatDieAtOnceAreCountedUntilTheirHostsDeny() {
         start(40, 4);
