At its end a process stops taking queries on the I/O thread, and what comes while it closes is answered in the same go

Read in the code: the last abort came up to 10 ms before the end, the look that closes connections reads what has come, and the main thread ended the process by its own clock while the I/O thread went on reading (the log has 'ended' 2.93 s after the line of the signal; the halt comes after the log is written).

Change: at the end's time the I/O thread takes what has come, answers it, stops reading for good and closes what is owed nothing; aborts and closes go in four rounds in one event; the main thread's own time is the last resort, for an I/O thread that hangs. Test: a front that has looked for the last time takes nothing more.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -317,7 +317,7 @@
     }
 
     private void resume() {
-        if (paused && !link.isClosed()) {
+        if (paused && !link.isClosed() && !last) {
             paused = false;
             if (isFull()) {
                 pauseIfFull();
@@ -334,7 +334,7 @@
 
     /** Ends the connection if nothing has come on it and nothing is owed. */
     void closeIfIdle() {
-        if (!link.isClosed()) {
+        if (!link.isClosed() && !last) {
             link.readable(); // what is read now is answered; a close with it unread would lose it
         }
         if (!link.isClosed() && isIdle()) {
@@ -343,6 +343,21 @@
         }
     }
 
+    /** Reads what has come, answers that, and reads no more. */
+    void takeNoMore() {
+        if (!link.isClosed()) {
+            link.readable();
+        }
+        if (!link.isClosed()) {
+            last = true;
+            link.pause();
+            if (owesNothing()) { // half a command is not taken
+                link.closeAtOnce();
+                gone();
+            }
+        }
+    }
+
     void close() {
         link.close();
         gone();
--- a/src/main/java/dappleseam/clients/ClientFront.java
+++ b/src/main/java/dappleseam/clients/ClientFront.java
@@ -207,6 +207,11 @@
         connections.all().forEach(ClientConnection::closeIfIdle);
     }
 
+    /** From now on no query is taken of any client; what is owed is still written. */
+    public void takeNoMore() {
+        connections.all().forEach(ClientConnection::takeNoMore);
+    }
+
     public boolean hasClients() {
         return connections.used() > 0;
     }
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -59,10 +59,13 @@
     /** The platform kills no sooner than the longest statement timeout, up to so many ms, and so many more after it. */
     private static final double LONGEST_WAIT_MS = 3000;
     private static final double KILL_MORE_MS = 700;
-    /** Times in ms before the kill: idle clients are closed, what is left is aborted, the program ends. */
+    /** Times in ms before the kill: idle clients are closed, what is left is aborted, nothing more is taken and the program ends; it ends even if the I/O thread hangs. */
     private static final double CLOSE_LEAD_MS = 350;
     private static final double ABORT_LEAD_MS = 200;
     private static final double END_LEAD_MS = 100;
+    private static final double LAST_LEAD_MS = 60;
+    /** Rounds of answering and closing in one go: what comes while a connection is closed is answered in the next. */
+    private static final int ROUNDS = 4;
     /** Time in ms for the last lines of the log to be written. */
     private static final long LAST_LINES_MS = 20;
     /** Time in ms in which a connection to itself comes up. */
@@ -458,9 +461,14 @@
                 });
             }
             loop.at(now + killAfterMs - ABORT_LEAD_MS, this::abortAndClose);
+            loop.at(now + killAfterMs - END_LEAD_MS, () -> {
+                front.takeNoMore(); // first: what this reads is aborted with the rest
+                proxy.abortAll();
+                done.countDown();
+            });
         });
         try {
-            done.await((long) (killAfterMs - END_LEAD_MS), TimeUnit.MILLISECONDS);
+            done.await((long) (killAfterMs - LAST_LEAD_MS), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -477,8 +485,10 @@
      * would be taken between the last answer and the end would be lost.
      */
     private void abortAndClose() {
-        proxy.abortAll();
-        front.closeIdle();
+        for (int i = 0; i < ROUNDS; i++) {
+            proxy.abortAll();
+            front.closeIdle();
+        }
         if (front.hasClients()) {
             loop.at(loop.nowMs() + LOOK_AGAIN_MS, this::abortAndClose);
         }
--- a/src/test/java/dappleseam/clients/ClientFrontTest.java
+++ b/src/test/java/dappleseam/clients/ClientFrontTest.java
@@ -82,30 +82,71 @@
         public void clientLeft(QueryId id) {}
     }
 
-    /** Guards a busy proxy against closing what it has to accept again at once. */
-    @Test
-    void aClientThatHasJustBeenAnsweredDoesNotMakeWay() throws Exception {
+    private interface Part {
+        Object play(ByHand loop, ClientFront front, StreamConnection client) throws IOException;
+    }
+
+    /** With one client, which has written that, on the thread that reads it. */
+    private static Object played(String written, int mostAsking, Part part) throws Exception {
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        CompletableFuture<List<Boolean>> kept = new CompletableFuture<>();
+        CompletableFuture<Object> found = new CompletableFuture<>();
         worker.getIoThread().execute(() -> {
             try {
-                List<Boolean> has = new ArrayList<>();
-                for (double until : new double[] {1200, 1800}) {
-                    ByHand loop = new ByHand();
-                    ClientFront front = new ClientFront(loop, loop, 100, 1); // no room for any that is idle
-                    ChannelPipe<StreamConnection, StreamConnection> pipe = worker.getIoThread().createFullDuplexPipeConnection();
-                    pipe.getRightSide().getSinkChannel().write(ByteBuffer.wrap(ASKED.getBytes(StandardCharsets.US_ASCII)));
-                    front.opened(pipe.getLeftSide());
-                    loop.owed.get(0).line("+OK");
-                    loop.pass(until);
-                    has.add(front.hasClients());
-                }
-                kept.complete(has);
+                ByHand loop = new ByHand();
+                ClientFront front = new ClientFront(loop, loop, 100, mostAsking);
+                ChannelPipe<StreamConnection, StreamConnection> pipe = worker.getIoThread().createFullDuplexPipeConnection();
+                write(pipe.getRightSide(), written);
+                front.opened(pipe.getLeftSide());
+                found.complete(part.play(loop, front, pipe.getRightSide()));
             } catch (IOException | RuntimeException e) {
-                kept.completeExceptionally(e);
+                found.completeExceptionally(e);
             }
         });
-        assertThat(kept.get()).containsExactly(true, false);
-        worker.shutdownNow();
+        try {
+            return found.get();
+        } finally {
+            worker.shutdownNow();
+        }
+    }
+
+    private static void write(StreamConnection client, String text) throws IOException {
+        client.getSinkChannel().write(ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII)));
+    }
+
+    /** Guards the queries of the last moments: what is read after the last abort has nobody to answer it. */
+    @Test
+    void afterTheLastLookNothingIsTaken() throws Exception {
+        String half = ASKED.substring(0, 10);
+        assertThat(played(ASKED + half, 10, (loop, front, client) -> {
+            front.takeNoMore();
+            write(client, ASKED.substring(10) + ASKED);
+            front.closeIdle();
+            loop.owed.get(0).line("-ERR");
+            front.closeIdle();
+            return List.of(loop.owed.size(), front.hasClients());
+        })).isEqualTo(List.of(1, false));
+        assertThat(played(half, 10, (loop, front, client) -> {
+            front.takeNoMore();
+            return List.of(loop.owed.size(), front.hasClients());
+        })).isEqualTo(List.of(0, false));
+        assertThat(played("", 10, (loop, front, client) -> {
+            write(client, ASKED);
+            front.takeNoMore(); // what has come until now is
+            return List.of(loop.owed.size(), front.hasClients());
+        })).isEqualTo(List.of(1, true));
+    }
+
+    /** Guards a busy proxy against closing what it has to accept again at once. */
+    @Test
+    void aClientThatHasJustBeenAnsweredDoesNotMakeWay() throws Exception {
+        List<Object> kept = new ArrayList<>();
+        for (double until : new double[] {1200, 1800}) {
+            kept.add(played(ASKED, 1, (loop, front, client) -> { // no room for any that is idle
+                loop.owed.get(0).line("+OK");
+                loop.pass(until);
+                return front.hasClients();
+            }));
+        }
+        assertThat(kept).containsExactly(true, false);
     }
 }
