Copies of a hot key are served evenly at each location: places are on the location's own line

Need: where crossing is dear a proxy asks copies of its own location, and on one line for all the proxies of a location stand by chance. Bulletins carry the location, which is the platform's number and the same at all. One location: as before. Ruled out: a hash of the zone's name, as lists number zones alike at all proxies. Tests of the share package, envelope, desks passed; no process run yet.

--- a/src/main/java/dappleseam/fleet/peers/Envelope.java
+++ b/src/main/java/dappleseam/fleet/peers/Envelope.java
@@ -45,7 +45,7 @@
     /** Notices in a datagram at most: each takes over thirty bytes. */
     private static final int MOST_NOTICES = 64;
     private static final int BALLOT_FIELDS = 12;
-    private static final int BULLETIN_FIELDS = 7;
+    private static final int BULLETIN_FIELDS = 8;
     private static final int SIGHT_FIELDS = 4;
     /** Bulletins in a datagram at most: each takes over thirty bytes. */
     private static final int MOST_BULLETINS = 48;
@@ -163,6 +163,7 @@
         cbor.writeNumber(bulletin.life().start());
         cbor.writeNumber(bulletin.life().nonce());
         cbor.writeNumber(bulletin.number());
+        cbor.writeNumber(bulletin.location());
         cbor.writeNumber(bulletin.traffic().before());
         cbor.writeNumber(bulletin.traffic().now());
         cbor.writeNumber(Math.min(bulletin.traffic().ageMs(), LONGEST_LEFT_MS));
@@ -181,6 +182,7 @@
         MemberName who = new MemberName(cbor.getText());
         Life life = new Life(whole(cbor, 0, Life.LATEST), whole(cbor, Long.MIN_VALUE, Long.MAX_VALUE));
         long number = whole(cbor, 0, Long.MAX_VALUE);
+        int location = (int) whole(cbor, Bulletin.NOWHERE, Bulletin.LAST_LOCATION);
         Traffic traffic = new Traffic((int) whole(cbor, 0, Traffic.MOST), (int) whole(cbor, 0, Traffic.MOST), whole(cbor, 0, LONGEST_LEFT_MS));
         List<Sight> sights = new ArrayList<>();
         while (cbor.nextToken() == JsonToken.VALUE_NUMBER_INT) {
@@ -192,7 +194,7 @@
             sights.add(new Sight(node, startedAt, fails, whole(cbor, 0, LONGEST_LEFT_MS)));
         }
         need(cbor.currentToken() == JsonToken.END_ARRAY);
-        return new Bulletin(who, life, number, traffic, sights);
+        return new Bulletin(who, life, number, location, traffic, sights);
     }
 
     private static List<Bulletin> bulletins(JsonParser cbor) throws IOException {
--- a/src/main/java/dappleseam/fleet/peers/PeerSocket.java
+++ b/src/main/java/dappleseam/fleet/peers/PeerSocket.java
@@ -58,6 +58,7 @@
 
     private final Path left;
     private final long seed;
+    private final int location;
     private final long startMs = System.currentTimeMillis();
     private volatile Identity identity;
     private Envelope envelope;
@@ -95,13 +96,14 @@
     private Thread thread;
 
     /**
-     * {@code tasks}: what it would do for the whole fleet. {@code left}: what one process leaves for the next; null for nothing. {@code sightings}: what is told of
+     * {@code location}: where this proxy is, by the platform's number, -1 without locations. {@code tasks}: what it would do for the whole fleet. {@code left}: what one process leaves for the next; null for nothing. {@code sightings}: what is told of
      * caches, where the file says so. Runs from {@link #start} on.
      */
-    public PeerSocket(Identity identity, long seed, Path left, List<FleetTask> tasks, Sightings sightings) {
+    public PeerSocket(Identity identity, int location, long seed, Path left, List<FleetTask> tasks, Sightings sightings) {
         this.tasks = tasks;
         this.sightings = sightings;
         this.identity = identity;
+        this.location = location;
         this.seed = seed;
         this.left = left;
     }
@@ -240,7 +242,7 @@
                     this::sendBallot, this::post, views, random.split(), now);
         }
         if (identity.choices().any()) {
-            signals = new SignalDesk(membership, identity.terms().periodMs(), identity.terms().most(), identity.choices(), sightings,
+            signals = new SignalDesk(membership, identity.terms().periodMs(), identity.terms().most(), location, identity.choices(), sightings,
                     (to, bulletins) -> send(to, Letter.of(membership.self(), bulletins)), random.split(), now);
         }
         publish(now);
--- a/src/main/java/dappleseam/fleet/peers/SignalDesk.java
+++ b/src/main/java/dappleseam/fleet/peers/SignalDesk.java
@@ -54,7 +54,7 @@
     private double place = Double.NaN;
     private boolean toldAnew;
 
-    public SignalDesk(Membership membership, double periodMs, int most, Choices choices, Sightings sightings, BiConsumer<InetSocketAddress, List<Bulletin>> out,
+    public SignalDesk(Membership membership, double periodMs, int most, int location, Choices choices, Sightings sightings, BiConsumer<InetSocketAddress, List<Bulletin>> out,
                RandomGenerator random, double nowMs) {
         this.membership = membership;
         this.choices = choices;
@@ -63,7 +63,7 @@
         this.random = random;
         lookMs = Math.max(LOOK_LEAST_MS, LOOK_SHARE * periodMs);
         shares = new Shares(membership.self().name(), Math.max(periodMs, LOOK_LEAST_MS / LOOK_SHARE));
-        board = new Board(membership.self().name(), most, shares.ownMs());
+        board = new Board(membership.self().name(), most, shares.ownMs(), location);
         signals = new Signals(membership.self().name());
         lookAt = nowMs + random.nextDouble() * lookMs;
     }
--- a/src/main/java/dappleseam/fleet/share/Board.java
+++ b/src/main/java/dappleseam/fleet/share/Board.java
@@ -27,6 +27,7 @@
     private final MemberName self;
     private final int most;
     private final double knownMs;
+    private final int location;
     private final Map<MemberName, Entry> entries = new LinkedHashMap<>();
     /** Those that say something of a cache first: else a start of many proxies, who all tell their rates, would hold up the word on a dead cache. */
     private final Rumours<MemberName, Entry> rumours = new Rumours<>(entry -> entry.bulletin.bytes(), entry -> !entry.bulletin.sights().isEmpty());
@@ -36,8 +37,9 @@
 
     private record Entry(Bulletin bulletin, double heardAt) {}
 
-    /** {@code most}: bulletins kept; {@code knownMs}: time in which a word is known to all. */
-    public Board(MemberName self, int most, double knownMs) {
+    /** {@code most}: bulletins kept; {@code knownMs}: time in which a word is known to all; {@code location}: this member's. */
+    public Board(MemberName self, int most, double knownMs, int location) {
+        this.location = location;
         this.self = self;
         this.knownMs = knownMs;
         this.most = most;
@@ -56,7 +58,7 @@
                 || nowMs >= saidAt + REFRESH_MS;
         if (isNews && nowMs >= saidAt + LEAST_MS) {
             saidAt = nowMs;
-            own = new Bulletin(self, life, ++number, traffic, sights.subList(0, Math.min(Bulletin.MOST_SIGHTS, sights.size())));
+            own = new Bulletin(self, life, ++number, location, traffic, sights.subList(0, Math.min(Bulletin.MOST_SIGHTS, sights.size())));
             put(nowMs, own);
         }
     }
--- a/src/main/java/dappleseam/fleet/share/Shares.java
+++ b/src/main/java/dappleseam/fleet/share/Shares.java
@@ -40,7 +40,7 @@
     private double before = Double.NaN;
     private double anewUntil = Double.NEGATIVE_INFINITY;
 
-    private record Heard(Traffic traffic, double atMs) {
+    private record Heard(Traffic traffic, double atMs, int location) {
         Traffic at(double nowMs) {
             return traffic.olderBy(nowMs - atMs);
         }
@@ -62,7 +62,7 @@
 
     /** Bulletins that count, this process's own among them once it has told one. What those told who are silent now goes on to count for as long as they are counted. */
     public void hear(double nowMs, Collection<Bulletin> bulletins) {
-        bulletins.forEach(bulletin -> heard.put(bulletin.who(), new Heard(bulletin.traffic(), nowMs)));
+        bulletins.forEach(bulletin -> heard.put(bulletin.who(), new Heard(bulletin.traffic(), nowMs, bulletin.location())));
     }
 
     /** From now on only those are counted: what others told is forgotten. */
@@ -135,15 +135,25 @@
         return (EVEN * even + (1 - EVEN) * byTraffic) / (hasTwin ? 2 : 1);
     }
 
-    /** Traffic of all members as all others have it, by which they stand in order; null while too few are known. {@code names}: as for {@link #share}. */
+    /**
+     * Traffic of the members at this one's location as all others have it, by which they stand in order; null while too few are known. Where each location's members are spread evenly over
+     * a line, so are all together. {@code names}: as for {@link #share}.
+     */
     public Map<MemberName, Double> traffic(Set<MemberName> names) {
         if (!heard.containsKey(self) || names.size() - heard.size() > FEW * names.size()) {
             return null;
         }
+        int here = heard.get(self).location;
         Map<MemberName, Double> traffic = new HashMap<>();
-        heard.forEach((name, one) -> traffic.put(name, (double) LEAST_RATE + one.traffic.now()));
-        double mean = traffic.values().stream().mapToDouble(rate -> rate).average().orElseThrow();
-        names.forEach(name -> traffic.putIfAbsent(name, mean));
+        heard.forEach((name, one) -> {
+            if (one.location == here) {
+                traffic.put(name, (double) LEAST_RATE + one.traffic.now());
+            }
+        });
+        if (here == Bulletin.NOWHERE) { // else those that are not known may be anywhere
+            double mean = traffic.values().stream().mapToDouble(rate -> rate).average().orElseThrow();
+            names.stream().filter(name -> !heard.containsKey(name)).forEach(name -> traffic.put(name, mean));
+        }
         return traffic;
     }
 
--- a/src/main/java/dappleseam/lab/FleetRun.java
+++ b/src/main/java/dappleseam/lab/FleetRun.java
@@ -31,8 +31,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -61,6 +63,7 @@
     private static final double LONG_DELAY = 0.2;
 
     private final FleetScenario scenario;
+    private final boolean alone;
     /** Of this rehearsal alone: guards against another one beside it whose members have the same names. */
     private final String fleet = "lab-" + Long.toHexString(System.nanoTime()) + '-' + ProcessHandle.current().pid();
     private final String serve;
@@ -130,7 +133,7 @@
             }
             Path path = home().resolve(name + "-fleet.json");
             Files.writeString(path, file.toString());
-            ProxyProcess process = new ProxyProcess(serve + " --fleet " + path, home(), own, name);
+            ProxyProcess process = new ProxyProcess(alone ? serve : serve + " --fleet " + path, home(), own, name);
             Instance instance = new Instance(this, process, control, home().resolve(name + "-views"));
             instances.add(instance);
             if (stopped) { // it came between the look at all and its own end
@@ -167,7 +170,9 @@
         }
     }
 
-    FleetRun(FleetScenario scenario, String serve, Path home, Planted planted) throws IOException {
+    /** {@code alone}: proxies know nothing of each other, to compare what it costs that they do. */
+    FleetRun(FleetScenario scenario, String serve, Path home, Planted planted, boolean alone) throws IOException {
+        this.alone = alone;
         this.scenario = scenario;
         this.serve = serve;
         this.home = home;
@@ -236,7 +241,12 @@
         if (scenario.leases() != null) {
             scenario.leases().takeovers().forEach(this::plan);
         }
+        Map<Instance, Double> cpuBefore = new HashMap<>();
+        instances.forEach(instance -> cpuBefore.put(instance, instance.process.cpuMs()));
         load.play();
+        double seconds = (nowMs() - beganMs) / MS_PER_S;
+        List<FleetReport.Cost> costs = instances.stream().map(i -> new FleetReport.Cost((i.process.cpuMs() - cpuBefore.getOrDefault(i, Double.NaN)) / seconds, i.process.residentMb()))
+                .filter(cost -> !Double.isNaN(cost.cpuMsPerS()) && !Double.isNaN(cost.residentMb())).toList();
         double settled = beganMs + MS_PER_S * (scenario.troublesEndS() + scenario.settleS());
         Thread.sleep((long) Math.max(0, settled - nowMs()));
         double settledMs = nowMs();
@@ -259,7 +269,7 @@
         Report played = new Report(scenario.play(), ledger, load, RuleChecker.check(scenario.play(), ledger, false), 0, 0);
         return new FleetReport(scenario, played, truth, records.sights(), broken, List.copyOf(timeline), beganMs, settledMs, readyMs, links, !failed,
                 LeaseChecker.check(leases.stream().filter(l -> l.ms() <= settledMs).toList()), List.copyOf(hits),
-                store == null ? List.of() : List.copyOf(store.writes()), ledger, playMs);
+                store == null ? List.of() : List.copyOf(store.writes()), ledger, playMs, costs);
     }
 
     private void endAll() throws InterruptedException {
--- a/src/main/java/dappleseam/lab/Lab.java
+++ b/src/main/java/dappleseam/lab/Lab.java
@@ -115,6 +115,9 @@
         @Option(names = "--planted", defaultValue = "NONE", description = "A defence that the fault tool takes out: ${COMPLETION-CANDIDATES}.")
         private Planted planted;
 
+        @Option(names = "--alone", description = "Proxies know nothing of each other: to compare costs.")
+        private boolean alone;
+
         @Override
         FleetScenario read() throws IOException {
             return ScenarioReader.readFleet(file);
@@ -122,7 +125,7 @@
 
         @Override
         FleetReport play(FleetScenario scenario, Path home) throws IOException, InterruptedException {
-            try (FleetRun run = new FleetRun(scenario, serve, home, planted)) {
+            try (FleetRun run = new FleetRun(scenario, serve, home, planted, alone)) {
                 Runtime.getRuntime().addShutdownHook(new Thread(run::stopAll)); // also after Ctrl-C
                 return run.play();
             }
--- a/src/main/java/dappleseam/lab/SubsetsCommand.java
+++ b/src/main/java/dappleseam/lab/SubsetsCommand.java
@@ -19,6 +19,9 @@
     @Option(names = "--copies", defaultValue = "8", description = "Copies of the key (default: 8).")
     private int copies;
 
+    @Option(names = "--locations", defaultValue = "1", description = "Locations that proxies are spread over, each with so many copies of its own (default: 1).")
+    private int locations;
+
     @Option(names = "--seeds", defaultValue = "200", description = "Draws of traffic (default: 200).")
     private int seeds;
 
@@ -26,9 +29,10 @@
     public Integer call() {
         for (int count : proxies) {
             for (Way way : Way.values()) {
-                List<Found> found = LongStream.rangeClosed(1, seeds).parallel().mapToObj(seed -> new Subsets(count, copies, seed).measure(way)).toList();
-                System.out.printf("%5d proxies, %d copies, %-13s busiest copy over the mean: median %.3f, most %.3f; by proxies, most %.3f; moved by one more or less: %.1f, most %.1f%n", count, copies, way,
+                List<Found> found = LongStream.rangeClosed(1, seeds).parallel().mapToObj(seed -> new Subsets(count, locations, copies, seed).measure(way)).toList();
+                System.out.printf("%5d proxies, %d copies, %-13s busiest copy over the mean: median %.3f, most %.3f; at the worst location median %.3f; by proxies, most %.3f; moved by one more or less: %.1f, most %.1f%n", count, copies, way,
                         at(found.stream().mapToDouble(Found::peak).toArray(), 0.5), at(found.stream().mapToDouble(Found::peak).toArray(), 1),
+                        at(found.stream().mapToDouble(Found::near).toArray(), 0.5),
                         at(found.stream().mapToDouble(Found::proxiesPeak).toArray(), 1), found.stream().mapToDouble(Found::moved).average().orElse(0),
                         at(found.stream().mapToDouble(Found::moved).toArray(), 1));
             }
--- a/src/main/java/dappleseam/lab/fleet/Planted.java
+++ b/src/main/java/dappleseam/lab/fleet/Planted.java
@@ -59,7 +59,7 @@
         }
         List<Sight> lies = IntStream.range(0, LIED_ABOUT).mapToObj(i -> new Sight(new NodeId(ListReader.hash("cache-" + i)), 0, true, 0)).toList();
         return Letter.of(letter.self(), letter.bulletins().stream().map(b -> IntStream.range(0, liars).anyMatch(i -> b.who().text().equals("lab-" + i))
-                ? new Bulletin(b.who(), b.life(), b.number(), b.traffic(), lies) : b).toList());
+                ? new Bulletin(b.who(), b.life(), b.number(), b.location(), b.traffic(), lies) : b).toList());
     }
 
     /** What is made up because of that letter. */
@@ -80,7 +80,7 @@
             case LIAR -> lying(letter, 1);
             case LIARS -> lying(letter, 4);
             case NO_RATES -> letter.bulletins() == null ? letter
-                    : Letter.of(letter.self(), letter.bulletins().stream().map(b -> new Bulletin(b.who(), b.life(), b.number(), Traffic.of(0), b.sights())).toList());
+                    : Letter.of(letter.self(), letter.bulletins().stream().map(b -> new Bulletin(b.who(), b.life(), b.number(), b.location(), Traffic.of(0), b.sights())).toList());
             case FORGETFUL_VOTER -> to.equals(VOTERS.get(0)) && answer(letter.ballot()) != null ? null : letter;
             case NO_REFUTATION -> letter.with(letter.news().stream().filter(n -> !n.name().equals(to)).toList());
             case NO_INDIRECT_PROBE -> letter.kind() == Letter.Kind.ASK ? null : letter;
--- a/src/main/java/dappleseam/lab/fleet/SimulatedFleet.java
+++ b/src/main/java/dappleseam/lab/fleet/SimulatedFleet.java
@@ -110,7 +110,7 @@
             };
             subject.begin(now, seeds);
             if (choices.any()) {
-                desk = new SignalDesk(membership(), terms.periodMs(), terms.most(), choices, new Rates(), (to, news) -> send(to, Letter.of(membership().self(), news)),
+                desk = new SignalDesk(membership(), terms.periodMs(), terms.most(), Bulletin.NOWHERE, choices, new Rates(), (to, news) -> send(to, Letter.of(membership().self(), news)),
                         random.split(), now);
                 wakeDesk(process);
             }
--- a/src/main/java/dappleseam/lab/fleet/Subsets.java
+++ b/src/main/java/dappleseam/lab/fleet/Subsets.java
@@ -17,12 +17,19 @@
  * Which of so many copies of a hot key each proxy asks, by the shipped places and by baselines written here: by chance, by rendezvous (Thaler, Ravishankar 1998) and by deterministic subsetting
  * (Google's SRE book, chapter 20) with subsets of one. Proxies' traffic is skewed, some have twenty times others'.
  */
-public record Subsets(int proxies, int copies, long seed) {
+public record Subsets(int proxies, int locations, int copies, long seed) {
     /** How a proxy finds its copy. */
-    public enum Way { CHANCE, RENDEZVOUS, DETERMINISTIC, PLACES }
+    public enum Way { CHANCE, RENDEZVOUS, DETERMINISTIC,
+        /** By the shipped places, all on one line, as before locations were told. */
+        ONE_LINE,
+        /** The shipped way. */
+        PLACES
+    }
 
-    /** {@code peak}: the busiest copy's traffic over the mean; {@code proxiesPeak}: the same by proxies; {@code moved}: proxies that ask another copy once one proxy has come, or gone, in the mean. */
-    public record Found(double peak, double proxiesPeak, double moved) {}
+    /**
+     * {@code peak}: the busiest copy's traffic over the mean; {@code near}: the same of the worst location, where each has as many copies of its own; {@code proxiesPeak}: by proxies; {@code moved}: proxies that ask another copy once one proxy has come, or gone, in the mean.
+     */
+    public record Found(double peak, double near, double proxiesPeak, double moved) {}
 
     private Map<MemberName, Double> traffic(int count) {
         SplittableRandom random = new SplittableRandom(seed);
@@ -43,12 +50,23 @@
                 case CHANCE -> (int) (copies * new SplittableRandom(seed ^ name.hashCode()).nextDouble());
                 case RENDEZVOUS -> rendezvous(name);
                 case DETERMINISTIC -> deterministic(i);
-                case PLACES -> (int) (copies * Places.of(name, traffic));
+                case ONE_LINE -> (int) (copies * Places.of(name, traffic));
+                case PLACES -> (int) (copies * Places.of(name, at(location(name), traffic)));
             });
         }
         return found;
     }
 
+    private int location(MemberName name) {
+        return Integer.parseInt(name.text().substring(name.text().lastIndexOf('-') + 1)) % locations;
+    }
+
+    private Map<MemberName, Double> at(int location, Map<MemberName, Double> traffic) {
+        Map<MemberName, Double> there = new HashMap<>(traffic);
+        there.keySet().removeIf(name -> location(name) != location);
+        return there;
+    }
+
     private int rendezvous(MemberName name) {
         int best = 0;
         for (int copy = 1; copy < copies; copy++) {
@@ -76,9 +94,11 @@
         Map<MemberName, Integer> before = copies(way, traffic);
         double[] served = new double[copies];
         double[] by = new double[copies];
+        double[][] near = new double[locations][copies];
         before.forEach((name, copy) -> {
             served[copy] += traffic.get(name);
             by[copy]++;
+            near[location(name)][copy] += traffic.get(name);
         });
         Map<MemberName, Integer> more = copies(way, traffic(proxies + 1));
         Map<MemberName, Double> fewer = new HashMap<>(traffic);
@@ -86,7 +106,7 @@
         Map<MemberName, Integer> less = copies(way, fewer);
         long moved = before.keySet().stream().filter(name -> !before.get(name).equals(more.get(name))).count()
                 + less.keySet().stream().filter(name -> !before.get(name).equals(less.get(name))).count();
-        return new Found(peak(served), peak(by), moved / 2.0);
+        return new Found(peak(served), Arrays.stream(near).mapToDouble(Subsets::peak).max().orElse(0), peak(by), moved / 2.0);
     }
 
     private static double peak(double[] of) {
--- a/src/main/java/dappleseam/lab/proxies/ProxyProcess.java
+++ b/src/main/java/dappleseam/lab/proxies/ProxyProcess.java
@@ -7,12 +7,14 @@
 import dappleseam.lab.scenario.Scenario;
 import dappleseam.lab.scenario.Scenario.Grade;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** One proxy, as operators start it. */
 public final class ProxyProcess implements AutoCloseable {
@@ -21,6 +23,8 @@
     private static final int SOCKETS = 512;
     private static final int MEMORY_MB = 144;
     private static final double MS_PER_S = 1000;
+    private static final double NANOS_PER_MS = 1e6;
+    private static final double KB_PER_MB = 1024;
 
     private final Process process;
     private final int port;
@@ -112,6 +116,20 @@
         return false;
     }
 
+    /** Processor time in ms that it has taken so far, of all its threads; NaN once it has ended, or where the system does not tell. */
+    public double cpuMs() {
+        return process.toHandle().info().totalCpuDuration().map(d -> d.toNanos() / NANOS_PER_MS).orElse(Double.NaN);
+    }
+
+    /** Memory in MB that it has resident; NaN as above. */
+    public double residentMb() {
+        try (Stream<String> lines = Files.lines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
+            return lines.filter(line -> line.startsWith("VmRSS:")).mapToDouble(line -> Double.parseDouble(line.replaceAll("[^0-9]", "")) / KB_PER_MB).findFirst().orElse(Double.NaN);
+        } catch (IOException | UncheckedIOException e) { // it has just ended
+            return Double.NaN;
+        }
+    }
+
     public boolean isAlive() {
         return process.isAlive();
     }
--- a/src/main/java/dappleseam/lab/report/FleetReport.java
+++ b/src/main/java/dappleseam/lab/report/FleetReport.java
@@ -50,6 +50,9 @@
     /** Times in s since a cache fell silent from which executions there are counted apart. */
     private static final int[] SINCE_S = {0, 2, 5};
 
+    /** What a process that ran from the first query to the last took: ms of processor time a second, and MB resident at the end. */
+    public record Cost(double cpuMsPerS, double residentMb) {}
+
     private final FleetScenario scenario;
     private final Report played;
     private final ObjectNode tree = new ObjectMapper().createObjectNode();
@@ -59,7 +62,7 @@
 
     public FleetReport(FleetScenario scenario, Report played, Truth truth, List<Sight> sights, List<ViewChecker.Breach> breaches,
                        List<String> timeline, double beganMs, double settledMs, double readyMs, LinkTool links, boolean complete,
-                       Map<String, LeaseChecker.Found> leases, List<LeaseChecker.Hit> hits, List<LeaseChecker.Write> writes, Ledger ledger, double playMs) {
+                       Map<String, LeaseChecker.Found> leases, List<LeaseChecker.Hit> hits, List<LeaseChecker.Write> writes, Ledger ledger, double playMs, List<Cost> costs) {
         this.scenario = scenario;
         this.played = played;
         this.complete = complete;
@@ -82,6 +85,7 @@
                 .put("bytes_a_proxy_and_second", round(links.passedBytes() / seconds / scenario.proxies()));
         links.kinds().forEach((kind, count) -> wire.put("came_" + kind.name().toLowerCase(Locale.ROOT), count));
         links.done().forEach((how, count) -> wire.put(how.name().toLowerCase(Locale.ROOT), count));
+        cost(costs);
         ObjectNode promises = tree.putObject("promises").put("broken", broken);
         ArrayNode told = promises.putArray("breaches");
         breaches.forEach(b -> told.addObject().put("promise", b.promise().name()).put("at_s", round((b.ms() - beganMs) / MS_PER_S)).put("what", b.what()));
@@ -112,6 +116,14 @@
         tree.set("play", played.tree());
     }
 
+    private void cost(List<Cost> costs) {
+        if (!costs.isEmpty()) {
+            double cpu = costs.stream().mapToDouble(Cost::cpuMsPerS).average().orElse(0);
+            tree.putObject("cost").put("proxies", costs.size()).put("cpu_ms_a_proxy_and_second", round(cpu))
+                    .put("resident_mb_a_proxy", round(costs.stream().mapToDouble(Cost::residentMb).average().orElse(0)));
+        }
+    }
+
     /** What became of the queries of the seconds after proxies were taken down for good. */
     private void afterKills(Ledger ledger, double playMs) {
         for (FleetScenario.ProcessEvent event : scenario.processes()) {
--- a/src/main/java/dappleseam/proxy/InFleet.java
+++ b/src/main/java/dappleseam/proxy/InFleet.java
@@ -10,6 +10,7 @@
 import dappleseam.fleet.peers.Identity;
 import dappleseam.fleet.peers.PeerSocket;
 import dappleseam.fleet.peers.Sightings;
+import dappleseam.fleet.share.Bulletin;
 import dappleseam.fleet.share.Said;
 import dappleseam.fleet.share.Seen;
 import dappleseam.list.NodeList;
@@ -53,7 +54,7 @@
         store = identity.listStore() == null ? null : identity.listStore().startsWith("http:") ? new HttpStore(URI.create(identity.listStore()))
                 : new FolderStore(Path.of(identity.listStore()));
         isAsked = identity.choices().any();
-        socket = new PeerSocket(identity, post.seed(), left, store == null ? List.of() : List.of(new KeepList(last, store)), new Relay());
+        socket = new PeerSocket(identity, Math.max(Bulletin.NOWHERE, Math.min(Bulletin.LAST_LOCATION, post.site().deployment().zone())), post.seed(), left, store == null ? List.of() : List.of(new KeepList(last, store)), new Relay());
     }
 
     /** What the fleet's thread asks for, also before there is a proxy. */
--- a/src/test/java/dappleseam/fleet/peers/EnvelopeTest.java
+++ b/src/test/java/dappleseam/fleet/peers/EnvelopeTest.java
@@ -73,7 +73,7 @@
         List<Bulletin> bulletins = new ArrayList<>();
         for (int room = Board.NEWS_BYTES, i = 0; ; i++) {
             List<Sight> sights = Collections.nCopies(i % 2 * Bulletin.MOST_SIGHTS, new Sight(new NodeId(Long.MIN_VALUE), Sight.LATEST, true, 86_400_000));
-            Bulletin one = new Bulletin(new MemberName("n".repeat(1 + i % 48)), new Life(Life.LATEST, Long.MIN_VALUE), Long.MAX_VALUE, new Traffic(Traffic.MOST, Traffic.MOST, 86_400_000), sights);
+            Bulletin one = new Bulletin(new MemberName("n".repeat(1 + i % 48)), new Life(Life.LATEST, Long.MIN_VALUE), Long.MAX_VALUE, Bulletin.LAST_LOCATION, new Traffic(Traffic.MOST, Traffic.MOST, 86_400_000), sights);
             room -= one.bytes();
             if (room < 0) {
                 return bulletins;
--- a/src/test/java/dappleseam/fleet/peers/SignalDeskTest.java
+++ b/src/test/java/dappleseam/fleet/peers/SignalDeskTest.java
@@ -52,7 +52,7 @@
                 shares.add(share);
             }
         };
-        return new SignalDesk(membership, 1000, 100, choices, seen, (to, news) -> { }, new SplittableRandom(1), now);
+        return new SignalDesk(membership, 1000, 100, 2, choices, seen, (to, news) -> { }, new SplittableRandom(1), now);
     }
 
     private void look(SignalDesk desk) {
--- a/src/test/java/dappleseam/fleet/share/BoardTest.java
+++ b/src/test/java/dappleseam/fleet/share/BoardTest.java
@@ -28,7 +28,7 @@
 
     @Test
     void whatIsNewIsToldAndWhatIsNotIsNot() {
-        Board board = new Board(name(0), 10, 3000);
+        Board board = new Board(name(0), 10, 3000, Bulletin.NOWHERE);
         board.say(0, LIFE, 100, List.of());
         assertThat(board.toTell(0, 2)).hasSize(1);
         while (!board.toTell(1, 2).isEmpty()) {
@@ -49,18 +49,18 @@
 
     @Test
     void theLaterOneHoldsInAnyOrderAndDiesByAge() {
-        Board board = new Board(name(0), 10, 3000);
-        Bulletin first = new Bulletin(name(1), LIFE, 1, Traffic.of(5), List.of(fails(7, 0)));
-        Bulletin second = new Bulletin(name(1), LIFE, 2, Traffic.of(6), List.of());
-        Bulletin older = new Bulletin(name(1), new Life(4, 9), 99, Traffic.of(7), List.of());
-        Bulletin own = new Bulletin(name(0), LIFE, 99, Traffic.of(8), List.of());
+        Board board = new Board(name(0), 10, 3000, Bulletin.NOWHERE);
+        Bulletin first = new Bulletin(name(1), LIFE, 1, Bulletin.NOWHERE, Traffic.of(5), List.of(fails(7, 0)));
+        Bulletin second = new Bulletin(name(1), LIFE, 2, Bulletin.NOWHERE, Traffic.of(6), List.of());
+        Bulletin older = new Bulletin(name(1), new Life(4, 9), 99, Bulletin.NOWHERE, Traffic.of(7), List.of());
+        Bulletin own = new Bulletin(name(0), LIFE, 99, Bulletin.NOWHERE, Traffic.of(8), List.of());
         board.heard(0, List.of(second, first, older, own));
         assertThat(of(board, 0, 1)).isEqualTo(second);
         assertThat(of(board, 0, 0)).as("nobody else speaks for it").isNull();
         assertThat(of(board, Board.OLDEST_MS + 1, 1)).isNull();
         assertThat(board.toTell(Board.OLDEST_MS + 1, 2)).isEmpty();
         for (int i = 10; i < 100; i++) {
-            board.heard(0, List.of(new Bulletin(name(i), LIFE, 1, Traffic.of(1), List.of())));
+            board.heard(0, List.of(new Bulletin(name(i), LIFE, 1, Bulletin.NOWHERE, Traffic.of(1), List.of())));
         }
         assertThat(board.now(0)).as("bounded").hasSizeLessThanOrEqualTo(10);
     }
@@ -72,7 +72,7 @@
         SplittableRandom random = new SplittableRandom(1);
         List<Board> boards = new ArrayList<>();
         for (int i = 0; i < members; i++) {
-            boards.add(new Board(name(i), 1000, 3000));
+            boards.add(new Board(name(i), 1000, 3000, Bulletin.NOWHERE));
         }
         int worst = 0;
         long datagrams = 0;
--- a/src/test/java/dappleseam/fleet/share/SharesTest.java
+++ b/src/test/java/dappleseam/fleet/share/SharesTest.java
@@ -29,7 +29,11 @@
     }
 
     private static Bulletin tells(int member, Traffic traffic) {
-        return new Bulletin(NAMES.get(member), new Life(5, 5), 1, traffic, List.of());
+        return tells(member, Bulletin.NOWHERE, traffic);
+    }
+
+    private static Bulletin tells(int member, int location, Traffic traffic) {
+        return new Bulletin(NAMES.get(member), new Life(5, 5), 1, location, traffic, List.of());
     }
 
     private void hear(int... rates) {
@@ -155,6 +159,14 @@
         assertThat(shares.share(now, Set.of(NAMES.get(0)), 10, false)).isLessThanOrEqualTo(0.1 + 1e-9);
     }
 
+    /** A proxy goes by the copies of its own location first: there it stands in order, and others' order is theirs. */
+    @Test
+    void placesAreThoseOfOnesOwnLocation() {
+        shares.hear(now, IntStream.range(0, 10).mapToObj(i -> tells(i, i % 3, Traffic.of(9))).toList());
+        assertThat(shares.traffic(ALL)).containsOnlyKeys(NAMES.get(0), NAMES.get(3), NAMES.get(6), NAMES.get(9));
+        assertThat(shares.traffic(ALL).values()).containsOnly(10.0);
+    }
+
     /** Copies of a hot key, each served by those whose place lies in its part: even by traffic, and one more moves few. */
     @Test
     void placesAreEvenByTrafficAndOneMoreMovesFew() {
--- a/src/test/java/dappleseam/fleet/share/SignalsTest.java
+++ b/src/test/java/dappleseam/fleet/share/SignalsTest.java
@@ -20,7 +20,7 @@
     private final List<Bulletin> bulletins = new ArrayList<>();
 
     private void says(String who, long startedAt, boolean fails, long ageMs) {
-        bulletins.add(new Bulletin(new MemberName(who), LIFE, 1, Traffic.of(10), List.of(new Sight(CACHE, startedAt, fails, ageMs), new Sight(CACHE, startedAt, fails, ageMs))));
+        bulletins.add(new Bulletin(new MemberName(who), LIFE, 1, Bulletin.NOWHERE, Traffic.of(10), List.of(new Sight(CACHE, startedAt, fails, ageMs), new Sight(CACHE, startedAt, fails, ageMs))));
     }
 
     private List<Said> words() {
@@ -53,10 +53,10 @@
     @Test
     void oneAnswerOfTheListServiceIsEnough() {
         for (String who : List.of("a", "b", "c")) {
-            bulletins.add(new Bulletin(new MemberName(who), LIFE, 1, Traffic.of(10), List.of(new Sight(ListTurns.SERVICE, 0, true, 0))));
+            bulletins.add(new Bulletin(new MemberName(who), LIFE, 1, Bulletin.NOWHERE, Traffic.of(10), List.of(new Sight(ListTurns.SERVICE, 0, true, 0))));
         }
         assertThat(words()).containsExactly(new Said(ListTurns.SERVICE, 0, Word.FAILS, 3, 0, 3));
-        bulletins.add(new Bulletin(new MemberName("d"), LIFE, 1, Traffic.of(10), List.of(new Sight(ListTurns.SERVICE, 0, false, 0))));
+        bulletins.add(new Bulletin(new MemberName("d"), LIFE, 1, Bulletin.NOWHERE, Traffic.of(10), List.of(new Sight(ListTurns.SERVICE, 0, false, 0))));
         assertThat(words()).containsExactly(new Said(ListTurns.SERVICE, 0, Word.WORKS, 3, 1, 3));
         assertThat(words()).isEmpty();
     }
--- a/src/test/java/dappleseam/lab/FleetRunTest.java
+++ b/src/test/java/dappleseam/lab/FleetRunTest.java
@@ -47,7 +47,7 @@
         FleetScenario scenario = ScenarioReader.readFleet(file);
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         try (FleetRun run = new FleetRun(scenario, "exec " + java + " -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx64m -cp "
-                + System.getProperty("java.class.path") + " dappleseam.proxy.Serve", folder.resolve(scenario.play().name() + planted), planted)) {
+                + System.getProperty("java.class.path") + " dappleseam.proxy.Serve", folder.resolve(scenario.play().name() + planted), planted, false)) {
             return run.play();
         }
     }
