Later sights void earlier ones: a cache that two saw work again is acquitted of what others saw before

Change: verdicts go by the ages that sights carry. What was seen before the second-latest proof that it works counts no more; an answer is told for as long as somebody accuses by something older; failures go first where a bulletin is full. One that says it works acquits nothing, two later failures convict anew. Of the list service one proof is enough, as before. The report of silent caches counts executions once they answer again. Unit tests fail without it; measured on processes next.

--- a/src/main/java/dappleseam/fleet/share/Signals.java
+++ b/src/main/java/dappleseam/fleet/share/Signals.java
@@ -4,6 +4,7 @@
 import dappleseam.router.NodeId;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -21,7 +22,7 @@
     private static final double OWN_LINK = 1.0 / 3;
     /** Fewest caches of which that share can be told. */
     private static final int OWN_LINK_LEAST = 2;
-    /** Time in ms for which an answer shows that a cache works. */
+    /** Time in ms for which an answer shows that a cache works, whatever others saw meanwhile; against what they saw before it, it goes on to show that. */
     private static final double WORKS_MS = 2000;
     /** Members that have to agree. */
     private static final int AGREE = 2;
@@ -31,9 +32,20 @@
     /** One process of a cache. */
     private record Process(NodeId node, long startedAtMs) {}
 
+    /** How long ago, in ms, members saw it fail, and work. */
     private static final class Votes {
-        int fails;
-        int works;
+        final List<Long> fails = new ArrayList<>();
+        final List<Long> works = new ArrayList<>();
+
+        /** Members that saw it fail after so many had seen it work: guards a cache that is back against all who have not come to try it since. */
+        long failsNow(int proof) {
+            long since = works.size() < proof ? Long.MAX_VALUE : works.stream().sorted().skip(proof - 1).findFirst().orElseThrow();
+            return fails.stream().filter(age -> age < since).count();
+        }
+
+        long worksNow() {
+            return works.stream().filter(age -> age <= WORKS_MS).count();
+        }
     }
 
     private final MemberName self;
@@ -57,8 +69,7 @@
                 Process process = new Process(sight.node(), sight.startedAtMs());
                 if (sight.ageMs() <= Sight.OLDEST_MS && once.add(process) && (now.containsKey(process) || now.size() < MOST)) {
                     Votes of = now.computeIfAbsent(process, p -> new Votes());
-                    of.fails += sight.fails() ? 1 : 0;
-                    of.works += sight.fails() ? 0 : 1;
+                    (sight.fails() ? of.fails : of.works).add(sight.ageMs());
                 }
             }
         }
@@ -77,14 +88,18 @@
         List<Sight> sights = new ArrayList<>();
         for (Seen one : seen) {
             long startedAt = Math.round(one.startedAtMs());
-            Votes of = votes.get(new Process(one.node(), startedAt));
-            boolean works = !one.fails() && of != null && of.fails > 0 && nowMs - one.heardAtMs() <= WORKS_MS;
             double age = nowMs - (one.fails() ? one.failedAtMs() : one.heardAtMs());
-            if ((one.fails() || works) && age <= Sight.OLDEST_MS && startedAt >= 0 && startedAt <= Sight.LATEST && sights.size() < Bulletin.MOST_SIGHTS) {
+            if ((one.fails() || isOfUse(votes.get(new Process(one.node(), startedAt)), age)) && age <= Sight.OLDEST_MS && startedAt >= 0 && startedAt <= Sight.LATEST) {
                 sights.add(new Sight(one.node(), startedAt, one.fails(), Math.round(Math.max(0, age))));
             }
         }
-        return sights;
+        sights.sort(Comparator.comparing(Sight::fails).reversed());
+        return List.copyOf(sights.subList(0, Math.min(Bulletin.MOST_SIGHTS, sights.size())));
+    }
+
+    /** Whether others have to hear of an answer so long ago: some say that the cache fails, and it is not older than all that they say. */
+    private static boolean isOfUse(Votes of, double ageMs) {
+        return of != null && !of.fails.isEmpty() && (ageMs <= WORKS_MS || of.fails.stream().anyMatch(age -> age > ageMs));
     }
 
     /** What others' words come to now; that nothing is said against a cache any more, once. {@code turns}: this member's place in the order of trying, by what is tried. */
@@ -93,16 +108,17 @@
         Set<Process> now = new LinkedHashSet<>();
         votes.forEach((process, of) -> {
             boolean isService = process.node().equals(ListTurns.SERVICE); // of which one answer is proof enough
-            if (of.fails > 0 && (isService ? of.works == 0 : of.fails > of.works)) {
+            long fails = of.failsNow(isService ? 1 : AGREE);
+            if (fails > 0 && (isService || fails > of.worksNow())) {
                 now.add(process);
-                boolean agreed = of.fails >= AGREE;
-                words.add(new Said(process.node(), process.startedAtMs(), agreed ? Word.FAILS : Word.HINT, of.fails, of.works, agreed ? turn(process, turns) : 0));
+                boolean agreed = fails >= AGREE;
+                words.add(new Said(process.node(), process.startedAtMs(), agreed ? Word.FAILS : Word.HINT, (int) fails, of.works.size(), agreed ? turn(process, turns) : 0));
             }
         });
         for (Process process : against) {
             if (!now.contains(process)) {
                 Votes of = votes.get(process);
-                words.add(new Said(process.node(), process.startedAtMs(), Word.WORKS, of == null ? 0 : of.fails, of == null ? 0 : of.works, turn(process, turns)));
+                words.add(new Said(process.node(), process.startedAtMs(), Word.WORKS, of == null ? 0 : of.fails.size(), of == null ? 0 : of.works.size(), turn(process, turns)));
             }
         }
         against.clear();
--- a/src/main/java/dappleseam/lab/report/FleetReport.java
+++ b/src/main/java/dappleseam/lab/report/FleetReport.java
@@ -49,6 +49,8 @@
     private static final double AFTER_MS = 5000;
     /** Times in s since a cache fell silent from which executions there are counted apart. */
     private static final int[] SINCE_S = {0, 2, 5};
+    /** Times in s since it answers again; the last part is as long as it took to come there. */
+    private static final int[] AGAIN_S = {0, 2, 5};
 
     /** What a process that ran from the first query to the last took: ms of processor time a second, and MB resident at the end. */
     public record Cost(double cpuMsPerS, double residentMb) {}
@@ -198,9 +200,29 @@
         for (int i = 0; i < came.length; i++) {
             wasted.put("executions_from_s_" + SINCE_S[i], came[i]);
         }
+        for (int i = 0; i < AGAIN_S.length; i++) {
+            wasted.put("again_from_s_" + AGAIN_S[i] + "_percent", round(100 * again(silent, ledger, playMs, i)));
+        }
         wasted.put("queries", asked).put("completed_in_time_percent", round(100.0 * inTime / Math.max(1, asked)));
     }
 
+    /** Executions at caches that answer again, in that part of the time since, over what came there in as much time before they fell silent. */
+    private double again(List<Trouble> silent, Ledger ledger, double playMs, int part) {
+        double came = 0;
+        double usual = 0;
+        for (Trouble trouble : silent) {
+            double fell = playMs + trouble.atS() * MS_PER_S;
+            double from = fell + (trouble.forS() + AGAIN_S[part]) * MS_PER_S;
+            double span = (part + 1 < AGAIN_S.length ? AGAIN_S[part + 1] - AGAIN_S[part] : AGAIN_S[part]) * MS_PER_S;
+            for (Ledger.Execution execution : ledger.executions) {
+                boolean there = execution.node().equals("cache-" + trouble.cache());
+                came += there && execution.atMs() >= from && execution.atMs() < from + span ? 1 : 0;
+                usual += there && execution.atMs() >= playMs && execution.atMs() < fell ? span / (fell - playMs) : 0;
+            }
+        }
+        return came / Math.max(1, usual);
+    }
+
     private static void spread(ObjectNode to, String name, List<Double> values) {
         double[] sorted = values.stream().mapToDouble(v -> v).sorted().toArray();
         if (sorted.length > 0) {
--- a/src/test/java/dappleseam/fleet/share/SignalsTest.java
+++ b/src/test/java/dappleseam/fleet/share/SignalsTest.java
@@ -73,6 +73,30 @@
         assertThat(words()).isEmpty();
     }
 
+    /** A cache that is back: most that found it silent have not come to try it since. One that says it works acquits nothing. */
+    @Test
+    void whatTwoSawToWorkVoidsWhatOthersSawBefore() {
+        for (String who : List.of("a", "b", "c", "d", "e")) {
+            says(who, 5, true, 9000);
+        }
+        says("f", 5, false, 500);
+        assertThat(words()).extracting(Said::word).containsExactly(Word.FAILS);
+        says("g", 5, false, 4000);
+        assertThat(words()).containsExactly(new Said(CACHE, 5, Word.WORKS, 5, 2, 3));
+        says("h", 5, true, 3000);
+        assertThat(words()).as("one of later, and one that works of later still").isEmpty();
+        says("i", 5, true, 300);
+        assertThat(words()).extracting(Said::word).as("it flaps").containsExactly(Word.FAILS);
+    }
+
+    @Test
+    void anAnswerIsSaidForAsLongAsItIsLaterThanWhatOthersSaw() {
+        says("a", 5, true, 9000);
+        signals.hear(bulletins, b -> true);
+        assertThat(signals.own(6000, List.of(seen(7, false, 900)), true)).containsExactly(new Sight(CACHE, 5, false, 5100));
+        assertThat(signals.own(10_000, List.of(seen(7, false, 900)), true)).isEmpty();
+    }
+
     @Test
     void ownFindingsAreSaidAndAnswersOnlyWhereSomebodyElseAccuses() {
         List<Seen> mine = List.of(seen(7, false, 900), seen(8, true, 100), seen(9, false, 900), seen(10, false, 900));
