--- a/src/main/java/dappleseam/lab/report/FleetReport.java
+++ b/src/main/java/dappleseam/lab/report/FleetReport.java
@@ -49,6 +49,11 @@
     private static final double AFTER_MS = 5000;
     /** Times in s since a cache fell silent from which executions there are counted apart. */
     private static final int[] SINCE_S = {0, 2, 5};
+    /** Times in s since it answers again; the last part is as long as it took to come there. */
+    private static final int[] AGAIN_S = {0, 2, 5};
+
+    /** What a process that ran from the first query to the last took: ms of processor time a second, and MB resident at the end. */
+    public record Cost(double cpuMsPerS, double residentMb) {}
 
     private final FleetScenario scenario;
     private final Report played;
@@ -59,7 +64,7 @@
 
     public FleetReport(FleetScenario scenario, Report played, Truth truth, List<Sight> sights, List<ViewChecker.Breach> breaches,
                        List<String> timeline, double beganMs, double settledMs, double readyMs, LinkTool links, boolean complete,
-                       Map<String, LeaseChecker.Found> leases, List<LeaseChecker.Hit> hits, List<LeaseChecker.Write> writes, Ledger ledger, double playMs) {
+                       Map<String, LeaseChecker.Found> leases, List<LeaseChecker.Hit> hits, List<LeaseChecker.Write> writes, Ledger ledger, double playMs, List<Cost> costs) {
         this.scenario = scenario;
         this.played = played;
         this.complete = complete;
@@ -82,6 +87,7 @@
                 .put("bytes_a_proxy_and_second", round(links.passedBytes() / seconds / scenario.proxies()));
         links.kinds().forEach((kind, count) -> wire.put("came_" + kind.name().toLowerCase(Locale.ROOT), count));
         links.done().forEach((how, count) -> wire.put(how.name().toLowerCase(Locale.ROOT), count));
+        cost(costs);
         ObjectNode promises = tree.putObject("promises").put("broken", broken);
         ArrayNode told = promises.putArray("breaches");
         breaches.forEach(b -> told.addObject().put("promise", b.promise().name()).put("at_s", round((b.ms() - beganMs) / MS_PER_S)).put("what", b.what()));
@@ -112,6 +118,14 @@
         tree.set("play", played.tree());
     }
 
+    private void cost(List<Cost> costs) {
+        if (!costs.isEmpty()) {
+            double cpu = costs.stream().mapToDouble(Cost::cpuMsPerS).average().orElse(0);
+            tree.putObject("cost").put("proxies", costs.size()).put("cpu_ms_a_proxy_and_second", round(cpu))
+                    .put("resident_mb_a_proxy", round(costs.stream().mapToDouble(Cost::residentMb).average().orElse(0)));
+        }
+    }
+
     /** What became of the queries of the seconds after proxies were taken down for good. */
     private void afterKills(Ledger ledger, double playMs) {
         for (FleetScenario.ProcessEvent event : scenario.processes()) {
@@ -186,9 +200,29 @@
         for (int i = 0; i < came.length; i++) {
             wasted.put("executions_from_s_" + SINCE_S[i], came[i]);
         }
+        for (int i = 0; i < AGAIN_S.length; i++) {
+            wasted.put("again_from_s_" + AGAIN_S[i] + "_percent", round(100 * again(silent, ledger, playMs, i)));
+        }
         wasted.put("queries", asked).put("completed_in_time_percent", round(100.0 * inTime / Math.max(1, asked)));
     }
 
+    /** Executions at caches that answer again, in that part of the time since, over what came there in as much time before they fell silent. */
+    private double again(List<Trouble> silent, Ledger ledger, double playMs, int part) {
+        double came = 0;
+        double usual = 0;
+        for (Trouble trouble : silent) {
+            double fell = playMs + trouble.atS() * MS_PER_S;
+            double from = fell + (trouble.forS() + AGAIN_S[part]) * MS_PER_S;
+            double span = (part + 1 < AGAIN_S.length ? AGAIN_S[part + 1] - AGAIN_S[part] : AGAIN_S[part]) * MS_PER_S;
+            for (Ledger.Execution execution : ledger.executions) {
+                boolean there = execution.node().equals("cache-" + trouble.cache());
+                came += there && execution.atMs() >= from && execution.atMs() < from + span ? 1 : 0;
+                usual += there && execution.atMs() >= playMs && execution.atMs() < fell ? span / (fell - playMs) : 0;
+            }
+        }
+        return came / Math.max(1, usual);
+    }
+
     private static void spread(ObjectNode to, String name, List<Double> values) {
         double[] sorted = values.stream().mapToDouble(v -> v).sorted().toArray();
         if (sorted.length > 0) {
--- a/src/test/java/dappleseam/fleet/share/SignalsTest.java
+++ b/src/test/java/dappleseam/fleet/share/SignalsTest.java
@@ -20,7 +20,7 @@
     private final List<Bulletin> bulletins = new ArrayList<>();
 
     private void says(String who, long startedAt, boolean fails, long ageMs) {
-        bulletins.add(new Bulletin(new MemberName(who), LIFE, 1, Traffic.of(10), List.of(new Sight(CACHE, startedAt, fails, ageMs), new Sight(CACHE, startedAt, fails, ageMs))));
+        bulletins.add(new Bulletin(new MemberName(who), LIFE, 1, Bulletin.NOWHERE, Traffic.of(10), List.of(new Sight(CACHE, startedAt, fails, ageMs), new Sight(CACHE, startedAt, fails, ageMs))));
     }
 
     private List<Said> words() {
@@ -53,10 +53,10 @@
     @Test
     void oneAnswerOfTheListServiceIsEnough() {
         for (String who : List.of("a", "b", "c")) {
-            bulletins.add(new Bulletin(new MemberName(who), LIFE, 1, Traffic.of(10), List.of(new Sight(ListTurns.SERVICE, 0, true, 0))));
+            bulletins.add(new Bulletin(new MemberName(who), LIFE, 1, Bulletin.NOWHERE, Traffic.of(10), List.of(new Sight(ListTurns.SERVICE, 0, true, 0))));
         }
         assertThat(words()).containsExactly(new Said(ListTurns.SERVICE, 0, Word.FAILS, 3, 0, 3));
-        bulletins.add(new Bulletin(new MemberName("d"), LIFE, 1, Traffic.of(10), List.of(new Sight(ListTurns.SERVICE, 0, false, 0))));
+        bulletins.add(new Bulletin(new MemberName("d"), LIFE, 1, Bulletin.NOWHERE, Traffic.of(10), List.of(new Sight(ListTurns.SERVICE, 0, false, 0))));
         assertThat(words()).containsExactly(new Said(ListTurns.SERVICE, 0, Word.WORKS, 3, 1, 3));
         assertThat(words()).isEmpty();
     }
@@ -73,6 +73,30 @@
         assertThat(words()).isEmpty();
     }
 
+    /** A cache that is back: most that found it silent have not come to try it since. One that says it works acquits nothing. */
+    @Test
+    void whatTwoSawToWorkVoidsWhatOthersSawBefore() {
+        for (String who : List.of("a", "b", "c", "d", "e")) {
+            says(who, 5, true, 9000);
+        }
+        says("f", 5, false, 500);
+        assertThat(words()).extracting(Said::word).containsExactly(Word.FAILS);
+        says("g", 5, false, 4000);
+        assertThat(words()).containsExactly(new Said(CACHE, 5, Word.WORKS, 5, 2, 3));
+        says("h", 5, true, 3000);
+        assertThat(words()).as("one of later, and one that works of later still").isEmpty();
+        says("i", 5, true, 300);
+        assertThat(words()).extracting(Said::word).as("it flaps").containsExactly(Word.FAILS);
+    }
+
+    @Test
+    void anAnswerIsSaidForAsLongAsItIsLaterThanWhatOthersSaw() {
+        says("a", 5, true, 9000);
+        signals.hear(bulletins, b -> true);
+        assertThat(signals.own(6000, List.of(seen(7, false, 900)), true)).containsExactly(new Sight(CACHE, 5, false, 5100));
+        assertThat(signals.own(10_000, List.of(seen(7, false, 900)), true)).isEmpty();
+    }
+
     @Test
     void ownFindingsAreSaidAndAnswersOnlyWhereSomebodyElseAccuses() {
         List<Seen> mine = List.of(seen(7, false, 900), seen(8, true, 100), seen(9, false, 900), seen(10, false, 900));
