One method takes own health back, and a conviction's witnesses stand by cache and process

Read over once more: health was lowered by the same expression at an answered probe and where another accuses the same member; the checker kept witnesses under an untyped list and cast it. Behaviour as before. Membership, exploration, histories, view checker and the liars' rehearsal passed (66 tests); the whole suite was not run again.

--- a/src/main/java/dappleseam/fleet/membership/Membership.java
+++ b/src/main/java/dappleseam/fleet/membership/Membership.java
@@ -457,6 +457,10 @@
         health = terms.localHealth() ? Math.min(WORST_HEALTH, health + 1) : 0;
     }
 
+    private void better() {
+        health = Math.max(0, health - 1);
+    }
+
     private double everyMs() {
         return terms.periodMs() * (1 + health);
     }
@@ -533,7 +537,7 @@
             return;
         }
         if (over.answered) {
-            health = Math.max(0, health - 1);
+            better();
             over.peer.viaOthers = over.directly ? 0 : over.peer.viaOthers + 1;
             return;
         }
@@ -565,7 +569,7 @@
             spread(peer.notice.with(State.SUSPECT, accuser));
             if (peer.suspicion.blamedSelf) { // another found the same: it was not this one's ear
                 peer.suspicion.blamedSelf = false;
-                health = Math.max(0, health - 1);
+                better();
             }
         }
         watch(peer, peer.suspicion);
--- a/src/main/java/dappleseam/lab/fleet/ViewChecker.java
+++ b/src/main/java/dappleseam/lab/fleet/ViewChecker.java
@@ -186,14 +186,17 @@
     /** Guards caches against what nobody saw: each conviction has to have a witness, whose sight was at most so old as one is told on. */
     private void convictions(List<Word> words) {
         List<Word> ordered = words.stream().sorted(Comparator.comparingDouble(Word::ms)).toList();
-        Map<List<Object>, Double> until = new HashMap<>(); // by witness and cache
+        Map<String, Map<Long, Double>> until = new HashMap<>(); // by cache and witness
         for (Word word : ordered) {
-            Truth.Process viewer = truth.process(word.viewer);
+            Map<Long, Double> witnesses = until.computeIfAbsent(word.cache, cache -> new HashMap<>());
             if (word.verdict != Verdict.CONVICTED) {
-                until.put(List.of(word.viewer, word.cache), word.verdict == Verdict.FAILS ? Double.POSITIVE_INFINITY : word.ms);
-            } else if (until.entrySet().stream().noneMatch(e -> e.getKey().get(1).equals(word.cache) && !truth.process((long) e.getKey().get(0)).member().equals(viewer.member())
-                    && e.getValue() + dappleseam.fleet.share.Sight.OLDEST_MS + TOLD_MS >= word.ms)) {
-                breach(Promise.FALSE_SIGNAL, word.ms, "%s was told that %s fails, and nobody saw so", viewer.member(), word.cache);
+                witnesses.put(word.viewer, word.verdict == Verdict.FAILS ? Double.POSITIVE_INFINITY : word.ms);
+                continue;
+            }
+            String viewer = truth.process(word.viewer).member();
+            double since = word.ms - dappleseam.fleet.share.Sight.OLDEST_MS - TOLD_MS;
+            if (witnesses.entrySet().stream().noneMatch(e -> e.getValue() >= since && !truth.process(e.getKey()).member().equals(viewer))) {
+                breach(Promise.FALSE_SIGNAL, word.ms, "%s was told that %s fails, and nobody saw so", viewer, word.cache);
             }
         }
     }
