A reset ends no body, the origin is told what is left, and silent watches are opened in time

(1) Origin.ended and ListWatch.ended took any end for the end of a body without a length, also a reset; Link told them as one. (2) Origin.write passed X-Facts on as it came; caches are told by factsWaiting.

Now a reset and an orderly end are two events of a Link. A long poll holds 2 to 2.5 s; one that breaks or falls silent is opened anew within 0.1 s without the back-off, which stays under 2 s (6 s are allowed, two calls have to fit). A process follows the list from its first moment and waits for it, 1.5 s at most, before it serves. The list has a descriptor of its own.

--- a/src/main/java/dappleseam/list/ListWatch.java
+++ b/src/main/java/dappleseam/list/ListWatch.java
@@ -6,23 +6,33 @@
 import dappleseam.wire.Loop;
 import dappleseam.wire.Progress;
 import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 import java.util.function.DoubleUnaryOperator;
+import java.util.random.RandomGenerator;
 import org.xnio.StreamConnection;
 
-/** Follows the list service by watches, each begun as the one before is answered. */
+/**
+ * Follows the list service by long polls, each begun as the one before is answered. Guards rule 3 against a watch that falls silent:
+ * a change counts as told six seconds after the service had it, so a poll that waits, its lateness and two more calls have to fit into that.
+ */
 public final class ListWatch {
+    private static final Logger LOG = System.getLogger(ListWatch.class.getName());
     private static final long LONGEST_LIST = 4 << 20;
-    /** How long one call waits for news, in ms: each call costs the service work, and none is lost longer. */
-    private static final long HOLD_MS = 20_000;
+    /** How long one long poll waits for news at most, in ms, and the share of it that is drawn: proxies do not call in step. */
+    private static final double HOLD_MS = 2500;
+    private static final double HOLD_DRAWN = 0.2;
     /** How long a call may take beyond its waiting, in ms: the service works through calls in turn. */
-    private static final double LATE_MS = 2000;
+    private static final double LATE_MS = 1000;
     private static final double CONNECT_MS = 1000;
-    /** Time in ms before a failed call is made again where the list is to be followed always; doubled. */
+    /** Longest time in ms, drawn, before a watch that broke or fell silent is opened anew: all of them may have at once. */
+    private static final double ANEW_MS = 100;
+    /** Back-off in ms before a failed call is made again where the list is pushed; doubled. What the agent has counts as told at once. */
     private static final double AGAIN_MS = 100;
-    private static final double AGAIN_MOST_MS = 2000;
+    private static final double AGAIN_MOST_MS = 250;
 
     private final Loop loop;
     private InetSocketAddress service;
@@ -30,6 +40,7 @@
     private final Consumer<NodeList> news;
     private final Consumer<String> failed;
     private final DoubleUnaryOperator again;
+    private final RandomGenerator random;
     private long version;
     private boolean always;
     private double againMs = AGAIN_MS;
@@ -38,7 +49,7 @@
 
     /** {@code again}: what comes of the time in ms until a failed call is made again. */
     public ListWatch(Loop loop, InetSocketAddress service, ListReader lists, long version,
-                     Consumer<NodeList> news, Consumer<String> failed, DoubleUnaryOperator again) {
+                     Consumer<NodeList> news, Consumer<String> failed, DoubleUnaryOperator again, RandomGenerator random) {
         this.loop = loop;
         this.service = service;
         this.lists = lists;
@@ -46,15 +57,21 @@
         this.news = news;
         this.failed = failed;
         this.again = again;
+        this.random = random;
     }
 
     /** Begins to follow, unless a call is out already. The first call does not wait: it tells what was missed. */
     public void follow() {
         if (call == null) {
-            begin(0);
+            begin(0, false);
         }
     }
 
+    /** How long the next long poll waits for news. */
+    private long holdMs() {
+        return Math.round(HOLD_MS * (1 - HOLD_DRAWN * random.nextDouble()));
+    }
+
     /** Follows from now on without being asked, as where the list is pushed to a proxy. */
     public void followAlways() {
         always = true;
@@ -82,8 +99,8 @@
         }
     }
 
-    private void begin(long holdMs) {
-        call = new Call(holdMs);
+    private void begin(long holdMs, boolean goesOn) {
+        call = new Call(holdMs, goesOn);
         call.dial();
     }
 
@@ -93,13 +110,16 @@
         private Loop.Deadline dialling;
         private final long firstHoldMs;
         private Link link;
+        /** Whether it goes on from an answer: the service was well then, and may be. */
+        private boolean isWatch;
 
-        Call(long firstHoldMs) {
+        Call(long firstHoldMs, boolean goesOn) {
             this.firstHoldMs = firstHoldMs;
+            isWatch = goesOn;
         }
 
         void dial() {
-            dialling = loop.dial(service, CONNECT_MS, this::up, this::fail);
+            dialling = loop.dialKept(service, CONNECT_MS, this::up, this::fail);
         }
 
         private void up(StreamConnection connection) {
@@ -122,17 +142,17 @@
             if (progress == Progress.BAD) {
                 fail("not an answer in HTTP");
             } else if (progress == Progress.DONE) {
-                answered();
+                answered(reader.staysOpen() && !bytes.hasRemaining()); // more than was asked for: what follows is as doubtful
             }
         }
 
-        private void answered() {
+        private void answered(boolean staysOpen) {
             int status = reader.status();
-            boolean staysOpen = reader.staysOpen();
             Chain body = reader.takeBody();
             NodeList list;
             try {
                 if (status != 200) {
+                    isWatch = false; // it says itself that it has too much to do
                     throw new IOException("status " + status);
                 }
                 list = lists.read(body.bytes());
@@ -144,27 +164,38 @@
             }
             version = list.version();
             againMs = AGAIN_MS;
+            isWatch = true;
             if (staysOpen) {
-                ask(HOLD_MS);
+                ask(holdMs());
             } else {
                 end();
-                begin(HOLD_MS);
+                begin(holdMs(), true);
             }
             news.accept(list);
         }
 
         @Override
-        public void ended(String cause) {
+        public void finished() {
             if (reader.endsBody()) {
-                answered();
+                answered(false);
             } else {
-                fail(cause);
+                fail("closed by the peer");
             }
         }
 
+        @Override
+        public void ended(String cause) {
+            fail(cause);
+        }
+
         private void fail(String cause) {
             if (call == this) {
                 end();
+                if (isWatch) { // no back-off for the first call
+                    LOG.log(Level.INFO, "list: the watch is opened anew: {0}", cause);
+                    loop.at(loop.nowMs() + ANEW_MS * random.nextDouble(), ListWatch.this::follow);
+                    return;
+                }
                 failed.accept(cause);
                 if (always) {
                     loop.at(loop.nowMs() + again.applyAsDouble(againMs), ListWatch.this::follow);
--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -127,7 +127,7 @@
             current = e;
             endsAt = Long.MAX_VALUE;
             try {
-                write(e.command, link.out());
+                write(e, Math.max(1, Math.round(e.waitUntil - loop.nowMs())), link.out());
                 put = 0;
                 putValue();
             } catch (RuntimeException fault) { // half a head must not be followed by another
@@ -146,9 +146,10 @@
             }
         }
 
-        private static void write(Command command, Chain to) {
+        private static void write(Execution e, long waitMs, Chain to) {
+            Command command = e.command;
             to.put((command.isWrite() ? "PUT /" : "GET /") + command.key() + " HTTP/1.1\r\nHost: origin\r\n"
-                    + "X-Correlation-Id: " + command.id() + "\r\nX-Facts: " + command.facts() + "\r\n"
+                    + "X-Correlation-Id: " + command.id() + "\r\nX-Facts: " + command.factsWaiting(waitMs) + "\r\n"
                     + (command.isWrite() ? "Content-Length: " + command.value().size() + "\r\n\r\n" : "\r\n"));
         }
 
@@ -241,12 +242,18 @@
             }
         }
 
+        /** Guards a client against part of a value: a body without a length ends with an orderly end, never with a reset. */
         @Override
-        public void ended(String cause) {
+        public void finished() {
             if (current != null && reader.endsBody()) {
                 answered(true);
-                return;
+            } else {
+                ended("closed by the peer");
             }
+        }
+
+        @Override
+        public void ended(String cause) {
             Reached reached = reached();
             if (current != null) {
                 toldOfReuse(true);
--- a/src/main/java/dappleseam/proxy/EventLoop.java
+++ b/src/main/java/dappleseam/proxy/EventLoop.java
@@ -24,6 +24,8 @@
     private static final Logger LOG = System.getLogger(EventLoop.class.getName());
     private static final OptionMap DIAL = OptionMap.create(Options.TCP_NODELAY, true);
     private static final int SCRATCH = 32 << 10;
+    /** Descriptors kept for the connection to the list service, which is not counted among those to nodes. */
+    private static final int KEPT = 1;
     /** Lateness in ms from which what has come is read before deadlines fall due. */
     private static final double LATE_MS = 8;
     /** Least delay in ms with which the thread selects before it runs what was put off: it counts whole ones. */
@@ -143,12 +145,18 @@
             failed.accept("no descriptor left");
             return () -> { };
         }
-        return new Dialling(to, timeoutMs, up, failed);
+        return new Dialling(to, timeoutMs, up, failed, 1);
+    }
+
+    @Override
+    public Deadline dialKept(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> up,
+                             Consumer<String> failed) {
+        return new Dialling(to, timeoutMs, up, failed, 0);
     }
 
     @Override
     public boolean mayDial() {
-        return dialled < mostDialled;
+        return dialled < mostDialled - KEPT;
     }
 
     /** A connection on its way; told once. */
@@ -157,12 +165,15 @@
         private final Consumer<String> failed;
         private final Deadline timeout;
         private final IoFuture<StreamConnection> future;
+        /** What it counts among the connections to nodes. */
+        private final int counts;
         private boolean over;
 
-        Dialling(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> up, Consumer<String> failed) {
+        Dialling(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> up, Consumer<String> failed, int counts) {
             this.up = up;
             this.failed = failed;
-            dialled++;
+            this.counts = counts;
+            dialled += counts;
             timeout = at(nowMs() + timeoutMs, () -> fail("not up in time"));
             future = thread.openStreamConnection(to, this::opened, DIAL);
             future.addNotifier((done, none) -> {
@@ -179,7 +190,7 @@
                 return;
             }
             over = true;
-            connection.setCloseListener(closed -> dialled--);
+            connection.setCloseListener(closed -> dialled -= counts);
             timeout.callOff();
             up.accept(connection);
         }
@@ -196,7 +207,7 @@
             if (!over) {
                 over = true;
                 timeout.callOff();
-                dialled--;
+                dialled -= counts;
                 future.cancel();
             }
         }
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -46,7 +46,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import java.util.random.RandomGenerator;
 import java.util.regex.Pattern;
 
 /** Between the router and the peers: holds the queries taken, and does what the router decides. */
@@ -88,6 +87,7 @@
     private final ArrayDeque<Runnable> toTell = new ArrayDeque<>();
     private boolean telling;
     private boolean hasHeardList;
+    private boolean hasListFailed;
     /** Null where this proxy tells nobody of its caches. */
     private Lookout lookout;
     /** The whole over this proxy's share; NaN where that is as the settings say. */
@@ -137,8 +137,9 @@
         connections = connections(site, new Reuse());
         lists = new ListReader(site.machines(), site.zones());
         NodeList known = post.known().isObject() ? lists.read(post.known()) : new NodeList(0, true, List.of());
-        RandomGenerator random = new SplittableRandom(post.seed()); // its factory would search for all there are
-        watch = new ListWatch(loop, post.listService(), lists, known.version(), this::news, this::listFailed, this::againMs);
+        SplittableRandom random = new SplittableRandom(post.seed()); // its factory would search for all there are
+        watch = new ListWatch(loop, post.listService(), lists, known.version(), this::news, this::listFailed,
+                this::againMs, random.split());
         router = new Router(site.deployment(), random, this, loop.nowMs());
         learn(known);
         tell(() -> router.listGiven(loop.nowMs(), members(known), true));
@@ -185,6 +186,11 @@
         return hasHeardList;
     }
 
+    /** Whether a call to the list service has failed since the start. */
+    boolean hasListFailed() {
+        return hasListFailed;
+    }
+
     /** What was learnt of the nodes when it was last told; for any thread. */
     List<Learnt> learnt() {
         return learnt;
@@ -283,6 +289,7 @@
     }
 
     private void listFailed(String cause) {
+        hasListFailed = true;
         LOG.log(Level.WARNING, "list: a call failed: {0}", cause);
         if (lookout != null) {
             lookout.listCalled(loop.nowMs(), false);
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -72,8 +72,9 @@
     private static final double SELF_MS = 1000;
     /** Time in ms between publishings of the figures that take a walk. */
     private static final double PUBLISH_MS = 200;
-    /** Beside another process: longest wait for the list, in ms. */
+    /** Longest wait for the list from the start, in ms: beside another process, and alone. */
     private static final double LIST_WAIT_MS = 2500;
+    private static final double FIRST_LIST_MS = 1500;
     /** Time in ms between two writings of what was learnt: a share of the time for which it is news. */
     private static final double LEARNT_EVERY_MS = 1000;
     /** Ends of the names of what one process leaves for the next. */
@@ -190,20 +191,28 @@
         Exception[] fault = new Exception[1];
         worker.getIoThread().execute(() -> {
             loop = new EventLoop(worker.getIoThread(), new BufferPool(buffers), forPeers(post, 1));
+            try {
+                proxy = new Proxy(loop, told, figures);
+                proxy.recall(learntBefore(post));
+                if (fleet != null) {
+                    fleet.watch(proxy, loop, worker.getIoThread());
+                }
+                proxy.followList(); // its answer comes during the rehearsal
+            } catch (IOException | RuntimeException e) {
+                fault[0] = e;
+                begun.countDown();
+                return;
+            }
+            double listUntil = loop.nowMs() + (seats != null && seats.areShared() ? LIST_WAIT_MS : FIRST_LIST_MS);
             Rehearsal.play(loop, worker.getIoThread(), post, passed -> {
                 rehearsed = passed;
-                try {
-                    proxy = new Proxy(loop, told, figures);
-                    proxy.recall(learntBefore(post));
-                    if (fleet != null) {
-                        fleet.watch(proxy, loop, worker.getIoThread());
-                    }
+                try { // a fault here is not the rehearsal's
                     front = new ClientFront(loop, proxy, forClients(post, 1),
                             post.descriptors() / DESCRIPTORS_A_CLIENT);
                     publish();
                     shareLimits(post);
-                    listen(worker, post, loop.nowMs() + LIST_WAIT_MS, fault, begun);
-                } catch (IOException | RuntimeException e) {
+                    listen(worker, post, listUntil, fault, begun);
+                } catch (RuntimeException e) {
                     fault[0] = e;
                     begun.countDown();
                 }
@@ -237,11 +246,13 @@
     }
 
     /**
-     * Listens at once where this process is alone. Beside another, which serves meanwhile, it waits for the list: that one
-     * may have been told of drains that this one's file does not know yet.
+     * Waits for the first list: drains that the file does not know yet count as told from the first moment of a process, or were
+     * told to the one beside it. Where the list service cannot be reached, a process that is alone listens at once.
      */
     private void listen(XnioWorker worker, Post post, double untilMs, Exception[] fault, CountDownLatch begun) {
-        if (seats != null && seats.areShared() && !proxy.hasHeardList() && loop.nowMs() < untilMs) {
+        boolean shared = seats != null && seats.areShared();
+        boolean mayCome = !proxy.hasHeardList() && (shared || !proxy.hasListFailed());
+        if (mayCome && loop.nowMs() < untilMs) {
             loop.at(loop.nowMs() + LOOK_AGAIN_MS, () -> listen(worker, post, untilMs, fault, begun));
             return;
         }
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -109,9 +109,10 @@
     /** Measuring buckets: length in ms and number; four seconds hold a few queries even of a quiet proxy. */
     private static final double BUCKET_MS = 250;
     private static final int BUCKETS = 16;
-    /** Longest wait for the list at first, in ms, and in the end as a share of the time allowed. */
+    /** Longest wait for the list at first, in ms, and in the end: a share of the time that may pass untold, in ms. */
     private static final double ASK_AGAIN_MS = 1500;
-    private static final double ASK_MOST = 0.8;
+    private static final double ASK_MOST = 0.33;
+    private static final double TOLD_MS = 6000;
     /** Latest queries over which a key's or a cache's own share is taken: a thin proxy's ten to twenty s. */
     private static final double MEMORY = 64;
     /** Difference between two times left, in ms, that may come from the ways alone. */
@@ -212,7 +213,7 @@
         followed = false;
         // Guards the list service, which does not grow with the fleet: each failure doubles the wait.
         askAfter((0.2 + 0.8 * random.nextDouble()) * askWait);
-        askWait = Math.min(2 * askWait, ASK_MOST * site.askEveryMs());
+        askWait = Math.min(2 * askWait, ASK_MOST * Math.min(TOLD_MS, site.askEveryMs()));
     }
 
     private void askAfter(double delayMs) {
@@ -220,7 +221,7 @@
         timers.after(delayMs, () -> {
             if (turn == askTurn && !followed) {
                 host.followList();
-                askAfter(site.askEveryMs() * ASK_MOST * (0.7 + 0.3 * random.nextDouble())); // if unanswered
+                askAfter(site.askEveryMs() * (0.56 + 0.24 * random.nextDouble())); // if unanswered
             }
         });
     }
@@ -561,8 +562,7 @@
         judge(q, e, outcome, tookMs);
         if (finished && !q.answered) {
             settle(q);
-        }
-        if (!q.answered) {
+        } else if (!q.answered) {
             next(q, outcome);
         } else if (q.out == 0) {
             queries.remove(id);
--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -17,9 +17,14 @@
         /** Bytes have come; all of them are to be used up before this returns. */
         void received(ByteBuffer bytes);
 
-        /** The peer has ended the connection, or it broke. Called at most once, and never after close. */
+        /** The connection broke, or the peer has ended it. At most once with {@link #finished}, and never after close. */
         void ended(String cause);
 
+        /** The peer has ended the connection in order: all that it wrote has come. A reset is no such end. */
+        default void finished() {
+            ended("closed by the peer");
+        }
+
         /** All that was put out is written. */
         default void drained() {}
     }
@@ -127,7 +132,7 @@
                 return;
             }
             if (count < 0) {
-                end("closed by the peer");
+                finish();
                 return;
             }
             if (count < scratch.capacity() || paused) {
@@ -136,6 +141,13 @@
         }
     }
 
+    private void finish() {
+        if (!closed) {
+            close();
+            events.finished();
+        }
+    }
+
     private void end(String cause) {
         if (!closed) {
             close();
--- a/src/main/java/dappleseam/wire/Loop.java
+++ b/src/main/java/dappleseam/wire/Loop.java
@@ -15,6 +15,11 @@
     /** Opens a connection; exactly one of the two is called, unless the deadline is called off before. */
     Deadline dial(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> up, Consumer<String> failed);
 
+    /** The same for the one connection that has a descriptor kept for it: nodes and clients may hold all others. */
+    default Deadline dialKept(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> up, Consumer<String> failed) {
+        return dial(to, timeoutMs, up, failed);
+    }
+
     /** Whether there is a descriptor left for another connection to a peer. */
     boolean mayDial();
 
