--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -43,12 +43,17 @@
     static final Comparator<ClientConnection> BY_USE =
             Comparator.comparingInt(ClientConnection::use).thenComparingDouble(c -> c.quietSince);
 
+    /** A query that has come, and what it is owed. */
+    private record Asked(Command command, Owed owed) {}
+
     private final Loop loop;
     private final Queries queries;
     private final ClientFront front;
     private final RespReader reader;
     private final Link link;
     private final ArrayDeque<Owed> owed = new ArrayDeque<>();
+    /** Read, and not handed on yet: an end may be right behind them. */
+    private final ArrayDeque<Asked> asked = new ArrayDeque<>();
     private Loop.Deadline stallWatch;
     private Loop.Deadline silence = () -> { };
     /** When the last answer was written, at first when the connection came. */
@@ -60,7 +65,10 @@
     private long granted;
     private boolean hasAsked;
     private int slot;
-    private boolean paused;
+    /** Commands wait to be read, since then; NaN where they do not. */
+    private double heldSince = Double.NaN;
+    /** How long the commands that are read now may have waited. */
+    private double waitedMs;
     /** Nothing more is taken; the connection ends once what is owed is written. */
     private boolean last;
 
@@ -96,7 +104,8 @@
     }
 
     private double silentAt() {
-        return !reader.isBetweenMessages() ? Math.min(heardAt + SILENT_MS, begunAt + LONGEST_COMMAND_MS)
+        return isHeld() ? Double.POSITIVE_INFINITY // it is not the client that keeps us waiting
+                : !reader.isBetweenMessages() ? Math.min(heardAt + SILENT_MS, begunAt + LONGEST_COMMAND_MS)
                 : !owesNothing() ? Double.POSITIVE_INFINITY : quietSince + (hasAsked ? IDLE_MS : SILENT_MS);
     }
 
@@ -186,8 +195,16 @@
                 hasAsked = true;
                 front.asked();
             }
-            QueryId query = queries.take(command, one);
-            one.belongsTo(query);
+            asked.add(new Asked(command, one));
+        }
+    }
+
+    /** Guards nodes against queries of a client that has closed behind them, as one that sends much at once and goes. */
+    @Override
+    public void caughtUp() {
+        while (!asked.isEmpty()) {
+            Asked next = asked.poll();
+            next.owed.belongsTo(queries.take(next.command, next.owed, waitedMs));
         }
     }
 
@@ -297,7 +314,7 @@
             close();
         } else if (front.closesIdle() && isIdle()) {
             loop.at(loop.nowMs(), this::closeIfIdle); // not now: bytes of this connection may be in hand
-        } else if (paused && !isFull()) {
+        } else if (isHeld() && !isFull()) {
             resume();
         }
     }
@@ -307,24 +324,39 @@
                 || granted == 0 && loop.pool().isScarce();
     }
 
+    private boolean isHeld() {
+        return !Double.isNaN(heldSince);
+    }
+
     /** Guards the buffers against a client that sends and does not read, or sends more than can be held. */
     private void pauseIfFull() {
-        if (!paused && !link.isClosed() && isFull()) {
-            paused = true;
-            link.pause();
+        if (!isHeld() && !link.isClosed() && isFull()) {
+            heldSince = loop.nowMs();
+            link.hold();
             loop.at(loop.nowMs() + BUFFERS_AGAIN_MS, this::resume);
         }
     }
 
     private void resume() {
-        if (paused && !link.isClosed() && !last) {
-            paused = false;
-            if (isFull()) {
-                pauseIfFull();
-            } else {
-                link.resume();
-            }
+        if (!isHeld() || link.isClosed() || last) {
+            return;
+        }
+        if (isFull()) {
+            loop.at(loop.nowMs() + BUFFERS_AGAIN_MS, this::resume);
+            return;
         }
+        waitedMs = loop.nowMs() - heldSince;
+        heldSince = Double.NaN;
+        heardAt = loop.nowMs();
+        begunAt = heardAt;
+        link.resume();
+        waitedMs = 0;
+    }
+
+    /** Whether its client is still there, as far as can be known now; not known where more waits than is read ahead. */
+    boolean isClientHere() {
+        link.look();
+        return !link.isClosed() && !link.isBlind();
     }
 
     @Override
@@ -367,6 +399,8 @@
         silence.callOff();
         reader.release();
         giveGrantBack();
+        asked.forEach(one -> one.command.release());
+        asked.clear();
         for (Owed one : owed) {
             one.release();
             if (!one.isAnswered() && one.query() != null) {
--- a/src/main/java/dappleseam/clients/Owed.java
+++ b/src/main/java/dappleseam/clients/Owed.java
@@ -62,6 +62,11 @@
         }
     }
 
+    /** Whether its client is still there: asked just before something more is done for it. */
+    public boolean isClientHere() {
+        return connection.isClientHere();
+    }
+
     /** Trying again is harmless, after so many ms where that is over 0. */
     public void busy(double comeBackMs) {
         line(comeBackMs > 0 ? "-BUSY " + (long) Math.ceil(comeBackMs) : "-BUSY");
--- a/src/main/java/dappleseam/clients/Queries.java
+++ b/src/main/java/dappleseam/clients/Queries.java
@@ -5,8 +5,11 @@
 
 /** Who takes the clients' queries. */
 public interface Queries {
-    /** Takes a query, and answers it through {@code owed}, now or later; null where it was turned away. */
-    QueryId take(Command command, Owed owed);
+    /**
+     * Takes a query that may have waited for so many ms to be read, and answers it through {@code owed}, now or later; null where it was
+     * turned away.
+     */
+    QueryId take(Command command, Owed owed, double waitedMs);
 
     void clientLeft(QueryId id);
 }
--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -61,6 +61,18 @@
         return Reached.NOT_WHOLE;
     }
 
+    @Override
+    public boolean takeBack(Execution execution) {
+        for (Connection c : open.all()) {
+            if (c.current == execution && c.reached() == Reached.NOT_WHOLE) {
+                c.current = null;
+                c.close();
+                return true;
+            }
+        }
+        return false;
+    }
+
     @Override
     public void limit(Connections newLimits) {
         limits = newLimits;
@@ -114,7 +126,13 @@
         private void up(StreamConnection connection) {
             link = loop.link(connection, this);
             link.resume();
-            send(current);
+            Execution first = current;
+            if (first == null || !first.mayBegin()) { // its client may have left while the connection came up
+                current = null;
+                close();
+                return;
+            }
+            send(first);
         }
 
         private void failed(String cause) {
--- /dev/null
+++ b/src/main/java/dappleseam/proxy/Nodes.java
@@ -0,0 +1,135 @@
+package dappleseam.proxy;
+
+import dappleseam.list.Listed;
+import dappleseam.list.NodeList;
+import dappleseam.origin.Origin;
+import dappleseam.query.Backend;
+import dappleseam.query.Connections;
+import dappleseam.query.Reuse;
+import dappleseam.router.Member;
+import dappleseam.router.NodeId;
+import dappleseam.servers.CacheNode;
+import dappleseam.wire.Loop;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The nodes as the list tells of them, and where each is dialled. */
+final class Nodes {
+    private static final Logger LOG = System.getLogger(Nodes.class.getName());
+
+    private final Loop loop;
+    private int originModel;
+    private Connections connections;
+    private final Map<NodeId, Peer> peers = new HashMap<>();
+    /** The list as last told, for the process that takes over. */
+    private volatile NodeList last = new NodeList(0, true, List.of());
+
+    /** A listed node and where it is dialled. */
+    private record Peer(Listed entry, Backend backend) {
+        InetSocketAddress endpoint() {
+            return entry.endpoint();
+        }
+    }
+
+    Nodes(Loop loop, int originModel, Connections connections) {
+        this.loop = loop;
+        this.originModel = originModel;
+        this.connections = connections;
+    }
+
+    /** What is allowed from now on. */
+    void limit(int newOriginModel, Connections newConnections) {
+        originModel = newOriginModel;
+        connections = newConnections;
+        peers.values().forEach(peer -> peer.backend.limit(connections));
+    }
+
+    Reuse reuse() {
+        return connections.reuse();
+    }
+
+    int count() {
+        return peers.size();
+    }
+
+    /** Null for a node that is not listed. */
+    Backend backend(NodeId node) {
+        Peer peer = peers.get(node);
+        return peer == null ? null : peer.backend;
+    }
+
+    /** The whole list as last told; for any thread. */
+    NodeList lastList() {
+        return last;
+    }
+
+    /** The caches in use, and when each started. */
+    Map<NodeId, Double> readyCaches() {
+        Map<NodeId, Double> caches = new HashMap<>();
+        peers.forEach((node, peer) -> {
+            Member member = peer.entry.member();
+            if (member.state() == Member.State.READY && member.model() != originModel) {
+                caches.put(node, member.startedAtMs());
+            }
+        });
+        return caches;
+    }
+
+    void learn(NodeList list) {
+        Set<NodeId> listed = new HashSet<>();
+        for (Listed entry : list.entries()) {
+            Member m = entry.member();
+            listed.add(m.node());
+            if (m.state() == Member.State.GONE) {
+                forget(m.node());
+            } else if (entry.endpoint() != null) {
+                know(entry);
+            }
+        }
+        if (list.whole()) {
+            List.copyOf(peers.keySet()).stream().filter(id -> !listed.contains(id)).forEach(this::forget);
+        }
+        last = new NodeList(list.version(), true, peers.values().stream().map(Peer::entry).toList());
+    }
+
+    private void know(Listed entry) {
+        Member m = entry.member();
+        Peer peer = peers.get(m.node());
+        boolean moved = peer != null && !peer.endpoint().equals(entry.endpoint());
+        if (peer == null || moved || !peer.entry.equals(entry)) {
+            LOG.log(Level.INFO, "node {0} is {1} at {2}: {3}", entry.uid(), name(m.node()), entry.endpoint(),
+                    m.state());
+            if (moved) {
+                peer.backend.retire();
+            }
+            Backend backend = peer == null || moved ? backend(m, entry.endpoint()) : peer.backend;
+            peers.put(m.node(), new Peer(entry, backend));
+            if (m.state() == Member.State.DRAINING) {
+                backend.endWaiting();
+            }
+        }
+    }
+
+    /** As the router names it in its lines. */
+    private static String name(NodeId node) {
+        return Long.toHexString(node.value());
+    }
+
+    private Backend backend(Member m, InetSocketAddress endpoint) {
+        return m.model() == originModel ? new Origin(loop, endpoint, connections) : new CacheNode(loop, endpoint, connections);
+    }
+
+    private void forget(NodeId node) {
+        Peer peer = peers.remove(node);
+        if (peer != null) {
+            LOG.log(Level.INFO, "node {0} has left the list", name(node));
+            peer.backend.retire();
+        }
+    }
+}
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -7,7 +7,6 @@
 import dappleseam.list.ListWatch;
 import dappleseam.list.Listed;
 import dappleseam.list.NodeList;
-import dappleseam.origin.Origin;
 import dappleseam.query.Backend;
 import dappleseam.query.Command;
 import dappleseam.query.Connections;
@@ -27,29 +26,25 @@
 import dappleseam.router.Outcome;
 import dappleseam.router.QueryId;
 import dappleseam.router.Router;
+import dappleseam.router.ServiceGrade;
 import dappleseam.router.TimerId;
-import dappleseam.servers.CacheNode;
 import dappleseam.site.Post;
 import dappleseam.site.Site;
 import dappleseam.wire.Loop;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
 
 /** Between the router and the peers: holds the queries taken, and does what the router decides. */
-final class Proxy implements Host, Queries, Lookout.Whole {
+final class Proxy implements Host, Queries, Execution.Owner, Lookout.Whole {
     private static final Logger LOG = System.getLogger(Proxy.class.getName());
     /** The answer of an aborted query. */
     private static final String FAILED = "-ERR failed";
@@ -64,6 +59,8 @@
     private static final double LAST_HOP_MS = 10;
     /** Time in ms past that at which a query the router forgot is aborted; it guards rule 1. */
     private static final double FORGOTTEN_MS = 15;
+    /** Time in ms that a command may take to a node, of those that nodes know a repeat for. */
+    private static final double WAY_MS = 20;
     /** Least time in ms between two lines about errors: a failing node must not fill the log. */
     private static final double ERRORS_APART_MS = 1000;
     /** Time to come back in ms where no more queries can be held. */
@@ -72,13 +69,10 @@
     private final Loop loop;
     private Site site;
     private final Figures figures;
-    private Connections connections;
     private final Router router;
     private ListReader lists;
     private final ListWatch watch;
-    private final Map<NodeId, Peer> peers = new HashMap<>();
-    /** The list as last told, for the process that takes over. */
-    private volatile NodeList last = new NodeList(0, true, List.of());
+    private final Nodes nodes;
     private volatile List<Learnt> learnt = List.of();
     private final Slots<Taken> queries = new Slots<>();
     /** The ids of the queries taken last, as the clients gave them, in order: those of all that are open among them. */
@@ -94,23 +88,13 @@
     private double sharedBy = Double.NaN;
     private double errorLoggedAt;
 
-    /** A listed node and where it is dialled. */
-    private record Peer(Listed entry, Backend backend) {
-        InetSocketAddress endpoint() {
-            return entry.endpoint();
-        }
-
-        Member.State state() {
-            return entry.member().state();
-        }
-    }
-
     /** A query taken, until it is answered and its last execution has ended. */
     private static final class Taken {
         final Command command;
         final Owed owed;
         final String grade;
         /** By the rules it was taken under. */
+        final ServiceGrade rules;
         final int mostExecutions;
         final double quitAt;
         final List<Sent> execs = new ArrayList<>(3);
@@ -118,30 +102,38 @@
         boolean answered;
         int out;
 
-        Taken(Command command, Owed owed, String grade, int mostExecutions, double quitAt) {
+        Taken(Command command, Owed owed, String grade, ServiceGrade rules, int mostExecutions, double quitAt) {
             this.command = command;
             this.owed = owed;
             this.grade = grade;
+            this.rules = rules;
             this.mostExecutions = mostExecutions;
             this.quitAt = quitAt;
         }
     }
 
-    private record Sent(Execution execution, NodeId node, Backend backend, Loop.Deadline deadline) {}
+    private record Sent(Execution execution, NodeId node, Backend backend, Loop.Deadline deadline) {
+        /** Guards rule 1 and a node: nothing more of it goes out, as its query is over or its time to begin is. */
+        void takeBack() {
+            if (backend != null && !execution.hasEnded() && backend.takeBack(execution)) {
+                execution.end(Ending.of(Outcome.UNSENT));
+            }
+        }
+    }
 
     Proxy(Loop loop, Post post, Figures figures) throws IOException {
         this.loop = loop;
         this.figures = figures;
         site = post.site();
         figures.grades(site.gradeNames());
-        connections = connections(site, new Reuse());
         lists = new ListReader(site.machines(), site.zones());
         NodeList known = post.known().isObject() ? lists.read(post.known()) : new NodeList(0, true, List.of());
         SplittableRandom random = new SplittableRandom(post.seed()); // its factory would search for all there are
         watch = new ListWatch(loop, post.listService(), lists, known.version(), this::news, this::listFailed,
                 this::againMs, random.split());
         router = new Router(site.deployment(), random, this, loop.nowMs());
-        learn(known);
+        nodes = new Nodes(loop, site.deployment().originModel(), connections(site, new Reuse()));
+        nodes.learn(known);
         tell(() -> router.listGiven(loop.nowMs(), members(known), true));
         if (isPushed()) {
             watch.followAlways();
@@ -167,8 +159,7 @@
         Site before = site;
         site = post.site();
         figures.grades(site.gradeNames());
-        connections = connections(site, connections.reuse());
-        peers.values().forEach(peer -> peer.backend.limit(connections));
+        nodes.limit(site.deployment().originModel(), connections(site, nodes.reuse()));
         Deployment told = Double.isNaN(sharedBy) ? site.deployment() : site.deployment().sharedBy(sharedBy);
         tell(() -> router.settingsChanged(loop.nowMs(), told));
         if (!before.machines().equals(site.machines()) || !before.zones().equals(site.zones())) {
@@ -204,9 +195,9 @@
     void publish() {
         learnt = router.learnt();
         if (lookout != null) {
-            lookout.look(loop.nowMs(), learnt, caches());
+            lookout.look(loop.nowMs(), learnt, nodes.readyCaches());
         }
-        figures.list(peers.size(), router.avoided(loop.nowMs()));
+        figures.list(nodes.count(), router.avoided(loop.nowMs()));
     }
 
     /** Tells it from now on what it is there for. */
@@ -234,17 +225,6 @@
         return lookout == null ? ownMs : lookout.listAgainMs(loop.nowMs(), ownMs);
     }
 
-    private Map<NodeId, Double> caches() {
-        Map<NodeId, Double> caches = new HashMap<>();
-        peers.forEach((node, peer) -> {
-            Member member = peer.entry.member();
-            if (member.state() == Member.State.READY && member.model() != site.deployment().originModel()) {
-                caches.put(node, member.startedAtMs());
-            }
-        });
-        return caches;
-    }
-
     /** Answers at once what has no answer yet: this process is about to end. */
     void abortAll() {
         for (Taken taken : queries.all()) {
@@ -279,7 +259,7 @@
         if (lookout != null) {
             lookout.listCalled(loop.nowMs(), true);
         }
-        learn(list);
+        nodes.learn(list);
         List<Member> members = members(list);
         if (list.whole()) {
             tell(() -> router.listGiven(loop.nowMs(), members, false));
@@ -303,66 +283,13 @@
         return list.entries().stream().map(Listed::member).toList();
     }
 
-    private void learn(NodeList list) {
-        Set<NodeId> listed = new HashSet<>();
-        for (Listed entry : list.entries()) {
-            Member m = entry.member();
-            listed.add(m.node());
-            if (m.state() == Member.State.GONE) {
-                forget(m.node());
-            } else if (entry.endpoint() != null) {
-                know(entry);
-            }
-        }
-        if (list.whole()) {
-            List.copyOf(peers.keySet()).stream().filter(id -> !listed.contains(id)).forEach(this::forget);
-        }
-        last = new NodeList(list.version(), true, peers.values().stream().map(Peer::entry).toList());
-    }
-
     /** The whole list as last told; for any thread. */
     NodeList lastList() {
-        return last;
-    }
-
-    private void know(Listed entry) {
-        Member m = entry.member();
-        Peer peer = peers.get(m.node());
-        boolean moved = peer != null && !peer.endpoint().equals(entry.endpoint());
-        if (peer == null || moved || !peer.entry.equals(entry)) {
-            LOG.log(Level.INFO, "node {0} is {1} at {2}: {3}", entry.uid(), name(m.node()), entry.endpoint(),
-                    m.state());
-            if (moved) {
-                peer.backend.retire();
-            }
-            Backend backend = peer == null || moved ? backend(m, entry.endpoint()) : peer.backend;
-            peers.put(m.node(), new Peer(entry, backend));
-            if (m.state() == Member.State.DRAINING) {
-                backend.endWaiting();
-            }
-        }
-    }
-
-    /** As the router names it in its lines. */
-    private static String name(NodeId node) {
-        return Long.toHexString(node.value());
-    }
-
-    private Backend backend(Member m, InetSocketAddress endpoint) {
-        return m.model() == site.deployment().originModel() ? new Origin(loop, endpoint, connections)
-                : new CacheNode(loop, endpoint, connections);
-    }
-
-    private void forget(NodeId node) {
-        Peer peer = peers.remove(node);
-        if (peer != null) {
-            LOG.log(Level.INFO, "node {0} has left the list", name(node));
-            peer.backend.retire();
-        }
+        return nodes.lastList();
     }
 
     @Override
-    public QueryId take(Command command, Owed owed) {
+    public QueryId take(Command command, Owed owed, double waitedMs) {
         String named = command.fact("c");
         int grade = site.gradeNames().indexOf(named);
         double waits = waits(command, grade);
@@ -387,8 +314,8 @@
         if (ids.size() > IDS) {
             ids.remove(ids.iterator().next());
         }
-        double left = Math.max(1, waits - LAST_HOP_MS);
-        Taken taken = new Taken(command, owed, named, site.deployment().mostExecutions(),
+        double left = Math.max(1, waits - waitedMs - LAST_HOP_MS);
+        Taken taken = new Taken(command, owed, named, site.deployment().grades().get(grade), site.deployment().mostExecutions(),
                 loop.nowMs() + left);
         figures.taken();
         if (lookout != null) {
@@ -446,9 +373,11 @@
         answered(taken);
     }
 
+    /** Guards rule 1: what waits for a connection still, such as a second copy, is not sent for it afterwards. */
     private static void answered(Taken taken) {
         taken.answered = true;
         taken.forgotten.callOff();
+        List.copyOf(taken.execs).forEach(Sent::takeBack);
     }
 
     private void freeIfOver(QueryId id, Taken taken) {
@@ -467,18 +396,42 @@
         }
         double now = loop.nowMs();
         double until = timeoutMs == 0 ? taken.quitAt : Math.min(taken.quitAt, now + timeoutMs);
-        Execution execution = new Execution(id, taken.execs.size(), taken.command, now, until,
-                figures::executed, this::ended);
-        Peer peer = peers.get(node);
+        boolean clientIsHere = taken.execs.isEmpty() || taken.owed.isClientHere(); // the first goes out as its query is read
+        Execution execution = new Execution(id, taken.execs.size(), taken.command, now, until, this);
+        Backend backend = nodes.backend(node);
         taken.out++;
-        if (taken.answered || peer == null || taken.execs.size() >= taken.mostExecutions) {
+        if (!clientIsHere || taken.answered || backend == null || taken.execs.size() >= taken.mostExecutions) {
             taken.execs.add(new Sent(execution, node, null, () -> { }));
             execution.end(Ending.of(Outcome.UNSENT));
             return;
         }
-        Loop.Deadline deadline = loop.at(until, () -> timedOut(execution, peer.backend));
-        taken.execs.add(new Sent(execution, node, peer.backend, deadline));
-        peer.backend.begin(execution);
+        Loop.Deadline deadline = loop.at(until, () -> timedOut(execution, backend));
+        double windowEnds = windowEnds(taken);
+        Sent sent = new Sent(execution, node, backend, deadline);
+        if (windowEnds < until) {
+            loop.at(windowEnds, sent::takeBack);
+        }
+        taken.execs.add(sent);
+        backend.begin(execution);
+    }
+
+    /** By when a further execution has to have begun whole, where nodes know a repeat for a time only; it may have to wait to be sent. */
+    private static double windowEnds(Taken taken) {
+        return taken.rules.repeat() != ServiceGrade.Repeat.DEDUPLICATED ? Double.POSITIVE_INFINITY
+                : taken.execs.stream().filter(s -> s.execution.mayHaveRun()).mapToDouble(s -> s.execution.sentAt).min()
+                        .orElse(Double.POSITIVE_INFINITY) + taken.rules.windowMs() - WAY_MS;
+    }
+
+    @Override
+    public boolean mayBegin(Execution execution) {
+        Taken taken = queries.get(execution.query.value());
+        double now = loop.nowMs();
+        return taken != null && !taken.answered && now < execution.waitUntil && taken.owed.isClientHere() && !taken.answered;
+    }
+
+    @Override
+    public void written(Execution execution) {
+        figures.executed();
     }
 
     private void timedOut(Execution execution, Backend backend) {
@@ -496,7 +449,8 @@
         }
     }
 
-    private void ended(Execution execution, Ending ending) {
+    @Override
+    public void ended(Execution execution, Ending ending) {
         Taken taken = queries.get(execution.query.value());
         taken.execs.get(execution.number).deadline.callOff();
         double took = loop.nowMs() - execution.sentAt;
@@ -558,9 +512,9 @@
 
     @Override
     public void closeIdle(NodeId node) {
-        Peer peer = peers.get(node);
-        if (peer != null) {
-            peer.backend.closeIdle();
+        Backend backend = nodes.backend(node);
+        if (backend != null) {
+            backend.closeIdle();
         }
     }
 
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -51,21 +51,15 @@
     private static final double SHARE_FOR_CLOSED = 0.125;
     /** Descriptors for each connection that clients may hold for queries: they have a third of them at most. */
     private static final int DESCRIPTORS_A_CLIENT = 3;
-    /** Times in ms after SIGTERM: until no more connections are accepted, and between looks at who is idle. */
-    private static final double ACCEPT_MORE_MS = 450;
+    /** Time in ms between looks whether the first list has come. */
     private static final double LOOK_AGAIN_MS = 10;
     /** Connections that each process has room for, however few descriptors there are. */
     private static final int LEAST_CONNECTIONS = 24;
     /** The platform kills no sooner than the longest statement timeout, up to so many ms, and so many more after it. */
     private static final double LONGEST_WAIT_MS = 3000;
     private static final double KILL_MORE_MS = 700;
-    /** Times in ms before the kill: idle clients are closed, what is left is aborted, nothing more is taken and the program ends; it ends even if the I/O thread hangs. */
-    private static final double CLOSE_LEAD_MS = 350;
-    private static final double ABORT_LEAD_MS = 200;
-    private static final double END_LEAD_MS = 100;
+    /** Time in ms before the kill at which the program ends even if the I/O thread hangs. */
     private static final double LAST_LEAD_MS = 60;
-    /** Rounds of answering and closing in one go: what comes while a connection is closed is answered in the next. */
-    private static final int ROUNDS = 4;
     /** Time in ms for the last lines of the log to be written. */
     private static final long LAST_LINES_MS = 20;
     /** Time in ms in which a connection to itself comes up. */
@@ -92,6 +86,7 @@
     @Option(names = "--fleet", description = "What makes this proxy one of a fleet, as JSON (docs/fleet.md; default: it is on its own).")
     private Path fleetFile;
 
+    private XnioWorker worker;
     private EventLoop loop;
     private ClientFront front;
     /** Null where no file was named: nothing of it is loaded then. */
@@ -104,6 +99,7 @@
     private final Figures figures = new Figures();
     private Seats seats;
     private volatile boolean ready;
+    private volatile boolean startedUp;
     private volatile double killAfterMs;
     private final SiteReader reader = new SiteReader();
     private boolean rehearsed;
@@ -131,32 +127,33 @@
             return 1;
         }
         killAfterMs = killAfterMs(post);
+        worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.THREAD_DAEMON, true).getMap());
         CountDownLatch started = new CountDownLatch(1);
-        XnioWorker[] serving = new XnioWorker[1];
         Signal.handle(new Signal("HUP"), signal -> { // each on a thread of its own; one that comes early waits
             awaitStart(started);
-            reload(serving[0]);
+            reload();
         });
-        XnioWorker worker = start(post);
-        if (worker == null) {
+        // Not a shutdown hook: the platform's logging takes its handlers away at the same time, and lines were lost.
+        AtomicBoolean told = new AtomicBoolean();
+        for (String name : List.of("TERM", "INT")) {
+            Signal.handle(new Signal(name), signal -> { // before the first client is let in: its query would be lost
+                if (!told.getAndSet(true)) {
+                    shutDown();
+                }
+            });
+        }
+        if (!start(post)) {
             return 1;
         }
         if (fleet != null && !check) {
             fleet.start();
         }
-        serving[0] = worker;
+        startedUp = true;
         started.countDown();
         if (check) {
-            return rehearsed && answersItself(worker) ? 0 : 1;
-        }
-        // Not a shutdown hook: the platform's logging takes its handlers away at the same time, and lines were lost.
-        AtomicBoolean told = new AtomicBoolean();
-        for (String name : List.of("TERM", "INT")) {
-            Signal.handle(new Signal(name), signal -> {
-                if (!told.getAndSet(true)) {
-                    drain(worker);
-                }
-            });
+            return rehearsed && answersItself() ? 0 : 1;
         }
         ended.await();
         return 0;
@@ -176,13 +173,10 @@
         return Math.min(LONGEST_WAIT_MS, longest) + KILL_MORE_MS;
     }
 
-    /** Null, with the cause said, where it cannot. */
-    private XnioWorker start(Post post) throws IOException, InterruptedException {
-        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.THREAD_DAEMON, true).getMap());
-        if (post.control() != null && !openDoor(worker, post)) {
-            return null;
+    /** Whether it could; where not, the cause is said. */
+    private boolean start(Post post) throws InterruptedException {
+        if (post.control() != null && !openDoor(post)) {
+            return false;
         }
         Post known = seats != null && seats.areShared() ? withTakenOver(post) : post;
         Post told = fleet == null ? known : fleet.withKept(known);
@@ -211,7 +205,7 @@
                             post.descriptors() / DESCRIPTORS_A_CLIENT);
                     publish();
                     shareLimits(post);
-                    listen(worker, post, listUntil, fault, begun);
+                    listen(post, listUntil, fault, begun);
                 } catch (RuntimeException e) {
                     fault[0] = e;
                     begun.countDown();
@@ -222,10 +216,10 @@
         if (fault[0] != null) {
             rehearsed = false;
             System.err.println("dappleseam serve: cannot start: " + fault[0].getMessage());
-            return null;
+            return false;
         }
         LOG.log(Level.INFO, "{0} serves on {1}, rehearsed: {2}", post.name(), post.listen(), rehearsed);
-        return worker;
+        return true;
     }
 
     /** Descriptors for connections where so many processes hold those of one. */
@@ -249,11 +243,11 @@
      * Waits for the first list: drains that the file does not know yet count as told from the first moment of a process, or were
      * told to the one beside it. Where the list service cannot be reached, a process that is alone listens at once.
      */
-    private void listen(XnioWorker worker, Post post, double untilMs, Exception[] fault, CountDownLatch begun) {
+    private void listen(Post post, double untilMs, Exception[] fault, CountDownLatch begun) {
         boolean shared = seats != null && seats.areShared();
         boolean mayCome = !proxy.hasHeardList() && (shared || !proxy.hasListFailed());
         if (mayCome && loop.nowMs() < untilMs) {
-            loop.at(loop.nowMs() + LOOK_AGAIN_MS, () -> listen(worker, post, untilMs, fault, begun));
+            loop.at(loop.nowMs() + LOOK_AGAIN_MS, () -> listen(post, untilMs, fault, begun));
             return;
         }
         try {
@@ -341,7 +335,7 @@
         }
     }
 
-    private boolean openDoor(XnioWorker worker, Post post) {
+    private boolean openDoor(Post post) {
         seats = Seats.take(folder(), post.listen());
         boolean[] shared = {seats.areShared()};
         try {
@@ -405,7 +399,7 @@
     }
 
     /** Whether a PING through a socket of its own comes back; the archive of classes is to hold what sockets need, too. */
-    private boolean answersItself(XnioWorker worker) {
+    private boolean answersItself() {
         CompletableFuture<Boolean> ponged = new CompletableFuture<>();
         worker.getIoThread().execute(proxy::followList); // whatever comes of it
         worker.getIoThread().execute(() -> loop.dial(front.address(), SELF_MS, connection -> {
@@ -432,7 +426,7 @@
      * SIGHUP: reads the file again, on the signal's own thread. Guards service against a bad one, which changes nothing,
      * and against an older one: of two signals at once, the last to read is the last to be heard.
      */
-    private synchronized void reload(XnioWorker worker) {
+    private synchronized void reload() {
         try {
             Runnable fleetAnew = fleet == null ? () -> { } : fleet.readAgain();
             Post post = reader.readPost(config);
@@ -447,73 +441,35 @@
         }
     }
 
-    /**
-     * SIGTERM: answers all it has taken, and ends with status 0. Guards clients against the time until the next start:
-     * those that are connected are served until shortly before the platform would kill.
-     */
-    private void drain(XnioWorker worker) {
+    /** SIGTERM: answers all it has taken, and ends with status 0; a process that serves nobody yet ends at once. */
+    private void shutDown() {
         ready = false;
         boolean handOver = seats != null && seats.otherListens();
         LOG.log(Level.INFO, "told to end: answering what was taken, {0}",
                 handOver ? "another process takes the clients" : "no other process is here");
-        if (fleet != null && handOver) {
+        boolean inFleet = fleet != null && startedUp;
+        if (inFleet && handOver) {
             fleet.end(true);
         }
+        double killMs = killAfterMs;
         CountDownLatch done = new CountDownLatch(1);
         worker.getIoThread().execute(() -> {
-            double now = loop.nowMs();
-            if (handOver) {
-                front.handOver();
-                endClients(now, done);
+            if (front == null || !front.isListening()) { // nor will it: this thread is its
+                done.countDown();
             } else {
-                loop.at(now + ACCEPT_MORE_MS, () -> {
-                    front.stopListening();
-                    endClients(now + killAfterMs - CLOSE_LEAD_MS, done);
-                });
+                new Shutdown(loop, front, proxy::abortAll, killMs, done::countDown).begin(handOver);
             }
-            loop.at(now + killAfterMs - ABORT_LEAD_MS, this::abortAndClose);
-            loop.at(now + killAfterMs - END_LEAD_MS, () -> {
-                front.takeNoMore(); // first: what this reads is aborted with the rest
-                proxy.abortAll();
-                done.countDown();
-            });
         });
         try {
-            done.await((long) (killAfterMs - LAST_LEAD_MS), TimeUnit.MILLISECONDS);
+            done.await((long) (killMs - LAST_LEAD_MS), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        if (fleet != null && !handOver) {
+        if (inFleet && !handOver) {
             fleet.end(false); // not before: until here it takes its share of what the fleet may send
         }
         LOG.log(Level.INFO, "ended");
         BackgroundLog.written(LAST_LINES_MS);
         Runtime.getRuntime().halt(0);
     }
-
-    /**
-     * Answers all that is open and closes its connections in one go, and again until the end: a client that is answered sends its next query at once, and what
-     * would be taken between the last answer and the end would be lost.
-     */
-    private void abortAndClose() {
-        for (int i = 0; i < ROUNDS; i++) {
-            proxy.abortAll();
-            front.closeIdle();
-        }
-        if (front.hasClients()) {
-            loop.at(loop.nowMs() + LOOK_AGAIN_MS, this::abortAndClose);
-        }
-    }
-
-    /** Closes clients as they fall idle from that time on; all is done once none is left. */
-    private void endClients(double closeFromMs, CountDownLatch done) {
-        if (loop.nowMs() >= closeFromMs) {
-            front.closeIdle();
-        }
-        if (front.hasClients()) {
-            loop.at(loop.nowMs() + LOOK_AGAIN_MS, () -> endClients(closeFromMs, done));
-        } else {
-            done.countDown();
-        }
-    }
 }
--- a/src/main/java/dappleseam/query/Backend.java
+++ b/src/main/java/dappleseam/query/Backend.java
@@ -7,6 +7,9 @@
     /** Waits no longer; says how far the execution had come. */
     Reached giveUp(Execution execution);
 
+    /** Takes back what has not been written whole, as where its query is over; says whether it did, and it never runs. */
+    boolean takeBack(Execution execution);
+
     /** What is allowed of connections from now on. */
     void limit(Connections limits);
 
--- a/src/main/java/dappleseam/query/Execution.java
+++ b/src/main/java/dappleseam/query/Execution.java
@@ -1,47 +1,70 @@
 package dappleseam.query;
 
+import dappleseam.router.Outcome;
 import dappleseam.router.QueryId;
-import java.util.function.BiConsumer;
 
 /** One execution on its way; it ends once, and what comes for it later is dropped. */
 public final class Execution {
+    /** Who is told of it. */
+    public interface Owner {
+        /** Whether it may still begin, asked where something has come between its decision and its sending. */
+        boolean mayBegin(Execution execution);
+
+        /** Its last byte has gone to the node. */
+        void written(Execution execution);
+
+        void ended(Execution execution, Ending ending);
+    }
+
     public final QueryId query;
     public final int number;
     public final Command command;
     public final double sentAt;
     public final double waitUntil;
-    private final BiConsumer<Execution, Ending> whenEnded;
-    private final Runnable whenWritten;
+    private final Owner owner;
     private boolean ended;
+    private boolean neverRan;
     private boolean written;
 
-    public Execution(QueryId query, int number, Command command, double sentAt, double waitUntil,
-                     Runnable whenWritten, BiConsumer<Execution, Ending> whenEnded) {
+    public Execution(QueryId query, int number, Command command, double sentAt, double waitUntil, Owner owner) {
         this.query = query;
         this.number = number;
         this.command = command;
         this.sentAt = sentAt;
         this.waitUntil = waitUntil;
-        this.whenWritten = whenWritten;
-        this.whenEnded = whenEnded;
+        this.owner = owner;
     }
 
     /** Its last byte has gone to the node. */
     public void written() {
         if (!written) {
             written = true;
-            whenWritten.run();
+            owner.written(this);
         }
     }
 
+    /** Whether it may still begin; it ends as never sent where it may not. */
+    public boolean mayBegin() {
+        if (!ended && !owner.mayBegin(this)) {
+            end(Ending.of(Outcome.UNSENT));
+        }
+        return !ended;
+    }
+
     public boolean hasEnded() {
         return ended;
     }
 
+    /** Whether it is not known to have had no effect. */
+    public boolean mayHaveRun() {
+        return !neverRan;
+    }
+
     public void end(Ending ending) {
         if (!ended) {
             ended = true;
-            whenEnded.accept(this, ending);
+            neverRan = ending.outcome().neverRan;
+            owner.ended(this, ending);
         } else {
             ending.release();
         }
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -29,6 +29,8 @@
     private static final int PARTS = 3;
     /** Time in ms that a connection may owe only answers nobody waits for; then it is taken for dead. */
     private static final double STUCK_MS = 2500;
+    /** Time in ms after an answer in which another copy of it may come, where answers are spoilt at all. */
+    private static final double COPY_MS = 15;
     /** Longest way there and back in ms: a connection that took longer to come up was kept waiting here. */
     private static final double FAR_MS = 2;
 
@@ -77,6 +79,21 @@
         return Reached.NOT_WHOLE;
     }
 
+    @Override
+    public boolean takeBack(Execution execution) {
+        for (Connection c : open.all()) {
+            if (c.waiting.remove(execution)) {
+                return true;
+            }
+            if (c.sent.size() == 1 && c.sent.peek().execution == execution && c.link.written() < c.sent.peek().endsAt) {
+                c.sent.clear();
+                c.close(); // the rest would go out still
+                return true;
+            }
+        }
+        return false;
+    }
+
     @Override
     public void limit(Connections newLimits) {
         limits = newLimits;
@@ -141,9 +158,14 @@
             return waiting.size() + sent.size();
         }
 
-        /** Behind an answer that nobody waits for any more, a query would wait for what was too slow. */
+        /**
+         * Behind an answer that nobody waits for any more, a query would wait for what was too slow; right behind the last answer, where
+         * some were spoilt of late, a copy of that one would pass for its own.
+         */
         boolean hasRoom() {
-            return load() < limits.commandsAtOnce()
+            boolean mayBeCopied = load() == 0 && link != null && loop.nowMs() - answeredAt < COPY_MS
+                    && !limits.reuse().isCalm(loop.nowMs());
+            return load() < limits.commandsAtOnce() && !mayBeCopied
                     && (sent.isEmpty() || !sent.peekFirst().execution.hasEnded());
         }
 
@@ -170,7 +192,10 @@
             connectMs = loop.nowMs() - dialledAt;
             link.resume();
             while (!waiting.isEmpty() && !link.isClosed()) {
-                send(waiting.poll());
+                Execution next = waiting.poll();
+                if (next.mayBegin()) { // its client may have left while the connection came up
+                    send(next);
+                }
             }
             if (!link.isClosed()) {
                 settled();
--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -11,6 +11,10 @@
 public final class Link {
     /** Reads in a row before other connections have their turn. */
     private static final int READS = 8;
+    /** Bytes read at once by a look: mostly there are none. */
+    private static final int LOOK = 1 << 10;
+    /** Bytes read ahead at most while held: more than a hundred commands; an end behind more is not seen. */
+    private static final int AHEAD = 16 << 10;
 
     /** What happens on a connection. */
     public interface Events {
@@ -25,6 +29,9 @@
             ended("closed by the peer");
         }
 
+        /** All that had come is handed on, and the connection has not ended. */
+        default void caughtUp() {}
+
         /** All that was put out is written. */
         default void drained() {}
     }
@@ -38,6 +45,8 @@
     private long written;
     private boolean closed;
     private boolean paused;
+    /** What has come while held; null while it is handed on at once. */
+    private ByteBuffer ahead;
 
     /** {@code scratch} is shared by all connections of the thread: what is read is used up at once. */
     public Link(StreamConnection connection, BufferPool pool, ByteBuffer scratch, Events events) {
@@ -56,6 +65,25 @@
             paused = false;
             source.resumeReads();
         }
+        if (ahead != null) {
+            ByteBuffer before = ahead;
+            ahead = null;
+            if (!closed) {
+                handOn(before.flip());
+            }
+        }
+    }
+
+    /** Hands on nothing more until {@link #resume}, and goes on looking for an end: backpressure must not hide one. */
+    public void hold() {
+        if (!closed && ahead == null) {
+            ahead = ByteBuffer.allocate(AHEAD);
+        }
+    }
+
+    /** Whether an end could not be seen now: more has come than is read ahead. */
+    public boolean isBlind() {
+        return ahead != null && !ahead.hasRemaining();
     }
 
     /** Reads no more until {@link #resume}. */
@@ -116,13 +144,24 @@
 
     /** Reads what is there now, without waiting to be told; not while another connection's bytes are handled. */
     public void readable() {
-        for (int i = 0; i < READS && !closed; i++) {
-            int count;
+        read(scratch);
+    }
+
+    /** The same while another connection's bytes may be in hand. */
+    public void look() {
+        if (!paused) {
+            read(ByteBuffer.allocate(LOOK));
+        }
+    }
+
+    /** Reads until nothing is left, so that an end behind the last bytes is seen before anything is done about them. */
+    private void read(ByteBuffer into) {
+        int count = 1;
+        for (int i = 0; i < READS && !closed && count > 0; i++) {
             try {
-                scratch.clear();
-                count = source.read(scratch);
-                if (count > 0) {
-                    events.received(scratch.flip());
+                count = ahead != null ? readAhead() : source.read(into.clear());
+                if (count > 0 && ahead == null) {
+                    events.received(into.flip());
                 }
             } catch (IOException e) {
                 end("read: " + e.getMessage());
@@ -135,10 +174,32 @@
                 finish();
                 return;
             }
-            if (count < scratch.capacity() || paused) {
-                return;
+            if (paused) {
+                break;
             }
         }
+        if (!closed) {
+            events.caughtUp();
+        }
+    }
+
+    private void handOn(ByteBuffer before) {
+        try {
+            events.received(before);
+        } catch (RuntimeException e) { // as above
+            end("fault: " + e);
+        }
+        if (!closed) {
+            events.caughtUp();
+        }
+    }
+
+    private int readAhead() throws IOException {
+        int count = ahead.hasRemaining() ? source.read(ahead) : 0;
+        if (!ahead.hasRemaining()) {
+            source.suspendReads();
+        }
+        return count;
     }
 
     private void finish() {
--- a/src/test/java/dappleseam/clients/ClientFrontTest.java
+++ b/src/test/java/dappleseam/clients/ClientFrontTest.java
@@ -18,6 +18,7 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.xnio.ChannelPipe;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -31,8 +32,9 @@
     private static final class ByHand implements Loop, Queries {
         final List<Map.Entry<Double, Runnable>> due = new ArrayList<>();
         final List<Owed> owed = new ArrayList<>();
-        final BufferPool pool = new BufferPool(8);
+        final BufferPool pool = new BufferPool(64);
         double now = 1000;
+        int left;
 
         @Override
         public double nowMs() {
@@ -73,13 +75,15 @@
         }
 
         @Override
-        public QueryId take(Command command, Owed one) {
+        public QueryId take(Command command, Owed one, double waitedMs) {
             owed.add(one);
             return new QueryId(owed.size());
         }
 
         @Override
-        public void clientLeft(QueryId id) {}
+        public void clientLeft(QueryId id) {
+            left++;
+        }
     }
 
     private interface Part {
@@ -149,4 +153,43 @@
         }
         assertThat(kept).containsExactly(true, false);
     }
+
+    /** Guards nodes against clients that send and go: an end right behind a query is seen before it is handed on. */
+    @Test
+    void aQueryIsNotTakenWhereTheClientsEndIsRightBehindIt() throws Exception {
+        assertThat(played("", 10, (loop, front, client) -> {
+            write(client, ASKED);
+            IoUtils.safeClose(client);
+            front.closeIdle(); // it reads what has come
+            return List.of(loop.owed.size(), front.hasClients());
+        })).isEqualTo(List.of(0, false));
+    }
+
+    /** Guards nodes: a client that sent more than is taken at once, and closed, has gone, though not all of it is read. */
+    @Test
+    void backpressureDoesNotHideAClose() throws Exception {
+        assertThat(played(ASKED.repeat(200), 10, (loop, front, client) -> {
+            int taken = loop.owed.size();
+            boolean before = loop.owed.get(0).isClientHere();
+            IoUtils.safeClose(client);
+            boolean after = loop.owed.get(0).isClientHere();
+            return List.of(taken < 200, before, after, loop.owed.size() == taken, loop.left == taken);
+        })).isEqualTo(List.of(true, true, false, true, true));
+    }
+
+    /** Where more waits than is read ahead, whether the client is there is not known; what waits comes when there is room. */
+    @Test
+    void aClientBehindMoreThanIsReadAheadIsNotKnownToBeThere() throws Exception {
+        assertThat(played(ASKED.repeat(900), 10, (loop, front, client) -> {
+            boolean here = loop.owed.get(0).isClientHere();
+            boolean later = false;
+            for (int i = 0; i < loop.owed.size(); i++) {
+                later = loop.owed.get(i).isClientHere();
+                loop.owed.get(i).line("+OK");
+                front.closeIdle(); // reads what there is room for
+                loop.pass(loop.now + 25);
+            }
+            return List.of(here, loop.owed.size(), later);
+        })).isEqualTo(List.of(false, 900, true)); // none is lost for the time that it had to wait
+    }
 }
--- a/src/test/java/dappleseam/proxy/CrossingsTest.java
+++ b/src/test/java/dappleseam/proxy/CrossingsTest.java
@@ -1,15 +1,28 @@
 package dappleseam.proxy;
 
+import static dappleseam.proxy.Sockets.hit;
 import static dappleseam.proxy.Sockets.ok;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.BufferedInputStream;
+import java.io.IOException;
 import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -174,6 +187,284 @@
         assertThat(sockets.origin.told).isEmpty();
     }
 
+    private void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(sockets.program.pid())).start().waitFor();
+    }
+
+    /** brink join, zone: bad clients send much at once and go; each answer that comes in the instant of the close led to a further execution. */
+    @Test
+    void noFurtherExecutionBeginsForAClientThatHasClosed() throws Exception {
+        sockets.start(folder, ",\"streamsPerConn\":1");
+        List<Sockets.Told> asked = new ArrayList<>();
+        List<Sockets.Client> clients = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            Sockets.Client client = sockets.client();
+            client.send("C.GET", "00000000000000a" + i, "id" + i, "c=read,d=9000");
+            asked.add(sockets.cache.next());
+            clients.add(client);
+        }
+        Sockets.Client other = sockets.client();
+        turnTheLoop(other);
+        signal("STOP"); // what comes now is there all at once, in no order
+        for (Sockets.Told one : asked) {
+            one.answer(MISS);
+        }
+        for (Sockets.Client client : clients) {
+            client.socket.close();
+        }
+        signal("CONT");
+        turnTheLoop(other);
+        turnTheLoop(other);
+        assertThat(sockets.origin.told).isEmpty();
+    }
+
+    /** A query and its client's end that come at once are not sent on. */
+    @Test
+    void aQueryWhoseClientHasClosedBehindItIsNotSentOn() throws Exception {
+        sockets.start(folder, "");
+        List<Sockets.Client> clients = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            clients.add(sockets.client());
+        }
+        Sockets.Client other = sockets.client();
+        turnTheLoop(other);
+        signal("STOP");
+        for (int i = 0; i < 8; i++) {
+            clients.get(i).send("C.GET", "00000000000000a" + i, "id" + i, "c=read,d=9000");
+            clients.get(i).socket.close();
+        }
+        signal("CONT");
+        turnTheLoop(other);
+        other.send("C.GET", "00000000000000aa", "last", "c=read,d=9000");
+        assertThat(sockets.cache.next().words()).contains("last");
+        assertThat(sockets.cache.told).isEmpty();
+    }
+
+    /** A stand-in whose connections come up only when the test lets them: its queue of connections is full. */
+    private final class Late implements AutoCloseable {
+        final ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        private final List<Socket> fillers = new ArrayList<>();
+
+        Late() throws Exception {}
+
+        String endpoint() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        void fill() throws Exception {
+            for (int i = 0; i < 2; i++) {
+                fillers.add(new Socket("127.0.0.1", server.getLocalPort()));
+            }
+        }
+
+        /** The first thing said on any connection but those that filled the queue. */
+        Sockets.Told next() throws Exception {
+            Set<Integer> own = fillers.stream().map(Socket::getLocalPort).collect(Collectors.toSet());
+            server.setSoTimeout((int) (1000 * Sockets.PATIENCE_S));
+            while (true) {
+                Socket socket = server.accept();
+                if (!own.contains(socket.getPort())) {
+                    socket.setSoTimeout((int) (1000 * Sockets.PATIENCE_S));
+                    try {
+                        return new Sockets.Told(Sockets.message(new BufferedInputStream(socket.getInputStream()), true), socket);
+                    } catch (IOException e) {
+                        // one on which nothing was sent
+                    }
+                }
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    /** Starts the program with that endpoint in the place of one of its peers. */
+    private void startWith(Sockets.Peer peer, Late late, String more, String firstList) throws Exception {
+        sockets.start(folder, more).client();
+        sockets.program.destroyForcibly().waitFor();
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, Files.readString(config).replace(peer.endpoint(), late.endpoint()));
+        sockets.list.first = firstList;
+        sockets.program = sockets.launch(folder, config);
+    }
+
+    /** A connection that comes up once its query's client has left carries the next query, and not that one. */
+    @Test
+    void aWaitingQueryWhoseClientLeftIsNeverSentOn() throws Exception {
+        try (Late late = new Late()) {
+            startWith(sockets.cache, late, ",\"mayCancel\":false", nothingNew(1));
+            Sockets.Client client = sockets.client();
+            turnTheLoop(client);
+            late.fill();
+            client.send("C.GET", "00000000000000aa", "left", "c=read,d=9000");
+            Sockets.Client other = sockets.client();
+            turnTheLoop(other);
+            client.socket.close();
+            turnTheLoop(other);
+            other.send("C.GET", "00000000000000aa", "stays", "c=read,d=9000");
+            turnTheLoop(sockets.client());
+            Sockets.Told first = late.next();
+            assertThat(first.words()).contains("stays");
+            first.answer(hit("value"));
+            assertThat(other.answer()).isEqualTo("value");
+        }
+    }
+
+    /** Rule 1: a copy whose connection comes up once the query is answered is not sent. */
+    @Test
+    void nothingIsSentForAQueryOnceItIsAnswered() throws Exception {
+        sockets.grades = "{\"name\":\"quick\",\"semantics\":\"read_like\",\"sloTimeS\":0.4,\"statementTimeoutS\":9}," + sockets.grades;
+        try (Late late = new Late()) {
+            startWith(sockets.cache, late, ",\"mayCancel\":false", ok("{\"rev\":2,\"all\":false,\"targets\":["
+                    + Sockets.entry("s-2", sockets.cache, "m", "ready").replace(sockets.cache.endpoint(), late.endpoint()) + "]}"));
+            Sockets.Client client = sockets.client();
+            turnTheLoop(client);
+            late.fill();
+            client.send("C.GET", "00000000000000aa", "answered", "c=quick,d=9000");
+            sockets.origin.next().answer(ok("copy")); // the second copy, after 0.6 of the SLO time
+            assertThat(client.answer()).isEqualTo("copy");
+            client.send("C.GET", "00000000000000bb", "next", "c=read,d=9000");
+            assertThat(late.next().words()).contains("next");
+        }
+    }
+
+    /** Rule 2: a repeat whose connection comes up once nodes have forgotten the first is not sent. */
+    @Test
+    void aRepeatIsNotSentPastItsWindow() throws Exception {
+        sockets.grades = "{\"name\":\"put\",\"semantics\":\"idempotency_key\",\"group\":\"all\",\"windowS\":0.6,"
+                + "\"sloTimeS\":9,\"statementTimeoutS\":9}";
+        try (Late late = new Late()) {
+            startWith(sockets.origin, late, "", nothingNew(1));
+            Sockets.Client client = sockets.client();
+            client.send("C.SET", "00000000000000aa", "w1", "c=put,d=9000,k=7", "v");
+            Sockets.Told first = late.next();
+            assertThat(first.words()).anyMatch(line -> line.contains("w1"));
+            late.fill();
+            reset(first.from());
+            assertThat(client.answer()).startsWith("-ERR");
+            client.send("C.SET", "00000000000000aa", "w2", "c=put,d=9000,k=8", "v");
+            assertThat(late.next().words()).anyMatch(line -> line.contains("w2"));
+        }
+    }
+
+    /** brink join: a second answer may come some ms late; it passed for the answer of the query that was sent meanwhile. */
+    @Test
+    void rightBehindAnAnswerNoOtherIsAskedWhereSomeWereSpoilt() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("C.GET", "00000000000000aa", "spoilt", "c=read,d=9000");
+        sockets.cache.next().answer("noise\r\n");
+        sockets.origin.next().answer(ok("value"));
+        assertThat(client.answer()).isEqualTo("value");
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000");
+        Sockets.Told asked = sockets.cache.next();
+        signal("STOP");
+        asked.answer(hit("one"));
+        client.send("C.GET", "00000000000000aa", "id2", "c=read,d=9000");
+        signal("CONT");
+        assertThat(client.answer()).isEqualTo("one");
+        Sockets.Told next = sockets.cache.next();
+        assertThat(next.from()).isNotSameAs(asked.from());
+        asked.answer(hit("one"));
+        next.answer(hit("two"));
+        assertThat(client.answer()).isEqualTo("two");
+    }
+
+    /** What has been taken is answered, whatever signals come: SIGTERM with pipelined commands half answered, SIGHUP beside it, twice. */
+    @Test
+    void pipelinedCommandsHalfAnsweredAtSigtermAreAllAnswered() throws Exception {
+        Sockets.Client client = sockets.start(folder, ",\"streamsPerConn\":1").client();
+        Sockets.Client resting = sockets.client();
+        turnTheLoop(resting);
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000");
+        client.send("C.GET", "00000000000000bb", "id2", "c=read,d=9000");
+        client.send("C.GET", "00000000000000cc", "id3", "c=read,d=9000");
+        client.raw("*4\r\n$5\r\nC.GET\r\n$16\r\n00000000"); // and half of a fourth
+        Map<String, Sockets.Told> asked = new HashMap<>();
+        for (int i = 0; i < 3; i++) {
+            Sockets.Told next = sockets.cache.next();
+            asked.put(next.words().get(2), next);
+        }
+        asked.get("id1").answer(hit("one"));
+        assertThat(client.answer()).isEqualTo("one");
+        signal("TERM");
+        signal("HUP");
+        signal("TERM");
+        sockets.awaitLog(folder, "told to end");
+        client.raw("000000dd\r\n$3\r\nid4\r\n$13\r\nc=read,d=9000\r\n");
+        asked.get("id2").answer(hit("two"));
+        assertThat(client.answer()).isEqualTo("two");
+        Sockets.Told fourth = sockets.cache.next();
+        assertThat(fourth.words()).contains("id4");
+        fourth.answer(hit("four"));
+        assertThat(client.answer()).startsWith("-"); // nobody answers the third: it is aborted shortly before the kill
+        assertThat(client.answer()).isEqualTo("four");
+        assertThat(client.isAtEnd()).isTrue();
+        assertThat(resting.isAtEnd()).isTrue();
+        assertThat(sockets.program.waitFor(Sockets.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(sockets.program.exitValue()).isZero();
+    }
+
+    /** A value half passed on at the kill is never made to look whole. */
+    @Test
+    void aValueHalfPassedOnAtTheEndIsNotWhole() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000");
+        Sockets.Told asked = sockets.cache.next();
+        asked.answer("*3\r\n$1000000\r\n" + "v".repeat(300_000));
+        assertThat(new String(client.bytes(10), StandardCharsets.US_ASCII)).isEqualTo("$1000000\r\n");
+        signal("TERM");
+        assertThat(client.rest()).hasSizeLessThan(1_000_000);
+        assertThat(sockets.program.waitFor(Sockets.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(sockets.program.exitValue()).isZero();
+    }
+
+    /** A process that is told to end before it serves ends at once, and has taken nothing. */
+    @Test
+    void sigtermDuringTheStartEndsIt() throws Exception {
+        sockets.list.first = null;
+        sockets.start(folder, "");
+        sockets.list.next(); // it waits for the answer
+        signal("TERM");
+        assertThat(sockets.program.waitFor(Sockets.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(sockets.program.exitValue()).isZero();
+        assertThatThrownBy(() -> new Socket("127.0.0.1", sockets.port)).isInstanceOf(ConnectException.class);
+    }
+
+    /** Just after an accept: the first client's query is answered though SIGTERM comes with it. */
+    @Test
+    void theFirstQueryIsAnsweredThoughSigtermComesWithIt() throws Exception {
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000");
+        signal("TERM");
+        sockets.cache.next().answer(hit("value"));
+        assertThat(client.answer()).isEqualTo("value");
+    }
+
+    /** Idle clients fill their descriptors while the list service is down: list and nodes keep theirs. */
+    @Test
+    void idleClientsThatFillTheDescriptorsLeaveListAndNodesTheirs() throws Exception {
+        sockets.sockets = 96;
+        sockets.start(folder, "");
+        Sockets.Told watch = sockets.list.next();
+        List<Sockets.Client> idle = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            idle.add(sockets.client());
+        }
+        reset(watch.from());
+        for (int i = 0; i < 2; i++) {
+            sockets.list.next().answer("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+        }
+        sockets.list.next().answer(nothingNew(2));
+        assertThat(sockets.list.next().words().get(0)).startsWith("GET /registry/instances?from=2&hold_ms=");
+        Sockets.Client asking = sockets.client();
+        asking.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000");
+        sockets.cache.next().answer(hit("value"));
+        assertThat(asking.answer()).isEqualTo("value");
+        assertThat(Files.readString(folder.resolve("log"))).doesNotContain("no descriptor left");
+    }
+
     private static long toldMs(Sockets.Told asked) {
         Matcher told = Pattern.compile("\\bd=(\\d+)").matcher(String.join(" ", asked.words()));
         assertThat(told.find()).isTrue();
