--- a/src/main/java/dappleseam/router/Deployment.java
+++ b/src/main/java/dappleseam/router/Deployment.java
@@ -4,7 +4,7 @@
 
 /**
  * What one deployment allows and asks for, as far as the router reads it. {@code proxies}: the whole divided by this one's share of it; {@code originModel} is -1 where the
- * nodes fetch by themselves; {@code askEveryMs} is 0 where the list is pushed; the prices are points
+ * nodes fetch by themselves; {@code askEveryMs} is 0 where the list is pushed; a cold node falls that is sent {@code fallMultiple} times what it can take; the prices are points
  * of service for a hundred connections held open at each cache, and for a new one with each query.
  */
 public record Deployment(
@@ -23,11 +23,12 @@
         double askEveryMs,
         double coldFrom,
         double warmAfterMs,
+        double fallMultiple,
         double openPrice,
         double handshakePrice) {
     /** The same where this proxy may take that share of the whole: 1 over {@code proxies}. */
     public Deployment sharedBy(double proxies) {
         return new Deployment(grades, proxies, originModel, scaleIsStable, scaleMoves, zone, crossPrice, tickMs, mostExecutions, parallelExecutions, mayCancel,
-                maxRetryAfterMs, askEveryMs, coldFrom, warmAfterMs, openPrice, handshakePrice);
+                maxRetryAfterMs, askEveryMs, coldFrom, warmAfterMs, fallMultiple, openPrice, handshakePrice);
     }
 }
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -103,16 +103,16 @@
     private static final double LIMIT_FOR_ALL = 0.6;
     /** Least time to come back after a rejection, as a share of the SLO time; doubled at random. */
     private static final double COME_BACK = 0.2;
-    /** Cold budget: multiple of its due that one key may bring; multiple sent of what is answered. */
+    /** Cold budget, multiples: of its due for one key; sent of what is answered; borne to get all its due. */
     private static final double COLD_KEY = 2;
     private static final double COLD_MULTIPLE = 1.2;
+    private static final double COLD_BEARS = 3;
     /** Measuring buckets: length in ms and number; four seconds hold a few queries even of a quiet proxy. */
     private static final double BUCKET_MS = 250;
     private static final int BUCKETS = 16;
-    /** Longest wait for the list at first, in ms, and in the end: a share of the time that may pass untold, in ms. */
+    /** Back-off for the list, in ms, first and most: two calls fit into the 6 s after which news is told. */
     private static final double ASK_AGAIN_MS = 1500;
-    private static final double ASK_MOST = 0.33;
-    private static final double TOLD_MS = 6000;
+    private static final double ASK_MOST_MS = 2000;
     /** Latest queries over which a key's or a cache's own share is taken: a thin proxy's ten to twenty s. */
     private static final double MEMORY = 64;
     /** Difference between two times left, in ms, that may come from the ways alone. */
@@ -213,7 +213,7 @@
         followed = false;
         // Guards the list service, which does not grow with the fleet: each failure doubles the wait.
         askAfter((0.2 + 0.8 * random.nextDouble()) * askWait);
-        askWait = Math.min(2 * askWait, ASK_MOST * Math.min(TOLD_MS, site.askEveryMs()));
+        askWait = Math.min(2 * askWait, Math.min(ASK_MOST_MS, site.askEveryMs() / 2));
     }
 
     private void askAfter(double delayMs) {
@@ -466,7 +466,8 @@
     private double warmth(Node n) {
         double age = now - n.startedAt;
         return n.startedAt <= 0 || age >= site.warmAfterMs() ? 1
-                : site.coldFrom() + (1 - site.coldFrom()) * Math.max(0, age) / site.warmAfterMs();
+                : Math.min(1, site.fallMultiple() / COLD_BEARS) * (site.coldFrom()
+                        + (1 - site.coldFrom()) * Math.max(0, age) / site.warmAfterMs());
     }
 
     /** Whether a further execution there keeps the grade's promise about repeats. */
@@ -518,9 +519,8 @@
         outAtCaches -= atOrigin ? 0 : 1;
         suspect(first);
         // Guards an origin behind the caches: a copy is a fetch more there, and nothing calls it off.
-        boolean spare = site.originModel() >= 0 && q.out == 1 && extras >= 1
-                && q.execsLeft() >= (atOrigin ? 1 : 2)
-                && (!atOrigin || first.node.took < QUICK * q.grade.sloMs());
+        boolean spare = site.originModel() >= 0 && q.out == 1 && extras >= 1 && (!atOrigin
+                || first.node.took < QUICK * q.grade.sloMs()) && q.execsLeft() >= (atOrigin ? 1 : 2);
         Node n = spare ? originFits(q) ? origin : atOrigin ? null : choose(q) : null;
         if (n != null) {
             extras--;
--- a/src/main/java/dappleseam/site/SiteReader.java
+++ b/src/main/java/dappleseam/site/SiteReader.java
@@ -28,6 +28,9 @@
     private static final int MEMORY_MB = 192;
     private static final int LEAST_MEMORY_MB = 16;
 
+    /** Multiple of what a cold node can take at which it falls, where the settings do not tell: of all pages' the usual. */
+    private static final double FALL_MULTIPLE = 3;
+
     /** The file last taken; null before the first. */
     private JsonNode inForce;
 
@@ -128,6 +131,7 @@
                 onRequest ? MS_PER_S * number(rules, at + "rules.", "askEveryS") : 0,
                 number(rules, at + "rules.", "coldFrom"),
                 MS_PER_S * number(rules, at + "rules.", "warmAfterS"),
+                number(rules, at + "rules.", "fallMultiple", FALL_MULTIPLE),
                 number(penalties, at + "penalties.", "connection", 0),
                 number(penalties, at + "penalties.", "handshake", 0));
         return new Site(deployment, List.copyOf(names), names(root.path("flavors")), names(root.path("dcs")),
--- a/src/test/java/dappleseam/router/OneProxy.java
+++ b/src/test/java/dappleseam/router/OneProxy.java
@@ -52,7 +52,7 @@
 
     static Deployment live(double crossPrice, int originModel) {
         return new Deployment(List.of(READ), 2, originModel, false, true, 1, crossPrice, 1, 3, false, true, 1000, 0,
-                0.2, 10000, 0, 0);
+                0.2, 10000, 3, 0, 0);
     }
 
     static Member live(long node, int zone, double scale) {
@@ -62,7 +62,7 @@
     private static Deployment site(ServiceGrade grade, int originModel, boolean parallel,
                                    double askEvery) {
         return new Deployment(List.of(grade), 2, originModel, true, false, 0, 0, 1, 3, parallel, true, 1000,
-                askEvery, 0.2, 10000, 0.05, 0.05);
+                askEvery, 0.2, 10000, 3, 0.05, 0.05);
     }
 
     static Member ready(long node) {
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -336,7 +336,7 @@
         OneProxy p = new OneProxy(site).listed(5);
         p.ask(1000, 1, 42);
         p.router.settingsChanged(1001, new Deployment(site.grades(), 2, -1, true, false, 0, 0, 1, 1, false, true, 1000, 0,
-                0.2, 10000, 0.05, 0.05));
+                0.2, 10000, 3, 0.05, 0.05));
         p.ask(1002, 2, 43);
         p.ended(1005, 1, 0, Outcome.ERRED, 5);
         p.ended(1005, 2, 0, Outcome.ERRED, 5);
