--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -43,6 +43,7 @@
     /** Share of the memory for buffers; the launcher's flags leave a quarter for all direct memory. */
     private static final double SHARE_FOR_BUFFERS = 0.2;
     private static final int BYTES_PER_MB = 1 << 20;
+    private static final double NANOS_PER_MS = 1e6;
     /** Descriptors that are no connection: the program's own files and its selectors. */
     private static final int OWN_DESCRIPTORS = 48;
     /** Share of the other descriptors that is kept for caches, origin and list. */
@@ -103,6 +104,8 @@
     private volatile double killAfterMs;
     private final SiteReader reader = new SiteReader();
     private boolean rehearsed;
+    private Shutdown shutdown;
+    /** Nothing more is taken, and all that was is answered. */
     private final CountDownLatch ended = new CountDownLatch(1);
 
     /** As the launcher starts it: reading a command line would take a quarter of the time to be ready. */
@@ -155,7 +158,7 @@
         if (check) {
             return rehearsed && answersItself() ? 0 : 1;
         }
-        ended.await();
+        Thread.sleep(Long.MAX_VALUE); // until a signal's thread ends the process
         return 0;
     }
 
@@ -203,6 +206,7 @@
                 try { // a fault here is not the rehearsal's
                     front = new ClientFront(loop, proxy, forClients(post, 1),
                             post.descriptors() / DESCRIPTORS_A_CLIENT);
+                    shutdown = new Shutdown(loop, front, proxy::abortAll, ended::countDown);
                     publish();
                     shareLimits(post);
                     listen(post, listUntil, fault, begun);
@@ -443,6 +447,7 @@
 
     /** SIGTERM: answers all it has taken, and ends with status 0; a process that serves nobody yet ends at once. */
     private void shutDown() {
+        long toldAt = System.nanoTime(); // the platform counts from here, however late the I/O thread hears of it
         ready = false;
         boolean handOver = seats != null && seats.otherListens();
         LOG.log(Level.INFO, "told to end: answering what was taken, {0}",
@@ -452,16 +457,15 @@
             fleet.end(true);
         }
         double killMs = killAfterMs;
-        CountDownLatch done = new CountDownLatch(1);
         worker.getIoThread().execute(() -> {
             if (front == null || !front.isListening()) { // nor will it: this thread is its
-                done.countDown();
+                ended.countDown();
             } else {
-                new Shutdown(loop, front, proxy::abortAll, killMs, done::countDown).begin(handOver);
+                shutdown.begin(handOver, (System.nanoTime() - toldAt) / NANOS_PER_MS, killMs);
             }
         });
         try {
-            done.await((long) (killMs - LAST_LEAD_MS), TimeUnit.MILLISECONDS);
+            ended.await((long) (killMs - LAST_LEAD_MS - (System.nanoTime() - toldAt) / NANOS_PER_MS), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/dappleseam/proxy/Shutdown.java
+++ b/src/main/java/dappleseam/proxy/Shutdown.java
@@ -37,22 +37,22 @@
     private final Runnable abortAll;
     private final Runnable whenEnded;
     /** When the platform may kill; the settings that come later do not change it. */
-    private final double killAt;
-    private final double beganAt;
+    private double killAt;
+    private double beganAt;
     private State state = State.ACCEPTING;
 
-    /** {@code abortAll} answers all that is open. */
-    Shutdown(Loop loop, ClientFront front, Runnable abortAll, double killAfterMs, Runnable whenEnded) {
+    /** Made at the start, when there is time: loading it late would take of the time to the kill. {@code abortAll} answers all that is open. */
+    Shutdown(Loop loop, ClientFront front, Runnable abortAll, Runnable whenEnded) {
         this.loop = loop;
         this.front = front;
         this.abortAll = abortAll;
         this.whenEnded = whenEnded;
-        beganAt = loop.nowMs();
-        killAt = beganAt + killAfterMs;
     }
 
-    /** Where another process takes the clients, those here are sent there at once. */
-    void begin(boolean handOver) {
+    /** Told so many ms ago, to be killed so many ms later. Where another process takes the clients, those here are sent there at once. */
+    void begin(boolean handOver, double toldMsAgo, double killAfterMs) {
+        beganAt = loop.nowMs() - toldMsAgo;
+        killAt = beganAt + killAfterMs;
         if (handOver) {
             front.handOver();
             state = State.CLOSING;
--- /dev/null
+++ b/src/test/java/dappleseam/proxy/ManyStartsTest.java
@@ -0,0 +1,74 @@
+package dappleseam.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Many processes that start at once, as after a restart of most of a fleet. */
+class ManyStartsTest {
+    private static final int PROCESSES = 10;
+    private static final double READY_MS = 10_000;
+
+    @TempDir
+    Path folder;
+    private final List<Process> processes = new ArrayList<>();
+    private Sockets sockets;
+
+    @BeforeEach
+    void prepare() throws Exception {
+        sockets = new Sockets();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        for (Process process : processes) {
+            process.destroyForcibly().waitFor();
+        }
+        sockets.cache.close();
+        sockets.origin.close();
+        sockets.list.close();
+    }
+
+    /** Times in ms until each answers a PING, from when the first was started. */
+    private List<Double> readyTimes() throws Exception {
+        List<Integer> ports = new ArrayList<>();
+        double from = System.nanoTime();
+        for (int i = 0; i < PROCESSES; i++) {
+            Path own = Files.createDirectory(folder.resolve("p" + i));
+            sockets.port = Sockets.freePort();
+            ports.add(sockets.port);
+            processes.add(sockets.launch(own, sockets.config(own, "")));
+        }
+        List<Double> times = new ArrayList<>();
+        for (int i = 0; i < PROCESSES; i++) {
+            sockets.port = ports.get(i);
+            sockets.program = processes.get(i);
+            Sockets.Client client = sockets.client();
+            client.send("PING");
+            assertThat(client.answer()).isEqualTo("+PONG");
+            times.add((System.nanoTime() - from) / 1e6);
+        }
+        return times;
+    }
+
+    /** Nine in ten are ready within 10 s though the list service takes calls and answers none: no start waits for it without a bound. */
+    @Test
+    void nineInTenAreReadyInTimeThoughTheListServiceSaysNothing() throws Exception {
+        sockets.list.first = null;
+        assertThat(readyTimes().stream().filter(ms -> ms <= READY_MS).count()).isGreaterThanOrEqualTo(PROCESSES * 9 / 10);
+    }
+
+    /** The same where it refuses all of them. */
+    @Test
+    void nineInTenAreReadyInTimeThoughTheListServiceIsDown() throws Exception {
+        sockets.list.close();
+        assertThat(readyTimes().stream().filter(ms -> ms <= READY_MS).count()).isGreaterThanOrEqualTo(PROCESSES * 9 / 10);
+    }
+}
