--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -67,6 +67,7 @@
     private int slot;
     /** Commands wait to be read, since then; NaN where they do not. */
     private double heldSince = Double.NaN;
+    private Loop.Deadline lookAgain = () -> { };
     /** How long the commands that are read now may have waited. */
     private double waitedMs;
     /** Nothing more is taken; the connection ends once what is owed is written. */
@@ -217,8 +218,9 @@
         return link.isClosed();
     }
 
+    /** What is read ahead is owed an answer, too. */
     boolean owesNothing() {
-        return owed.isEmpty() && link.out().size() == 0;
+        return owed.isEmpty() && link.out().size() == 0 && !link.hasReadAhead();
     }
 
     private boolean isIdle() {
@@ -333,16 +335,17 @@
         if (!isHeld() && !link.isClosed() && isFull()) {
             heldSince = loop.nowMs();
             link.hold();
-            loop.at(loop.nowMs() + BUFFERS_AGAIN_MS, this::resume);
+            lookAgain = loop.at(loop.nowMs() + BUFFERS_AGAIN_MS, this::resume);
         }
     }
 
     private void resume() {
+        lookAgain.callOff(); // one at a time, however often it is held
         if (!isHeld() || link.isClosed() || last) {
             return;
         }
         if (isFull()) {
-            loop.at(loop.nowMs() + BUFFERS_AGAIN_MS, this::resume);
+            lookAgain = loop.at(loop.nowMs() + BUFFERS_AGAIN_MS, this::resume);
             return;
         }
         waitedMs = loop.nowMs() - heldSince;
--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -126,13 +126,22 @@
         private void up(StreamConnection connection) {
             link = loop.link(connection, this);
             link.resume();
-            Execution first = current;
-            if (first == null || !first.mayBegin()) { // its client may have left while the connection came up
+            if (current.mayBegin()) {
+                send(current);
+            } else if (!link.isClosed()) { // its client may have left while the connection came up
                 current = null;
-                close();
-                return;
+                if (retired) {
+                    close();
+                } else {
+                    rest();
+                }
             }
-            send(first);
+        }
+
+        /** Stands idle for the next query, or until the origin would close it. */
+        private void rest() {
+            idleSince = loop.nowMs();
+            closing = loop.at(loop.nowMs() + limits.retireMs(), this::close);
         }
 
         private void failed(String cause) {
@@ -242,8 +251,7 @@
             inflow.whole();
             toldOfReuse(false);
             if (staysOpen) {
-                idleSince = loop.nowMs();
-                closing = loop.at(loop.nowMs() + limits.retireMs(), this::close);
+                rest();
             } else {
                 close();
             }
--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -86,6 +86,11 @@
         return ahead != null && !ahead.hasRemaining();
     }
 
+    /** Whether something has come that is not handed on yet. */
+    public boolean hasReadAhead() {
+        return ahead != null && ahead.position() > 0;
+    }
+
     /** Reads no more until {@link #resume}. */
     public void pause() {
         if (!closed) {
--- a/src/test/java/dappleseam/clients/ClientFrontTest.java
+++ b/src/test/java/dappleseam/clients/ClientFrontTest.java
@@ -5,6 +5,7 @@
 import dappleseam.query.Command;
 import dappleseam.router.QueryId;
 import dappleseam.wire.BufferPool;
+import dappleseam.wire.Chain;
 import dappleseam.wire.Link;
 import dappleseam.wire.Loop;
 import java.io.IOException;
@@ -43,8 +44,9 @@
 
         @Override
         public Deadline at(double whenMs, Runnable then) {
-            due.add(Map.entry(whenMs, then));
-            return () -> { };
+            Map.Entry<Double, Runnable> one = Map.entry(whenMs, then);
+            due.add(one);
+            return () -> due.remove(one);
         }
 
         void pass(double untilMs) {
@@ -192,4 +194,40 @@
             return List.of(here, loop.owed.size(), later);
         })).isEqualTo(List.of(false, 900, true)); // none is lost for the time that it had to wait
     }
+
+    /** Guards the loop against a client that is full again and again: each time left one more look behind, for good. */
+    @Test
+    void aClientThatIsFullAgainAndAgainIsLookedAtByOneDeadline() throws Exception {
+        assertThat(played(ASKED.repeat(128), 10, (loop, front, client) -> {
+            int before = loop.due.size();
+            for (int i = 0; i < 100; i++) {
+                loop.owed.get(i).line("+OK");
+                write(client, ASKED);
+                front.closeIdle(); // reads it
+            }
+            return List.of(loop.owed.size(), loop.due.size() - before);
+        })).isEqualTo(List.of(228, 0));
+    }
+
+    /** What is read ahead of a client that owes nothing else is owed an answer: such a connection is not idle. */
+    @Test
+    void aConnectionWithCommandsReadAheadIsNotClosedAsIdle() throws Exception {
+        assertThat(played("", 10, (loop, front, client) -> {
+            List<Chain> taken = new ArrayList<>();
+            for (int i = 0; i < 40; i++) { // most buffers are in use elsewhere
+                taken.add(new Chain(loop.pool));
+                taken.get(i).put("x");
+            }
+            write(client, ASKED);
+            front.closeIdle(); // reads the first, is held
+            write(client, ASKED);
+            loop.owed.get(0).line("+OK");
+            front.closeIdle(); // reads the second ahead
+            front.closeIdle();
+            boolean open = front.hasClients();
+            taken.forEach(Chain::release);
+            loop.pass(1100);
+            return List.of(open, loop.owed.size());
+        })).isEqualTo(List.of(true, 2));
+    }
 }
