--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -104,6 +104,7 @@
     private volatile double killAfterMs;
     private final SiteReader reader = new SiteReader();
     private boolean rehearsed;
+    private boolean awaitsList;
     private Shutdown shutdown;
     /** Nothing more is taken, and all that was is answered. */
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -251,6 +252,10 @@
         boolean shared = seats != null && seats.areShared();
         boolean mayCome = !proxy.hasHeardList() && (shared || !proxy.hasListFailed());
         if (mayCome && loop.nowMs() < untilMs) {
+            if (!awaitsList) {
+                awaitsList = true;
+                LOG.log(Level.INFO, "waiting for the first list");
+            }
             loop.at(loop.nowMs() + LOOK_AGAIN_MS, () -> listen(post, untilMs, fault, begun));
             return;
         }
--- a/src/test/java/dappleseam/proxy/CrossingsTest.java
+++ b/src/test/java/dappleseam/proxy/CrossingsTest.java
@@ -165,6 +165,7 @@
         sockets.list.first = null;
         sockets.start(folder, "");
         Sockets.Told first = sockets.list.next();
+        sockets.awaitLog(folder, "waiting for the first list"); // all else is ready
         assertThatThrownBy(() -> new Socket("127.0.0.1", sockets.port)).isInstanceOf(ConnectException.class);
         first.answer(ok(drains(2)));
         assertNothingGoesToTheCache(sockets.client());
@@ -257,6 +258,12 @@
             }
         }
 
+        void emptyQueue() throws Exception {
+            for (Socket filler : fillers) {
+                server.accept();
+            }
+        }
+
         /** The first thing said on any connection but those that filled the queue. */
         Sockets.Told next() throws Exception {
             Set<Integer> own = fillers.stream().map(Socket::getLocalPort).collect(Collectors.toSet());
@@ -315,7 +322,8 @@
     /** Rule 1: a copy whose connection comes up once the query is answered is not sent. */
     @Test
     void nothingIsSentForAQueryOnceItIsAnswered() throws Exception {
-        sockets.grades = "{\"name\":\"quick\",\"semantics\":\"read_like\",\"sloTimeS\":0.4,\"statementTimeoutS\":9}," + sockets.grades;
+        sockets.grades = "{\"name\":\"quick\",\"semantics\":\"read_like\",\"sloTimeS\":0.4,\"tardyImportance\":0.5,\"statementTimeoutS\":9},"
+                + sockets.grades;
         try (Late late = new Late()) {
             startWith(sockets.cache, late, ",\"mayCancel\":false", ok("{\"rev\":2,\"all\":false,\"targets\":["
                     + Sockets.entry("s-2", sockets.cache, "m", "ready").replace(sockets.cache.endpoint(), late.endpoint()) + "]}"));
@@ -343,6 +351,8 @@
             assertThat(first.words()).anyMatch(line -> line.contains("w1"));
             late.fill();
             reset(first.from());
+            turnTheLoop(sockets.client()); // it dials anew by now, and comes up when the system tries again, after a second
+            late.emptyQueue();
             assertThat(client.answer()).startsWith("-ERR");
             client.send("C.SET", "00000000000000aa", "w2", "c=put,d=9000,k=8", "v");
             assertThat(late.next().words()).anyMatch(line -> line.contains("w2"));
