A drain ends what waits for a connection, shown; settings that contradict themselves are named

CrossingsTest.aDrainEndsWhatWaitsForAConnection fails without Nodes' endWaiting. rules.coldFrom over 1, an origin that is none of the flavors (aside before went on as if nodes fetched by themselves, and sent them writes) and a negative fallMultiple end the start with the key; a fallMultiple of 0 is no limit.

--- a/src/main/java/dappleseam/site/SiteReader.java
+++ b/src/main/java/dappleseam/site/SiteReader.java
@@ -118,7 +118,7 @@
         Deployment deployment = new Deployment(
                 List.copyOf(grades),
                 Math.max(1, root.path("balancers").asInt(1)),
-                extra.path("mode").asText().equals("aside") ? extra.path("originKind").asInt(-1) : -1,
+                originModel(extra, root.path("flavors").size(), at + "extra."),
                 scale.equals("nominal") || scale.equals("rough"),
                 scale.equals("live"),
                 zone(root, at),
@@ -129,9 +129,9 @@
                 ceilings.path("mayCancel").asBoolean(),
                 retryAfter ? MS_PER_S * number(ceilings, inCeilings, "maxRetryAfterS", 0) : 0,
                 onRequest ? MS_PER_S * number(rules, at + "rules.", "askEveryS") : 0,
-                number(rules, at + "rules.", "coldFrom"),
+                share(rules, at + "rules.", "coldFrom"),
                 MS_PER_S * number(rules, at + "rules.", "warmAfterS"),
-                number(rules, at + "rules.", "fallMultiple", FALL_MULTIPLE),
+                fallMultiple(rules, at + "rules."),
                 number(penalties, at + "penalties.", "connection", 0),
                 number(penalties, at + "penalties.", "handshake", 0));
         return new Site(deployment, List.copyOf(names), names(root.path("flavors")), names(root.path("dcs")),
@@ -141,6 +141,32 @@
                 (int) number(ceilings, inCeilings, "mostHeld", Integer.MAX_VALUE));
     }
 
+    /** The flavor of the origin where it stands in the list; -1 where nodes fetch by themselves. */
+    private static int originModel(JsonNode extra, int flavors, String at) {
+        if (!extra.path("mode").asText().equals("aside")) {
+            return -1;
+        }
+        double kind = number(extra, at, "originKind");
+        if (kind != Math.rint(kind) || kind >= flavors) {
+            throw new FaultySettingException(at + "originKind", "names none of the flavors");
+        }
+        return (int) kind;
+    }
+
+    private static double share(JsonNode node, String at, String name) {
+        double share = number(node, at, name);
+        if (share > 1) {
+            throw new FaultySettingException(at + name, "is over 1");
+        }
+        return share;
+    }
+
+    /** 0 is no such limit, as for the origin's. */
+    private static double fallMultiple(JsonNode rules, String at) {
+        double multiple = number(rules, at, "fallMultiple", FALL_MULTIPLE);
+        return multiple == 0 ? Double.POSITIVE_INFINITY : multiple;
+    }
+
     /** Where this proxy stands among the locations that {@code dcs} names; -1 where nothing tells. */
     private static int zone(JsonNode root, String at) {
         double zone = number(root, at, "zone", -1);
--- a/src/test/java/dappleseam/proxy/CrossingsTest.java
+++ b/src/test/java/dappleseam/proxy/CrossingsTest.java
@@ -319,6 +319,38 @@
         }
     }
 
+    /** Rule 3: what waits for a connection to a node that begins to drain goes elsewhere, and is not sent there as it comes up. */
+    @Test
+    void aDrainEndsWhatWaitsForAConnection() throws Exception {
+        try (Late late = new Late()) {
+            startWith(sockets.cache, late, "", nothingNew(1));
+            Sockets.Client client = sockets.client();
+            turnTheLoop(client);
+            late.fill();
+            client.send("C.GET", "00000000000000aa", "waits", "c=read,d=9000");
+            turnTheLoop(sockets.client());
+            String there = Sockets.entry("s-1", sockets.cache, "m", "draining").replace(sockets.cache.endpoint(), late.endpoint());
+            nextWatch().answer(ok("{\"rev\":2,\"all\":false,\"targets\":[" + there + "]}"));
+            Sockets.Told told = nextWatch();
+            late.emptyQueue(); // the connection comes up when the system tries again, after a second
+            sockets.origin.next().answer(ok("elsewhere"));
+            assertThat(client.answer()).isEqualTo("elsewhere");
+            told.answer(ok("{\"rev\":3,\"all\":false,\"targets\":[" + there.replace("draining", "ready") + "]}"));
+            nextWatch();
+            client.send("C.GET", "00000000000000aa", "later", "c=read,d=9000");
+            assertThat(late.next().words()).contains("later");
+        }
+    }
+
+    /** The long poll that waits now: those before it may have run out meanwhile. */
+    private Sockets.Told nextWatch() throws Exception {
+        Sockets.Told watch = sockets.list.next();
+        for (Sockets.Told later = sockets.list.told.poll(); later != null; later = sockets.list.told.poll()) {
+            watch = later.words().get(0).equals("closed") ? watch : later;
+        }
+        return watch;
+    }
+
     /** Rule 1: a copy whose connection comes up once the query is answered is not sent. */
     @Test
     void nothingIsSentForAQueryOnceItIsAnswered() throws Exception {
--- a/src/test/java/dappleseam/router/ColdNodeTest.java
+++ b/src/test/java/dappleseam/router/ColdNodeTest.java
@@ -140,7 +140,7 @@
                     }
                     worst = Math.max(worst, window.size() / bears(now));
                 }
-                boolean misses = isCold && heldCold.add(keyOf.get((int) query.value()));
+                boolean misses = isCold && heldCold.add(keyOf.get(query.value()));
                 double took = node.equals(OneProxy.ORIGIN) ? 80 : 10 + 30 * random.nextDouble();
                 at(now + took, () -> {
                     boolean finished = misses ? over.getOrDefault(query, false) : true;
--- a/src/test/java/dappleseam/site/SiteReaderTest.java
+++ b/src/test/java/dappleseam/site/SiteReaderTest.java
@@ -32,6 +32,10 @@
     @CsvSource(delimiter = '|', value = {
         "\"mostExecutions\":2 | \"mostExecutions\":\"two\" | ceilings.mostExecutions: is not a number from 0",
         "\"coldFrom\":0.2 | \"coldFrom\":-1 | rules.coldFrom: is not a number from 0",
+        "\"coldFrom\":0.2 | \"coldFrom\":1.5 | rules.coldFrom: is over 1",
+        "\"coldFrom\":0.2 | \"coldFrom\":0.2,\"fallMultiple\":-2 | rules.fallMultiple: is not a number from 0",
+        "\"rules\" | \"extra\":{\"mode\":\"aside\"},\"rules\" | extra.originKind: is missing",
+        "\"rules\" | \"flavors\":[\"m\"],\"extra\":{\"mode\":\"aside\",\"originKind\":1},\"rules\" | extra.originKind: names none of the flavors",
         "\"sloTimeS\":0.5 | \"slo\":1 | serviceGrades[0].sloTimeS: is missing",
         "\"mostExecutions\":2 | \"mostExecutions\":0 | ceilings.mostExecutions: is not over 0",
         "\"statementTimeoutS\":1 | \"statementTimeoutS\":0 | serviceGrades[0].statementTimeoutS: is not over 0",
@@ -48,6 +52,14 @@
                 .isInstanceOf(FaultySettingException.class).hasMessage(message);
     }
 
+    /** A cold cache that never falls, as 0 says, gets all of its due, as one for which nothing is told. */
+    @Test
+    void noMultipleIsNoLimit() {
+        assertThat(read(SITE).deployment().fallMultiple()).isEqualTo(3);
+        assertThat(read(SITE.replace("\"coldFrom\":0.2", "\"coldFrom\":0.2,\"fallMultiple\":2")).deployment().fallMultiple()).isEqualTo(2);
+        assertThat(read(SITE.replace("\"coldFrom\":0.2", "\"coldFrom\":0.2,\"fallMultiple\":0")).deployment().fallMultiple()).isInfinite();
+    }
+
     /** The move: what the module newly reads, and that its absence or an unknown word leaves all as it was. */
     @Test
     void scalesThatMoveTheOwnZoneAndThePriceOfCrossingAreRead() {
