--- a/src/test/java/dappleseam/clients/ClientFrontTest.java
+++ b/src/test/java/dappleseam/clients/ClientFrontTest.java
@@ -2,21 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dappleseam.query.Command;
-import dappleseam.router.QueryId;
-import dappleseam.wire.BufferPool;
 import dappleseam.wire.Chain;
-import dappleseam.wire.Link;
-import dappleseam.wire.Loop;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.xnio.ChannelPipe;
 import org.xnio.IoUtils;
@@ -29,65 +21,6 @@
 class ClientFrontTest {
     private static final String ASKED = "*4\r\n$5\r\nC.GET\r\n$1\r\na\r\n$1\r\n1\r\n$3\r\nc=r\r\n";
 
-    /** A loop whose time passes when the test says so; it stands in for the queries' side, too. */
-    private static final class ByHand implements Loop, Queries {
-        final List<Map.Entry<Double, Runnable>> due = new ArrayList<>();
-        final List<Owed> owed = new ArrayList<>();
-        final BufferPool pool = new BufferPool(64);
-        double now = 1000;
-        int left;
-
-        @Override
-        public double nowMs() {
-            return now;
-        }
-
-        @Override
-        public Deadline at(double whenMs, Runnable then) {
-            Map.Entry<Double, Runnable> one = Map.entry(whenMs, then);
-            due.add(one);
-            return () -> due.remove(one);
-        }
-
-        void pass(double untilMs) {
-            for (; now < untilMs; now++) {
-                List.copyOf(due).stream().filter(d -> d.getKey() <= now && due.remove(d)).forEach(d -> d.getValue().run());
-            }
-        }
-
-        @Override
-        public Deadline dial(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> up,
-                             Consumer<String> failed) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public boolean mayDial() {
-            return false;
-        }
-
-        @Override
-        public Link link(StreamConnection connection, Link.Events events) {
-            return new Link(connection, pool, ByteBuffer.allocate(1024), events);
-        }
-
-        @Override
-        public BufferPool pool() {
-            return pool;
-        }
-
-        @Override
-        public QueryId take(Command command, Owed one, double waitedMs) {
-            owed.add(one);
-            return new QueryId(owed.size());
-        }
-
-        @Override
-        public void clientLeft(QueryId id) {
-            left++;
-        }
-    }
-
     private interface Part {
         Object play(ByHand loop, ClientFront front, StreamConnection client) throws IOException;
     }
--- a/src/test/java/dappleseam/proxy/ShutdownTest.java
+++ b/src/test/java/dappleseam/proxy/ShutdownTest.java
@@ -2,22 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dappleseam.clients.ByHand;
 import dappleseam.clients.ClientFront;
-import dappleseam.clients.Owed;
-import dappleseam.clients.Queries;
-import dappleseam.query.Command;
-import dappleseam.router.QueryId;
-import dappleseam.wire.BufferPool;
-import dappleseam.wire.Link;
-import dappleseam.wire.Loop;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.xnio.ChannelPipe;
 import org.xnio.OptionMap;
@@ -29,64 +21,6 @@
 class ShutdownTest {
     private static final String ASKED = "*4\r\n$5\r\nC.GET\r\n$1\r\na\r\n$1\r\n1\r\n$3\r\nc=r\r\n";
 
-    /** A loop whose time passes when the test says so; it stands in for the queries' side, too. */
-    private static final class ByHand implements Loop, Queries {
-        private record Due(double at, Runnable then) {}
-
-        final List<Due> due = new ArrayList<>();
-        final List<Owed> open = new ArrayList<>();
-        final BufferPool pool = new BufferPool(64);
-        double now = 10_000;
-
-        @Override
-        public double nowMs() {
-            return now;
-        }
-
-        @Override
-        public Deadline at(double whenMs, Runnable then) {
-            due.add(new Due(whenMs, then));
-            return () -> { };
-        }
-
-        void pass(double untilMs) {
-            for (; now < untilMs; now++) {
-                List<Due> ripe = due.stream().filter(d -> d.at <= now).sorted(Comparator.comparingDouble(Due::at)).toList();
-                due.removeAll(ripe);
-                ripe.forEach(d -> d.then.run());
-            }
-        }
-
-        @Override
-        public Deadline dial(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> up, Consumer<String> failed) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public boolean mayDial() {
-            return false;
-        }
-
-        @Override
-        public Link link(StreamConnection connection, Link.Events events) {
-            return new Link(connection, pool, ByteBuffer.allocate(1024), events);
-        }
-
-        @Override
-        public BufferPool pool() {
-            return pool;
-        }
-
-        @Override
-        public QueryId take(Command command, Owed one, double waitedMs) {
-            open.add(one);
-            return new QueryId(open.size());
-        }
-
-        @Override
-        public void clientLeft(QueryId id) {}
-    }
-
     /** What was seen of one shutdown: when it first aborted, and when it ended, counted from when the process was told. */
     private static List<Double> played(double toldMsAgo, double killAfterMs) throws Exception {
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
@@ -103,7 +37,7 @@
                 List<Double> times = new ArrayList<>();
                 Shutdown shutdown = new Shutdown(loop, front, () -> {
                     times.add(loop.now - told);
-                    loop.open.forEach(one -> one.line("-ERR"));
+                    loop.owed.forEach(one -> one.line("-ERR"));
                 }, () -> seen.complete(List.of(times.get(0), loop.now - told)));
                 shutdown.begin(false, toldMsAgo, killAfterMs);
                 loop.pass(loop.now + killAfterMs);
