--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -1,7 +1,6 @@
 package dappleseam.clients;
 
 import dappleseam.query.Command;
-import dappleseam.router.QueryId;
 import dappleseam.wire.Chain;
 import dappleseam.wire.Large;
 import dappleseam.wire.Link;
--- a/src/test/java/dappleseam/proxy/CrossingsTest.java
+++ b/src/test/java/dappleseam/proxy/CrossingsTest.java
@@ -1,6 +1,8 @@
 package dappleseam.proxy;
 
+import static dappleseam.proxy.Sockets.MISS;
 import static dappleseam.proxy.Sockets.hit;
+import static dappleseam.proxy.Sockets.nothingNew;
 import static dappleseam.proxy.Sockets.ok;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -30,7 +32,6 @@
 
 /** Answers and ends that come at the wrong instant, each forced over sockets; docs/races.md has them all. */
 class CrossingsTest {
-    private static final String MISS = "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n";
     private static final String NO_LENGTH = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
 
     @TempDir
@@ -98,10 +99,6 @@
         assertThat(toldMs(sockets.origin.next())).isBetween(1000L, 9000 - gone);
     }
 
-    private static String nothingNew(int version) {
-        return ok("{\"rev\":" + version + ",\"all\":false,\"targets\":[]}");
-    }
-
     private String drains(int version) {
         return "{\"rev\":" + version + ",\"all\":false,\"targets\":[" + Sockets.entry("s-1", sockets.cache, "m", "draining") + "]}";
     }
@@ -188,10 +185,6 @@
         assertThat(sockets.origin.told).isEmpty();
     }
 
-    private void signal(String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(sockets.program.pid())).start().waitFor();
-    }
-
     /** brink join, zone: bad clients send much at once and go; each answer that comes in the instant of the close led to a further execution. */
     @Test
     void noFurtherExecutionBeginsForAClientThatHasClosed() throws Exception {
@@ -206,14 +199,14 @@
         }
         Sockets.Client other = sockets.client();
         turnTheLoop(other);
-        signal("STOP"); // what comes now is there all at once, in no order
+        sockets.signal("STOP"); // what comes now is there all at once, in no order
         for (Sockets.Told one : asked) {
             one.answer(MISS);
         }
         for (Sockets.Client client : clients) {
             client.socket.close();
         }
-        signal("CONT");
+        sockets.signal("CONT");
         turnTheLoop(other);
         turnTheLoop(other);
         assertThat(sockets.origin.told).isEmpty();
@@ -229,12 +222,12 @@
         }
         Sockets.Client other = sockets.client();
         turnTheLoop(other);
-        signal("STOP");
+        sockets.signal("STOP");
         for (int i = 0; i < 8; i++) {
             clients.get(i).send("C.GET", "00000000000000a" + i, "id" + i, "c=read,d=9000");
             clients.get(i).socket.close();
         }
-        signal("CONT");
+        sockets.signal("CONT");
         turnTheLoop(other);
         other.send("C.GET", "00000000000000aa", "last", "c=read,d=9000");
         assertThat(sockets.cache.next().words()).contains("last");
@@ -401,10 +394,10 @@
         assertThat(client.answer()).isEqualTo("value");
         client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000");
         Sockets.Told asked = sockets.cache.next();
-        signal("STOP");
+        sockets.signal("STOP");
         asked.answer(hit("one"));
         client.send("C.GET", "00000000000000aa", "id2", "c=read,d=9000");
-        signal("CONT");
+        sockets.signal("CONT");
         assertThat(client.answer()).isEqualTo("one");
         Sockets.Told next = sockets.cache.next();
         assertThat(next.from()).isNotSameAs(asked.from());
@@ -430,9 +423,9 @@
         }
         asked.get("id1").answer(hit("one"));
         assertThat(client.answer()).isEqualTo("one");
-        signal("TERM");
-        signal("HUP");
-        signal("TERM");
+        sockets.signal("TERM");
+        sockets.signal("HUP");
+        sockets.signal("TERM");
         sockets.awaitLog(folder, "told to end");
         client.raw("000000dd\r\n$3\r\nid4\r\n$13\r\nc=read,d=9000\r\n");
         asked.get("id2").answer(hit("two"));
@@ -456,7 +449,7 @@
         Sockets.Told asked = sockets.cache.next();
         asked.answer("*3\r\n$1000000\r\n" + "v".repeat(300_000));
         assertThat(new String(client.bytes(10), StandardCharsets.US_ASCII)).isEqualTo("$1000000\r\n");
-        signal("TERM");
+        sockets.signal("TERM");
         assertThat(client.rest()).hasSizeLessThan(1_000_000);
         assertThat(sockets.program.waitFor(Sockets.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
         assertThat(sockets.program.exitValue()).isZero();
@@ -468,7 +461,7 @@
         sockets.list.first = null;
         sockets.start(folder, "");
         sockets.list.next(); // it waits for the answer
-        signal("TERM");
+        sockets.signal("TERM");
         assertThat(sockets.program.waitFor(Sockets.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
         assertThat(sockets.program.exitValue()).isZero();
         assertThatThrownBy(() -> new Socket("127.0.0.1", sockets.port)).isInstanceOf(ConnectException.class);
@@ -479,7 +472,7 @@
     void theFirstQueryIsAnsweredThoughSigtermComesWithIt() throws Exception {
         Sockets.Client client = sockets.start(folder, "").client();
         client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000");
-        signal("TERM");
+        sockets.signal("TERM");
         sockets.cache.next().answer(hit("value"));
         assertThat(client.answer()).isEqualTo("value");
     }
--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -1,5 +1,6 @@
 package dappleseam.proxy;
 
+import static dappleseam.proxy.Sockets.MISS;
 import static dappleseam.proxy.Sockets.hit;
 import static dappleseam.proxy.Sockets.ok;
 import static org.assertj.core.api.Assertions.assertThat;
@@ -30,8 +31,6 @@
 
 /** Starts the program and speaks to it over sockets, as a client and for its peers. */
 class ServeTest {
-    private static final String MISS = "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n";
-
     @TempDir
     Path folder;
     private Sockets sockets;
@@ -444,7 +443,7 @@
     @Test
     void sighupMovesTheWatchAndABadFileChangesNothing() throws Exception {
         Sockets.Client client = sockets.start(folder, "").client();
-        sockets.list.next().answer(ok("{\"rev\":7,\"all\":false,\"targets\":[]}"));
+        sockets.list.next().answer(Sockets.nothingNew(7));
         sockets.list.next();
         Path config = folder.resolve("config.json");
         String good = Files.readString(config);
--- a/src/test/java/dappleseam/proxy/Sockets.java
+++ b/src/test/java/dappleseam/proxy/Sockets.java
@@ -105,6 +105,14 @@
         }
     }
 
+    /** What a cache answers that lacks the key. */
+    static final String MISS = "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n";
+
+    /** What the list service answers where nothing has changed. */
+    static String nothingNew(int version) {
+        return ok("{\"rev\":" + version + ",\"all\":false,\"targets\":[]}");
+    }
+
     /** What a cache answers that holds the value. */
     static String hit(String value) {
         return "*3\r\n$" + value.length() + "\r\n" + value + "\r\n$3\r\nhit\r\n$-1\r\n";
@@ -163,7 +171,7 @@
 
     /** The first list is there: a process waits for it before it serves. */
     Sockets() throws IOException {
-        list.first = ok("{\"rev\":1,\"all\":false,\"targets\":[]}");
+        list.first = nothingNew(1);
     }
 
     static String entry(String uid, Peer peer, String model, String state) {
@@ -251,8 +259,12 @@
         assertThat(last).contains(part);
     }
 
+    void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(program.pid())).start().waitFor();
+    }
+
     void hangUp() throws Exception {
-        new ProcessBuilder("kill", "-HUP", Long.toString(program.pid())).start().waitFor();
+        signal("HUP");
     }
 
     void awaitLog(Path folder, String text) throws IOException, InterruptedException {
