A failed accept is tried again within 20 ms, and the time in the backlog is counted

Cause: XNIO's NioTcpServer.accept rests 250 ms after each failed accept and reports nothing, and ClientFront took what it read first on a connection for just written. SharedPort now accepts by itself, counts what is open and throws what fails; ClientFront tries again after 2 to 20 ms, with the listener out of the selector meanwhile, and takes the time since when connections may have waited off the time of what they had written. SystemCallsTest: 20 of 20 queries within 250 ms with each second accept failing (the last after 4.4 s before), no spinning in a second without any, a node is told at most what is left.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -81,11 +81,13 @@
         quietSince = loop.nowMs();
     }
 
-    /** Begins to read; {@code slot} is its number at the front. */
-    void open(int slot) {
+    /** Begins to read; {@code slot} is its number at the front, and what it has written by now may have waited so long. */
+    void open(int slot, double mayHaveWaitedMs) {
         this.slot = slot;
+        waitedMs = mayHaveWaitedMs;
         link.resume();
         link.readable();
+        waitedMs = 0;
         watchForSilence();
     }
 
--- a/src/main/java/dappleseam/clients/ClientFront.java
+++ b/src/main/java/dappleseam/clients/ClientFront.java
@@ -7,11 +7,8 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
-import org.xnio.channels.AcceptingChannel;
 import org.xnio.nio.SharedPort;
 
 /** Where clients connect. */
@@ -26,6 +23,11 @@
     private static final double IDLE_SHARE = 0.75;
     /** Time in ms between looks at who is idle while they have more: a few clients connect in that time. */
     private static final double LOOK_AGAIN_MS = 50;
+    /** Back-off in ms after a failed accept, first and most: short beside the shortest deadline, long beside a call that fails at once. */
+    private static final double ACCEPT_AGAIN_MS = 2;
+    private static final double ACCEPT_AGAIN_MOST_MS = 20;
+    /** Least time in ms between two lines of the log about it. */
+    private static final double LOGS_APART_MS = 1000;
     /** Time in ms for which clients go on being sent here once a PING is answered no. */
     private static final double SENT_MORE_MS = 400;
 
@@ -38,7 +40,12 @@
     /** Bytes of buffers that long values may take which have begun to come. */
     private long granted;
     private final Slots<ClientConnection> connections = new Slots<>();
-    private AcceptingChannel<StreamConnection> server;
+    private SharedPort port;
+    private boolean isStopping;
+    /** Since when connections may wait to be accepted; NaN where none does. */
+    private double backlogSince = Double.NaN;
+    private double acceptAgainMs = ACCEPT_AGAIN_MS;
+    private double acceptLoggedAt = Double.NEGATIVE_INFINITY;
     private boolean sendsAway;
     /** When clients are to be closed as they fall idle. */
     private double closesFrom = Double.POSITIVE_INFINITY;
@@ -52,51 +59,83 @@
     }
 
     /** Takes so many connections at once from now on; those it has beyond that stay. */
-    public void limit(int newMost) throws IOException {
+    public void limit(int newMost) {
         most = newMost;
-        if (server != null) {
-            server.setOption(Options.CONNECTION_LOW_WATER, Math.min(most, lowWater()));
-            server.setOption(Options.CONNECTION_HIGH_WATER, most);
-            server.setOption(Options.CONNECTION_LOW_WATER, most - 1);
+        if (isListening() && !isStopping) {
+            port.limit(newMost);
         }
     }
 
-    private int lowWater() throws IOException {
-        return server.getOption(Options.CONNECTION_LOW_WATER);
-    }
-
     public boolean isListening() {
-        return server != null && server.isOpen();
+        return port != null && port.isOpen();
     }
 
     public void listen(XnioWorker worker, InetSocketAddress address) throws IOException {
-        server = SharedPort.open(worker, address, this::acceptable, OptionMap.builder()
-                .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG)
-                .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most - 1).getMap());
-        server.resumeAccepts();
+        port = SharedPort.open(worker, address, BACKLOG, most, this::acceptWaiting);
     }
 
-    private void acceptable(AcceptingChannel<StreamConnection> channel) {
+    /** Takes all connections that wait. Where accept fails, which passes, they go on waiting and it is tried again soon. */
+    private void acceptWaiting() {
         try {
-            StreamConnection connection = channel.accept();
-            while (connection != null) {
-                opened(connection);
-                connection = channel.accept();
+            for (StreamConnection next = port.accept(); next != null; next = port.accept()) {
+                opened(next, backlogAgeMs());
             }
         } catch (IOException e) {
-            LOG.log(Level.WARNING, "accepting a client failed: {0}", e.getMessage());
+            acceptLater(e);
+            return;
+        }
+        acceptAgainMs = ACCEPT_AGAIN_MS;
+        if (port.isAtLimit()) {
+            backlogWaits();
+        } else {
+            backlogSince = Double.NaN;
+            if (isStopping) {
+                port.close();
+            }
         }
     }
 
+    private void acceptLater(IOException cause) {
+        backlogWaits();
+        if (loop.nowMs() >= acceptLoggedAt + LOGS_APART_MS) {
+            acceptLoggedAt = loop.nowMs();
+            LOG.log(Level.WARNING, "accepting a client failed: {0}", cause.getMessage());
+        }
+        port.suspendAccepts(); // else the thread would spin on it
+        loop.at(loop.nowMs() + acceptAgainMs, () -> {
+            if (port.isOpen()) {
+                port.resumeAccepts();
+                acceptWaiting();
+            }
+        });
+        acceptAgainMs = Math.min(ACCEPT_AGAIN_MOST_MS, 2 * acceptAgainMs);
+    }
+
+    /** Connections may wait to be accepted from now on. */
+    private void backlogWaits() {
+        if (Double.isNaN(backlogSince)) {
+            backlogSince = loop.nowMs();
+        }
+    }
+
+    /** For how long a connection that is accepted now may have waited, with a query written to it. */
+    private double backlogAgeMs() {
+        return Double.isNaN(backlogSince) ? 0 : loop.nowMs() - backlogSince;
+    }
+
     /** A client has connected. */
     public void opened(StreamConnection connection) {
+        opened(connection, 0);
+    }
+
+    private void opened(StreamConnection connection, double waitedMs) {
         if (connections.isFull(most)) {
             IoUtils.safeClose(connection);
             return;
         }
         makeRoom();
         ClientConnection client = new ClientConnection(loop, connection, queries, this);
-        client.open(connections.put(client));
+        client.open(connections.put(client), waitedMs);
     }
 
     /** Guards honest clients against hundreds that connect and say nothing. */
@@ -150,8 +189,8 @@
         }
     }
 
-    public InetSocketAddress address() {
-        return server.getLocalAddress(InetSocketAddress.class);
+    public InetSocketAddress address() throws IOException {
+        return port.address();
     }
 
     /** Accepts no more, and closes clients as they fall idle: another process takes them. */
@@ -162,13 +201,9 @@
 
     /** Accepts no more, but for what has connected already: what is queued at a listener that closes is reset. */
     public void stopListening() {
-        try {
-            server.setOption(Options.CONNECTION_HIGH_WATER, Integer.MAX_VALUE);
-        } catch (IOException e) {
-            LOG.log(Level.WARNING, "some clients may be reset: {0}", e.getMessage());
-        }
-        acceptable(server);
-        IoUtils.safeClose(server);
+        isStopping = true;
+        port.limit(Integer.MAX_VALUE);
+        acceptWaiting();
     }
 
     /** Sends clients away from now on: a PING is answered no, and connections close as they fall idle. */
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -18,6 +18,7 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -399,19 +400,21 @@
             return;
         }
         int processes = seats.areShared() ? 2 : 1;
-        try {
-            loop.limitDialled(forPeers(post, processes));
-            front.limit(forClients(post, processes));
-        } catch (IOException e) {
-            LOG.log(Level.WARNING, "limits are not shared: {0}", e.getMessage());
-        }
+        loop.limitDialled(forPeers(post, processes));
+        front.limit(forClients(post, processes));
     }
 
     /** Whether a PING through a socket of its own comes back; the archive of classes is to hold what sockets need, too. */
     private boolean answersItself() {
         CompletableFuture<Boolean> ponged = new CompletableFuture<>();
         worker.getIoThread().execute(proxy::followList); // whatever comes of it
-        worker.getIoThread().execute(() -> loop.dial(front.address(), SELF_MS, connection -> {
+        InetSocketAddress own;
+        try {
+            own = front.address();
+        } catch (IOException e) {
+            return false;
+        }
+        worker.getIoThread().execute(() -> loop.dial(own, SELF_MS, connection -> {
             Link self = loop.link(connection, new Link.Events() {
                 @Override
                 public void received(ByteBuffer bytes) {
--- a/src/main/java/dappleseam/proxy/Shutdown.java
+++ b/src/main/java/dappleseam/proxy/Shutdown.java
@@ -71,7 +71,7 @@
             case ABORTING -> abortAndClose();
             default -> { }
         }
-        if (state == State.ENDED || state != State.ACCEPTING && !front.hasClients()) {
+        if (state == State.ENDED || state != State.ACCEPTING && !front.hasClients() && !front.isListening()) {
             end();
         } else {
             loop.at(loop.nowMs() + LOOK_AGAIN_MS, this::step);
