Failing first: a start gives up at the first socket that it cannot have

Seen with socket() failing twelve times with ENFILE or ENOBUFS at the start: the program ends with status 1.

--- a/src/test/java/dappleseam/proxy/SystemCallsTest.java
+++ b/src/test/java/dappleseam/proxy/SystemCallsTest.java
@@ -105,6 +105,31 @@
         assertThat(Integer.parseInt(facts.replaceAll(".*d=(\\d+).*", "$1"))).isLessThanOrEqualTo(TIME_MS - 600 + 150);
     }
 
+    @Test
+    void whatConnectedBeforeTheListenerClosesIsServedThoughAcceptFailsThen() throws Exception {
+        sockets.start(folder, "").client();
+        sockets.signal("TERM");
+        Thread.sleep(300);
+        calls.fail(Call.ACCEPT, FailingCalls.ENFILE, 1, FailingCalls.ALWAYS);
+        Sockets.Client client = sockets.client();
+        ask(client, "id");
+        Thread.sleep(400); // over the time at which no more connections are accepted
+        calls.stop(Call.ACCEPT);
+        assertThat(client.answer()).isEqualTo(VALUE);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {FailingCalls.ENFILE, FailingCalls.ENOBUFS})
+    void aSocketThatCannotBeHadForAMomentIsNoReasonNotToStart(int error) throws Exception {
+        calls.fail(Call.SOCKET, error, 1, 12);
+        sockets.control = Sockets.freePort();
+        Sockets.Client client = sockets.start(folder, "").client();
+        ask(client, "id");
+        assertThat(client.answer()).isEqualTo(VALUE);
+        assertThat(sockets.call("GET /control/ready")).startsWith("HTTP/1.1 200");
+        assertThat(calls.failed(Call.SOCKET)).isEqualTo(12);
+    }
+
     @ParameterizedTest
     @CsvSource({"CONNECT,99", "CONNECT,101", "CONNECT,113", "CONNECT,105", "SOCKET,23", "SOCKET,105", "READ,110", "READ,113", "WRITE,110"})
     void aCallThatFailsOnceLeavesAnAnswerAndTheNextQueryUnharmed(Call call, int error) throws Exception {
