A start waits up to 5 s for the sockets that it needs

Cause: Door and ClientFront gave up at the first IOException, and the JDK settles for good whether addresses can be shared by one socket call at the first use of any option, so that a failure of that moment forbade SO_REUSEPORT for the life of the process (seen: 'SO_REUSEPORT not supported', status 1). Now listeners are tried again unless the address itself is at fault, and the question is asked once a socket is to be had.

--- a/src/main/java/dappleseam/control/Door.java
+++ b/src/main/java/dappleseam/control/Door.java
@@ -63,8 +63,13 @@
         this.figures = figures;
         this.fleet = fleet;
         this.look = look;
-        selector = Selector.open();
         server = ServerSocketChannel.open();
+        try {
+            selector = Selector.open();
+        } catch (IOException e) {
+            server.close();
+            throw e;
+        }
         try {
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             server.configureBlocking(false);
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -18,6 +18,7 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -32,6 +33,7 @@
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
+import org.xnio.nio.SharedPort;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -53,7 +55,9 @@
     private static final double SHARE_FOR_CLOSED = 0.125;
     /** Descriptors for each connection that clients may hold for queries: they have a third of them at most. */
     private static final int DESCRIPTORS_A_CLIENT = 3;
-    /** Time in ms between looks whether the first list has come. */
+    /** Time in s from the start within which a listener has to be had; the system may lack descriptors or buffers for a moment. */
+    private static final long SOCKETS_S = 5;
+    /** Time in ms between looks whether the first list has come, and between two tries to listen. */
     private static final double LOOK_AGAIN_MS = 10;
     /** Connections that each process has room for, however few descriptors there are. */
     private static final int LEAST_CONNECTIONS = 24;
@@ -100,6 +104,7 @@
     private double learntKeptAt;
     private final Figures figures = new Figures();
     private Seats seats;
+    private final long socketsUntil = System.nanoTime() + TimeUnit.SECONDS.toNanos(SOCKETS_S);
     private volatile boolean ready;
     private volatile boolean startedUp;
     private volatile double killAfterMs;
@@ -180,6 +185,7 @@
 
     /** Whether it could; where not, the cause is said. */
     private boolean start(Post post) throws InterruptedException {
+        awaitSockets();
         if (post.control() != null && !openDoor(post)) {
             return false;
         }
@@ -262,15 +268,37 @@
         }
         try {
             front.listen(worker, post.listen());
-            if (seats != null) {
-                seats.listens();
-            }
-            ready = true;
         } catch (IOException | RuntimeException e) {
+            if (mayPass(e) && System.nanoTime() < socketsUntil) {
+                loop.at(loop.nowMs() + LOOK_AGAIN_MS, () -> listen(post, untilMs, fault, begun));
+                return;
+            }
             fault[0] = e;
-        } finally {
             begun.countDown();
+            return;
+        }
+        if (seats != null) {
+            seats.listens();
         }
+        ready = true;
+        begun.countDown();
+    }
+
+    /** Waits until a socket is to be had; where none is in time, what needs one says so. */
+    private void awaitSockets() throws InterruptedException {
+        while (System.nanoTime() < socketsUntil) {
+            try {
+                SharedPort.lookForSharing();
+                return;
+            } catch (IOException e) {
+                Thread.sleep((long) LOOK_AGAIN_MS);
+            }
+        }
+    }
+
+    /** Whether a socket may be had a moment later: the system lacks something now, the address is right. */
+    private static boolean mayPass(Exception e) {
+        return e instanceof IOException && !(e instanceof BindException);
     }
 
     /** The one that may be written to. */
@@ -345,53 +373,62 @@
         }
     }
 
-    private boolean openDoor(Post post) {
+    private boolean openDoor(Post post) throws InterruptedException {
         seats = Seats.take(folder(), post.listen());
-        boolean[] shared = {seats.areShared()};
-        try {
-            new Door(post.control(), new Staff() {
-                @Override
-                public boolean isReady() {
-                    return ready;
+        while (true) {
+            try {
+                listenForOperators(post);
+                return true;
+            } catch (IOException | RuntimeException e) {
+                if (!mayPass(e) || System.nanoTime() > socketsUntil) {
+                    System.err.println("dappleseam serve: control: cannot listen on " + post.control() + ": " + e.getMessage());
+                    return false;
                 }
+            }
+            Thread.sleep((long) LOOK_AGAIN_MS);
+        }
+    }
 
-                @Override
-                public void outOfService() {
-                    ready = false;
-                    worker.getIoThread().execute(() -> {
-                        if (front != null) {
-                            front.outOfService();
-                        }
-                    });
-                    LOG.log(Level.INFO, "out of service: clients are sent away");
-                }
+    private void listenForOperators(Post post) throws IOException {
+        boolean[] shared = {seats.areShared()};
+        new Door(post.control(), new Staff() {
+            @Override
+            public boolean isReady() {
+                return ready;
+            }
 
-                @Override
-                public void inService() {
-                    worker.getIoThread().execute(() -> {
-                        if (front != null && front.isListening()) {
-                            front.inService();
-                            ready = true;
-                        }
-                    });
-                    LOG.log(Level.INFO, "in service: clients are taken");
-                }
-            }, figures, fleet, () -> {
-                seats.look();
-                keepList(post);
-                keepLearnt(post);
-                if (seats.areShared() != shared[0]) {
-                    shared[0] = !shared[0];
-                    LOG.log(Level.INFO, "{0}", shared[0] ? "another process serves this address, too"
-                            : "alone on this address");
-                    worker.getIoThread().execute(() -> shareLimits(post));
-                }
-            });
-            return true;
-        } catch (IOException | RuntimeException e) {
-            System.err.println("dappleseam serve: control: cannot listen on " + post.control() + ": " + e.getMessage());
-            return false;
-        }
+            @Override
+            public void outOfService() {
+                ready = false;
+                worker.getIoThread().execute(() -> {
+                    if (front != null) {
+                        front.outOfService();
+                    }
+                });
+                LOG.log(Level.INFO, "out of service: clients are sent away");
+            }
+
+            @Override
+            public void inService() {
+                worker.getIoThread().execute(() -> {
+                    if (front != null && front.isListening()) {
+                        front.inService();
+                        ready = true;
+                    }
+                });
+                LOG.log(Level.INFO, "in service: clients are taken");
+            }
+        }, figures, fleet, () -> {
+            seats.look();
+            keepList(post);
+            keepLearnt(post);
+            if (seats.areShared() != shared[0]) {
+                shared[0] = !shared[0];
+                LOG.log(Level.INFO, "{0}", shared[0] ? "another process serves this address, too"
+                        : "alone on this address");
+                worker.getIoThread().execute(() -> shareLimits(post));
+            }
+        });
     }
 
     /** Guards the limits on descriptors, which hold for two processes on one address together. */
--- a/src/main/java/org/xnio/nio/SharedPort.java
+++ b/src/main/java/org/xnio/nio/SharedPort.java
@@ -41,7 +41,9 @@
         ServerSocketChannel channel = ServerSocketChannel.open();
         try {
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-            channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            if (channel.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
+                channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            } // else another process on the address is refused, which is better than none
             channel.configureBlocking(false);
             channel.bind(address, backlog);
             SharedPort port = new SharedPort(thread, thread.registerChannel(channel), channel, most, acceptable);
@@ -54,6 +56,18 @@
         }
     }
 
+    /**
+     * Looks for once and for all whether addresses can be shared: the JDK asks the system with a socket of its own, at the first use of any
+     * option, and takes a failure of that moment for good.
+     *
+     * @throws IOException where no socket is to be had now; nothing is settled then
+     */
+    public static void lookForSharing() throws IOException {
+        try (ServerSocketChannel channel = ServerSocketChannel.open()) {
+            channel.supportedOptions();
+        }
+    }
+
     /**
      * The next connection that waits; null where none does, or as many are open as may be.
      *
