The ring is changed by what changed, not sorted anew

Cause: Router.rebuildRing sorted all tokens (819,200 at 3,200 caches) at the first query after each change of the list.

--- a/src/main/java/dappleseam/router/Node.java
+++ b/src/main/java/dappleseam/router/Node.java
@@ -1,7 +1,5 @@
 package dappleseam.router;
 
-import java.util.Arrays;
-
 /** What one router holds of a listed node. */
 final class Node {
     final NodeId id;
@@ -20,7 +18,9 @@
     double held;
     /** Share of the keys that its successors take for now. */
     double shed;
-    long[] tokens;
+    /** Where the ring names it, under 0 where it does not, and how many of its tokens are placed there. */
+    int ringSlot = -1;
+    int ringTokens;
     /** The last walk of the ring that met this node. */
     int walk;
     int out;
@@ -74,14 +74,6 @@
         return moves;
     }
 
-    /** The same tokens at every proxy, and fewer of the same where the scale is smaller. */
-    void placeTokens(int count) {
-        if (tokens == null || tokens.length != count) {
-            tokens = new long[count];
-            Arrays.setAll(tokens, i -> Hash.mix(seed + i));
-        }
-    }
-
     /** What may be told to a router that comes after this one; null where nothing was learnt. */
     Learnt learnt() {
         boolean nothing = asideUntil == 0 && busyUntil == 0 && idleScale == 0;
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -3,11 +3,14 @@
 import dappleseam.router.Query.Execution;
 import dappleseam.router.RecentKeys.Asked;
 import dappleseam.router.ServiceGrade.Repeat;
-import java.util.Arrays;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -16,10 +19,6 @@
  * deployment allows is in {@link Deployment}; docs/design.md says why it decides as it does.
  */
 public final class Router {
-    /** Tokens of the largest cache: the spread of ring shares falls with their root. */
-    private static final int TOKENS = 256;
-    /** Bits of a ring position that name the cache; allows 4096 caches and leaves 52 bits of hash. */
-    private static final int INDEX_BITS = 12;
     /** Owner and fallbacks looked at, in caches: the two successors of the design. */
     private static final int CHOICES = 3;
     /** Load skip: multiple of the own mean in flight per scale; the design's figure. */
@@ -120,6 +119,8 @@
     /** Time kept for the answer's way to the client, in ms, on top of two ticks. */
     private static final double LAST_HOP_MS = 2;
 
+    private static final Comparator<Node> BY_ID = Comparator.comparingLong(n -> n.id.value());
+
     private Deployment site;
     private final RandomGenerator random;
     private final Host host;
@@ -134,13 +135,15 @@
     private int fetchesOut;
     private final RecentKeys asked = new RecentKeys(KEYS_MOST);
     private double now;
-    private List<Node> caches = List.of();
-    private long[] ring = {};
+    /** In use, by id: their figures add up to the same at every proxy. */
+    private final List<Node> caches = new ArrayList<>();
+    private final Ring ring = new Ring();
+    /** Of the list, since the ring was last brought up to date: many changes may come between two queries. */
+    private final Set<Node> changed = new LinkedHashSet<>();
     private double ringScale;
     /** Share of the keys that each location keeps for itself: what the origin bears, as misses double. */
     private double copied = 1;
     private double scaleNear; // of the own location's caches
-    private boolean ringIsStale;
     private Node origin;
     private int outAtCaches;
     private double heldUsually;
@@ -193,8 +196,9 @@
     public void listGiven(double nowMs, List<Member> members, boolean remembered) {
         boolean before = followed;
         nodes.values().forEach(n -> n.state = Member.State.GONE);
-        ringIsStale = true;
+        changed.addAll(nodes.values());
         listChanged(nowMs, members);
+        nodes.values().removeIf(n -> n.state == Member.State.GONE);
         followed = before || !remembered;
     }
 
@@ -203,9 +207,9 @@
         followed = true;
         askWait = ASK_AGAIN_MS;
         members.forEach(this::learn);
-        nodes.values().removeIf(n -> n.state == Member.State.GONE); // guards long days: ids are ever new
-        heldUsually = caches.stream().mapToDouble(n -> n.held).sorted().skip(caches.size() / 2)
-                .findFirst().orElse(0);
+        if (site.scaleMoves()) {
+            heldUsually = caches.stream().mapToDouble(n -> n.held).sorted().skip(caches.size() / 2).findFirst().orElse(0);
+        }
     }
 
     public void listFailed(double nowMs) {
@@ -231,46 +235,45 @@
         double first = Math.max(LIMIT_FIRST_LEAST, LIMIT_FIRST / site.proxies());
         Node n = nodes.computeIfAbsent(m.node(), id -> new Node(id, isOrigin, new Tally(BUCKETS, BUCKET_MS),
                 new Limit(first, isOrigin ? SCARCE_LEAST : LIMIT_LEAST), new Share(MEMORY)));
-        // Built anew for the next query: a thin proxy hears of many changes between two; load is none.
-        ringIsStale |= n.learn(m, site.scaleIsStable() && m.scale() > 0 ? m.scale() : 1, site.scaleMoves());
+        if (n.learn(m, site.scaleIsStable() && m.scale() > 0 ? m.scale() : 1, site.scaleMoves())) {
+            changed.add(n);
+        }
+        if (n.state == Member.State.GONE) {
+            nodes.remove(n.id); // guards long days: ids are ever new
+        }
         shed(n);
     }
 
-    /** Builds the ring from the list alone, so that proxies with one list agree and no other key moves. */
-    private void rebuildRing() {
-        ringIsStale = false;
-        origin = nodes.values().stream().filter(n -> n.isReady() && n.isOrigin).findFirst().orElse(null);
-        List<Node> ready = nodes.values().stream().filter(n -> n.isReady() && !n.isOrigin)
-                .sorted(Comparator.comparingLong(n -> n.id.value())).toList();
-        double largest = ready.stream().mapToDouble(n -> n.scale).max().orElse(1);
-        // A power of two as the unit: tokens change only when the largest machine's class does.
-        double unit = Math.pow(2, Math.ceil(Math.log(largest) / Math.log(2) - 1e-9));
-        ringScale = 0;
-        for (Node n : ready) {
-            n.placeTokens((int) Math.max(1, Math.round(TOKENS * n.scale / unit)));
-            ringScale += n.scale;
-        }
-        ring = new long[ready.stream().mapToInt(n -> n.tokens.length).sum()];
-        int at = 0;
-        for (int i = 0; i < ready.size(); i++) {
-            for (long token : ready.get(i).tokens) {
-                ring[at++] = token >> INDEX_BITS << INDEX_BITS | i;
+    /** For the next query: by the list alone, so that proxies with one list agree and no other key moves. */
+    private void updateRing() {
+        boolean isFirst = caches.isEmpty();
+        for (Node n : changed) {
+            int at = Collections.binarySearch(caches, n, BY_ID);
+            boolean isIn = at >= 0 && caches.get(at) == n;
+            if (isIn && !n.isReady()) {
+                caches.remove(at);
+                ring.remove(n);
+            } else if (!isIn && n.isReady() && !n.isOrigin) {
+                caches.add(at < 0 ? -at - 1 : at, n);
             }
         }
-        Arrays.sort(ring);
-        if (caches.isEmpty()) {
-            fleetLimit.size = Math.max(LIMIT_FIRST_LEAST, FLEET_FIRST / site.proxies() * ready.size());
+        ring.fit(caches.stream().mapToDouble(n -> n.scale).max().orElse(1));
+        changed.stream().filter(n -> n.isReady() && !n.isOrigin).forEach(ring::put);
+        changed.clear();
+        origin = nodes.values().stream().filter(n -> n.isOrigin && n.isReady()).findFirst().orElse(null);
+        ringScale = caches.stream().mapToDouble(n -> n.scale).sum();
+        scaleNear = caches.stream().filter(n -> n.zone == site.zone()).mapToDouble(n -> n.scale).sum();
+        if (isFirst) {
+            fleetLimit.size = Math.max(LIMIT_FIRST_LEAST, FLEET_FIRST / site.proxies() * caches.size());
             fetchLimit.size = FETCH_FIRST * fleetLimit.size;
         }
-        fleetLimit.least = Math.max(1, FLEET_LEAST / site.proxies() * ready.size());
-        scaleNear = ready.stream().filter(n -> n.zone == site.zone()).mapToDouble(n -> n.scale).sum();
-        caches = ready;
+        fleetLimit.least = Math.max(1, FLEET_LEAST / site.proxies() * caches.size());
     }
 
     public void query(double nowMs, QueryId id, Asking asking) {
         now = nowMs;
-        if (ringIsStale) {
-            rebuildRing();
+        if (!changed.isEmpty()) {
+            updateRing();
         }
         Query q = new Query(id, site, site.grades().get(asking.grade()), asking);
         Key key = asking.key();
@@ -363,17 +366,16 @@
         double toPass = q.passOver;
         q.crowded = false;
         walk++;
-        int found = Arrays.binarySearch(ring, q.hash >> INDEX_BITS << INDEX_BITS);
-        int first = found < 0 ? -found - 1 : found;
-        int at = first;
+        ring.seek(q.hash);
         boolean nearFirst = q.nearFirst;
-        int step = nearFirst ? 0 : ring.length;
-        for (; step < 2 * ring.length && (nearFirst || seen < CHOICES); step++, at++) {
-            if (step == ring.length) {
+        int step = nearFirst ? 0 : ring.size();
+        for (; step < 2 * ring.size() && (nearFirst || seen < CHOICES); step++) {
+            if (step == ring.size()) {
                 seen = 0;
                 nearFirst = false;
+                ring.seek(q.hash);
             }
-            Node n = caches.get((int) ring[at % ring.length] & (1 << INDEX_BITS) - 1);
+            Node n = ring.next();
             if (n.walk == walk || nearFirst && n.zone != site.zone()) {
                 continue;
             }
@@ -395,8 +397,7 @@
                 least = n;
             }
             if (nearFirst && seen == CHOICES) { // the own location has no room: on to the other
-                step = ring.length - 1;
-                at = first - 1;
+                step = ring.size() - 1;
             }
         }
         return least;
