Starts of nodes are told by this process's own clock, and what is kept by the machine's

Cause: EventLoop.nowMs was the wall clock at birth carried on, and Router.warmth compared it with boot_ms; what was learnt, and the time of its last keeping, went by wall clocks, too. The loop's clock is the machine's monotonic one now. StartTimes turns boot_ms into it: a node that appears in the watch starts then; one in the first list is as old as the newest there shows it to be, or less where the wall clock shows less. Nothing makes a cold node look warm, and at the worst a proxy that has just started takes the newest few for cold for the time in the settings.

--- a/src/main/java/dappleseam/proxy/EventLoop.java
+++ b/src/main/java/dappleseam/proxy/EventLoop.java
@@ -28,6 +28,9 @@
     private static final int KEPT = 1;
     /** Lateness in ms from which what has come is read before deadlines fall due. */
     private static final double LATE_MS = 8;
+    private static final double NANOS_PER_MS = 1e6;
+    /** What the time of a machine that has just started is, so that 0 is long ago: ten days, over all spans that are looked back on. */
+    private static final double LONG_AGO_MS = 10 * 86_400_000.0;
     /** Least delay in ms with which the thread selects before it runs what was put off: it counts whole ones. */
     private static final long READ_FIRST_MS = 1;
 
@@ -36,8 +39,6 @@
     private int mostDialled;
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH);
     private final TreeSet<At> deadlines = new TreeSet<>();
-    private final double bornMs = System.currentTimeMillis();
-    private final long bornNanos = System.nanoTime();
     private long deadlineCount;
     private double alarmAt = Double.POSITIVE_INFINITY;
     private XnioExecutor.Key alarm;
@@ -57,7 +58,12 @@
 
     @Override
     public double nowMs() {
-        return bornMs + (System.nanoTime() - bornNanos) / 1e6;
+        return machineMs();
+    }
+
+    /** See {@link Loop#nowMs}; for any thread. */
+    static double machineMs() {
+        return LONG_AGO_MS + System.nanoTime() / NANOS_PER_MS;
     }
 
     @Override
--- a/src/main/java/dappleseam/proxy/LearntFile.java
+++ b/src/main/java/dappleseam/proxy/LearntFile.java
@@ -14,11 +14,9 @@
 /** What one process has learnt of the nodes, kept for the one that comes after it: optional, and soon out of date. */
 final class LearntFile {
     /** Of the format and of what its figures mean; another version passes it over. */
-    private static final String VERSION = "dappleseam-learnt-1";
+    private static final String VERSION = "dappleseam-learnt-2";
     /** Age in ms from which nothing in it is news any more: longer than a restart, shorter than most troubles. */
     private static final double OLDEST_MS = 10_000;
-    /** Difference in ms that clocks of one machine may show after a step. */
-    private static final double FUTURE_MS = 1000;
     /** Most nodes that are kept. */
     private static final int MOST = 4096;
     /** Largest scale that is believed. */
@@ -26,6 +24,7 @@
 
     private LearntFile() {}
 
+    /** {@code nowMs} and the times in it are of the machine's monotonic clock, which the next process has, too; starts are as the list tells them. */
     static void write(Path file, Site site, double nowMs, List<Learnt> learnt) throws IOException {
         SealedFile.write(file, VERSION, json -> write(json, site, nowMs, learnt));
     }
@@ -56,7 +55,7 @@
         if (!root.path("deployment").asText().equals(deployment(site))) {
             throw new IOException("of another deployment");
         }
-        if (!(at <= nowMs + FUTURE_MS && at > nowMs - OLDEST_MS)) {
+        if (!(at <= nowMs && at > nowMs - OLDEST_MS)) {
             throw new IOException(at > nowMs ? "from the future" : "too old");
         }
         List<Learnt> learnt = new ArrayList<>();
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -5,8 +5,8 @@
 import dappleseam.control.Figures;
 import dappleseam.list.ListReader;
 import dappleseam.list.ListWatch;
-import dappleseam.list.Listed;
 import dappleseam.list.NodeList;
+import dappleseam.list.StartTimes;
 import dappleseam.query.Backend;
 import dappleseam.query.Command;
 import dappleseam.query.Connections;
@@ -73,6 +73,7 @@
     private ListReader lists;
     private final ListWatch watch;
     private final Nodes nodes;
+    private final StartTimes startTimes = new StartTimes();
     private volatile List<Learnt> learnt = List.of();
     private final Slots<Taken> queries = new Slots<>();
     /** The ids of the queries taken last, as the clients gave them, in order: those of all that are open among them. */
@@ -134,7 +135,8 @@
         router = new Router(site.deployment(), random, this, loop.nowMs());
         nodes = new Nodes(loop, site.deployment().originModel(), connections(site, new Reuse()));
         nodes.learn(known);
-        tell(() -> router.listGiven(loop.nowMs(), members(known), true));
+        List<Member> members = startTimes.ofFirst(known, loop.nowMs(), System.currentTimeMillis());
+        tell(() -> router.listGiven(loop.nowMs(), members, true));
         if (isPushed()) {
             watch.followAlways();
         }
@@ -188,12 +190,13 @@
     }
 
     void recall(List<Learnt> known) {
-        tell(() -> router.recall(loop.nowMs(), known));
+        List<Learnt> ofProcesses = known.stream().map(one -> one.startedAt(startTimes.startedAtMs(one.node(), one.startedAtMs()))).toList();
+        tell(() -> router.recall(loop.nowMs(), ofProcesses));
     }
 
     /** Tells the figures what takes a walk to count. */
     void publish() {
-        learnt = router.learnt();
+        learnt = router.learnt().stream().map(one -> one.startedAt(startTimes.bootMs(one.node()))).toList();
         if (lookout != null) {
             lookout.look(loop.nowMs(), learnt, nodes.readyCaches());
         }
@@ -255,12 +258,19 @@
     }
 
     private void news(NodeList list) {
+        double now = loop.nowMs();
+        boolean isFirst = !hasHeardList;
         hasHeardList = true;
         if (lookout != null) {
             lookout.listCalled(loop.nowMs(), true);
         }
         nodes.learn(list);
-        List<Member> members = members(list);
+        if (isFirst) { // with what the file knew: all of it is judged together
+            List<Member> all = startTimes.ofFirst(nodes.lastList(), now, System.currentTimeMillis());
+            tell(() -> router.listGiven(loop.nowMs(), all, false));
+            return;
+        }
+        List<Member> members = startTimes.of(list, now);
         if (list.whole()) {
             tell(() -> router.listGiven(loop.nowMs(), members, false));
         } else {
@@ -279,10 +289,6 @@
         }
     }
 
-    private static List<Member> members(NodeList list) {
-        return list.entries().stream().map(Listed::member).toList();
-    }
-
     /** The whole list as last told; for any thread. */
     NodeList lastList() {
         return nodes.lastList();
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -360,7 +360,7 @@
     /** On the door's thread. */
     private void keepLearnt(Post post) {
         Proxy serving = proxy;
-        double now = System.currentTimeMillis();
+        double now = EventLoop.machineMs();
         boolean isNews = serving != null && !(serving.learnt().isEmpty() && learntKept.isEmpty());
         if (isNews && now > learntKeptAt + LEARNT_EVERY_MS && seats.isFirst()) {
             learntKeptAt = now;
--- a/src/main/java/dappleseam/router/Learnt.java
+++ b/src/main/java/dappleseam/router/Learnt.java
@@ -5,4 +5,9 @@
  * until when it is set aside or passed over (clock times in ms), its scale when it holds nothing, and the shed share.
  */
 public record Learnt(NodeId node, double startedAtMs, double asideUntilMs, double busyUntilMs, double idleScale,
-                     double shed) {}
+                     double shed) {
+    /** The same with another time of the node's start. */
+    public Learnt startedAt(double atMs) {
+        return new Learnt(node, atMs, asideUntilMs, busyUntilMs, idleScale, shed);
+    }
+}
--- a/src/main/java/dappleseam/wire/Loop.java
+++ b/src/main/java/dappleseam/wire/Loop.java
@@ -6,7 +6,7 @@
 
 /** What the one I/O thread offers to those who speak to a peer. */
 public interface Loop {
-    /** Unix time in ms with fractions, which never goes back. */
+    /** The machine's monotonic clock in ms with fractions, the same in all its processes and well over 0; wall clocks are stepped. */
     double nowMs();
 
     /** Calls {@code due} at that time, or soon after. */
