Failing first: queries are begun for clients that have closed behind them

SystemCallsTest: a command that the system has not taken yet (EAGAIN) on a connection that commands share goes out 300 ms after its client closed.

--- a/src/test/java/dappleseam/clients/ClientFrontTest.java
+++ b/src/test/java/dappleseam/clients/ClientFrontTest.java
@@ -100,6 +100,36 @@
         })).isEqualTo(List.of(0, false));
     }
 
+    /** The same where more has come than is read in one go: nothing is taken before the end could be seen. */
+    @Test
+    void aQueryIsNotTakenWhereTheClientsEndIsBehindMoreThanIsReadAtOnce() throws Exception {
+        String longNames = ASKED.replace("$1\r\na\r\n", "$120\r\n" + "a".repeat(120) + "\r\n");
+        assertThat(played("", 10, (loop, front, client) -> {
+            write(client, longNames.repeat(100)); // under the number from which it is held
+            IoUtils.safeClose(client);
+            int taken = 0;
+            for (int i = 0; i < 10; i++) {
+                front.closeIdle(); // reads what has come
+                taken = Math.max(taken, loop.owed.size());
+            }
+            return List.of(taken, front.hasClients());
+        })).isEqualTo(List.of(0, false));
+    }
+
+    /** The same behind more than is read ahead of a client that is held: what cannot be known to have a client is turned away. */
+    @Test
+    void noQueryIsTakenOfAClientThatHasClosedBehindMoreThanIsReadAhead() throws Exception {
+        assertThat(played("", 10, (loop, front, client) -> {
+            write(client, ASKED.repeat(900));
+            IoUtils.safeClose(client);
+            for (int i = 0; i < 100; i++) {
+                front.closeIdle();
+                loop.pass(loop.now + 25);
+            }
+            return List.of(loop.owed.size(), front.hasClients());
+        })).isEqualTo(List.of(0, false));
+    }
+
     /** Guards nodes: a client that sent more than is taken at once, and closed, has gone, though not all of it is read. */
     @Test
     void backpressureDoesNotHideAClose() throws Exception {
--- a/src/test/java/dappleseam/proxy/FailingCalls.java
+++ b/src/test/java/dappleseam/proxy/FailingCalls.java
@@ -22,6 +22,7 @@
     static final int SHORT = -1;
     static final int EINTR = 4;
     static final int EIO = 5;
+    static final int EAGAIN = 11;
     static final int ENOMEM = 12;
     static final int ENFILE = 23;
     static final int EMFILE = 24;
--- a/src/test/java/dappleseam/proxy/SystemCallsTest.java
+++ b/src/test/java/dappleseam/proxy/SystemCallsTest.java
@@ -175,6 +175,27 @@
         assertThat(calls.failed(Call.EPOLL_WAIT)).isPositive();
     }
 
+    /** The system takes no more bytes on a connection that commands share; the client of the last one leaves meanwhile. */
+    @Test
+    void aCommandThatIsNotWrittenWhenItsClientLeavesIsNeverSent() throws Exception {
+        sockets.cache.always = null;
+        Sockets.Client first = sockets.start(folder, "").client();
+        ask(first, "first");
+        Sockets.Told open = sockets.cache.next();
+        calls.fail(Call.WRITE, FailingCalls.EAGAIN, 1, FailingCalls.ALWAYS);
+        Sockets.Client leaves = sockets.client();
+        ask(leaves, "left");
+        Thread.sleep(200);
+        assertThat(calls.failed(Call.WRITE)).isPositive();
+        leaves.socket.close();
+        Thread.sleep(300);
+        calls.stop(Call.WRITE);
+        ask(first, "second");
+        assertThat(sockets.cache.next().words().get(2)).isEqualTo("second");
+        open.answer(Sockets.hit("one"));
+        assertThat(first.answer()).isEqualTo("one");
+    }
+
     @Test
     void theDoorAnswersInTimeThoughAcceptFailsAgainAndAgain() throws Exception {
         sockets.control = Sockets.freePort();
