No query is begun for a client that may have closed behind it, or taken back half

Cause: Link called what it had read all of it after eight reads, or with 16 KB read ahead, though an end could be behind the rest; and CacheNode.takeBack knew only a connection with one command. Now queries are handed on once all is read; what cannot be read ahead makes them rejected, never sent on, and the time that bytes of unknown age waited counts from the first moment of it. A command stands behind another only where that one has gone out whole, so that the last one can be taken back, without its neighbours where no byte of it went. A given-up execution that is not written whole is taken back, too. Connections to nodes are counted by an AtomicInteger, as they are closed on a thread of their own (found by reading; no test forces that race).

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -66,7 +66,11 @@
     private int slot;
     /** Commands wait to be read, since then; NaN where they do not. */
     private double heldSince = Double.NaN;
+    /** Since when more waits than can be read ahead, of which nobody knows how old it is; NaN where it does not. */
+    private double blindSince = Double.NaN;
     private Loop.Deadline lookAgain = () -> { };
+    /** Queries are being handed on, some of which may be answered at once. */
+    private boolean handsOn;
     /** How long the commands that are read now may have waited. */
     private double waitedMs;
     /** Nothing more is taken; the connection ends once what is owed is written. */
@@ -204,9 +208,29 @@
     /** Guards nodes against queries of a client that has closed behind them, as one that sends much at once and goes. */
     @Override
     public void caughtUp() {
+        handsOn = true;
+        if (link.isBlind()) {
+            rejectAsked();
+        } else {
+            takeAsked();
+        }
+        handsOn = false;
+    }
+
+    private void takeAsked() {
+        double waited = Double.isNaN(blindSince) ? waitedMs : Math.max(waitedMs, loop.nowMs() - blindSince);
+        blindSince = Double.NaN;
         while (!asked.isEmpty()) {
             Asked next = asked.poll();
-            next.owed.belongsTo(queries.take(next.command, next.owed, waitedMs));
+            next.owed.belongsTo(queries.take(next.command, next.owed, waited));
+        }
+    }
+
+    /** Answers what is read and cannot be taken: an end may be behind it, or nothing more is taken. */
+    private void rejectAsked() {
+        while (!asked.isEmpty()) {
+            Asked next = asked.poll();
+            queries.reject(next.command, next.owed);
         }
     }
 
@@ -317,9 +341,9 @@
             close();
         } else if (front.closesIdle() && isIdle()) {
             loop.at(loop.nowMs(), this::closeIfIdle); // not now: bytes of this connection may be in hand
-        } else if (isHeld() && !isFull()) {
+        } else if (isHeld() && !isFull() && !handsOn) {
             resume();
-        }
+        } // else at the next look: each answer at once would read more, on one stack
     }
 
     private boolean isFull() {
@@ -350,6 +374,9 @@
             return;
         }
         waitedMs = loop.nowMs() - heldSince;
+        if (link.isBlind() && Double.isNaN(blindSince)) {
+            blindSince = heldSince;
+        }
         heldSince = Double.NaN;
         heardAt = loop.nowMs();
         begunAt = heardAt;
@@ -387,7 +414,8 @@
         if (!link.isClosed()) {
             last = true;
             link.pause();
-            if (owesNothing()) { // half a command is not taken
+            rejectAsked();
+            if (!link.isClosed() && owesNothing()) { // half a command is not taken
                 link.closeAtOnce();
                 gone();
             }
--- a/src/main/java/dappleseam/clients/Queries.java
+++ b/src/main/java/dappleseam/clients/Queries.java
@@ -11,5 +11,8 @@
      */
     QueryId take(Command command, Owed owed, double waitedMs);
 
+    /** Rejects a query without taking it: whether its client is still there cannot be known. */
+    void reject(Command command, Owed owed);
+
     void clientLeft(QueryId id);
 }
--- a/src/main/java/dappleseam/proxy/EventLoop.java
+++ b/src/main/java/dappleseam/proxy/EventLoop.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -42,7 +43,8 @@
     private long deadlineCount;
     private double alarmAt = Double.POSITIVE_INFINITY;
     private XnioExecutor.Key alarm;
-    private int dialled;
+    /** Connections to nodes, on their way or open; they are closed on other threads, too. */
+    private final AtomicInteger dialled = new AtomicInteger();
     private boolean hasReadFirst;
 
     EventLoop(XnioIoThread thread, BufferPool pool, int mostDialled) {
@@ -162,7 +164,7 @@
 
     @Override
     public boolean mayDial() {
-        return dialled < mostDialled - KEPT;
+        return dialled.get() < mostDialled - KEPT;
     }
 
     /** A connection on its way; told once. */
@@ -179,7 +181,7 @@
             this.up = up;
             this.failed = failed;
             this.counts = counts;
-            dialled += counts;
+            dialled.addAndGet(counts);
             timeout = at(nowMs() + timeoutMs, () -> fail("not up in time"));
             future = thread.openStreamConnection(to, this::opened, DIAL);
             future.addNotifier((done, none) -> {
@@ -196,7 +198,7 @@
                 return;
             }
             over = true;
-            connection.setCloseListener(closed -> dialled -= counts);
+            connection.setCloseListener(closed -> dialled.addAndGet(-counts));
             timeout.callOff();
             up.accept(connection);
         }
@@ -213,7 +215,7 @@
             if (!over) {
                 over = true;
                 timeout.callOff();
-                dialled -= counts;
+                dialled.addAndGet(-counts);
                 future.cancel();
             }
         }
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -306,9 +306,7 @@
             return null;
         }
         if (queries.isFull(site.mostHeld())) {
-            command.release();
-            figures.turnedAway(named, Figures.End.REJECTED);
-            owed.busy(site.deployment().maxRetryAfterMs() > 0 ? TABLE_FULL_MS : 0);
+            reject(command, owed);
             return null;
         }
         if (!ids.add(command.id())) { // nodes know a query by its id: another's may be open, or just have been
@@ -334,6 +332,13 @@
         return id;
     }
 
+    @Override
+    public void reject(Command command, Owed owed) {
+        command.release();
+        figures.turnedAway(command.fact("c"), Figures.End.REJECTED);
+        owed.busy(site.deployment().maxRetryAfterMs() > 0 ? TABLE_FULL_MS : 0);
+    }
+
     /** What {@code d} says, in ms, up to the statement timeout; -1 where it is missing or no plain number. */
     private double waits(Command command, int grade) {
         String text = command.fact("d");
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -67,7 +67,7 @@
     @Override
     public Reached giveUp(Execution execution) {
         for (Connection c : open.all()) {
-            if (c.waiting.remove(execution)) {
+            if (c.takeBack(execution)) {
                 return Reached.NOT_WHOLE;
             }
             for (Sent sent : c.sent) {
@@ -82,12 +82,7 @@
     @Override
     public boolean takeBack(Execution execution) {
         for (Connection c : open.all()) {
-            if (c.waiting.remove(execution)) {
-                return true;
-            }
-            if (c.sent.size() == 1 && c.sent.peek().execution == execution && c.link.written() < c.sent.peek().endsAt) {
-                c.sent.clear();
-                c.close(); // the rest would go out still
+            if (c.takeBack(execution)) {
                 return true;
             }
         }
@@ -130,7 +125,8 @@
         return sentAt <= lastAnsweredAt && now - sentAt < Math.min(connectMs, FAR_MS);
     }
 
-    private record Sent(Execution execution, long endsAt, double at) {}
+    /** A command that was put out, from one byte of the connection to another. */
+    private record Sent(Execution execution, long beginsAt, long endsAt, double at) {}
 
     private final class Connection implements Inflow.Connection {
         /** Not written yet, as the connection is not up. */
@@ -165,7 +161,8 @@
         boolean hasRoom() {
             boolean mayBeCopied = load() == 0 && link != null && loop.nowMs() - answeredAt < COPY_MS
                     && !limits.reuse().isCalm(loop.nowMs());
-            return load() < limits.commandsAtOnce() && !mayBeCopied
+            boolean isWritten = link == null || link.out().size() == 0; // what is behind a command that stands could be taken back no more
+            return load() < limits.commandsAtOnce() && !mayBeCopied && isWritten
                     && (sent.isEmpty() || !sent.peekFirst().execution.hasEnded());
         }
 
@@ -213,14 +210,15 @@
                 waiting.add(e);
                 return;
             }
+            long beginsAt = link.queued();
             try {
                 write(e.command, Math.max(1, Math.round(e.waitUntil - loop.nowMs())), link.out());
             } catch (RuntimeException fault) { // half a command must not be followed by another
-                sent.add(new Sent(e, Long.MAX_VALUE, loop.nowMs()));
+                sent.add(new Sent(e, beginsAt, Long.MAX_VALUE, loop.nowMs()));
                 ended("fault: " + fault);
                 return;
             }
-            Sent one = new Sent(e, link.queued(), loop.nowMs());
+            Sent one = new Sent(e, beginsAt, link.queued(), loop.nowMs());
             sent.add(one);
             unwritten.add(one);
             link.flush();
@@ -248,6 +246,26 @@
             }
         }
 
+        /** Whether an execution had not gone out whole, and does no more; it may only be the last one on the connection. */
+        boolean takeBack(Execution execution) {
+            if (waiting.remove(execution)) {
+                return true;
+            }
+            Sent newest = sent.peekLast();
+            if (newest == null || newest.execution != execution || link.written() >= newest.endsAt) {
+                return false;
+            }
+            sent.removeLast();
+            unwritten.remove(newest);
+            if (link.written() <= newest.beginsAt) {
+                link.dropUnwritten();
+                settled();
+            } else {
+                ended("a command was taken back half-written"); // the rest would go out still
+            }
+            return true;
+        }
+
         /** The neighbours keep the connection; alone on it, the execution is ended with it where asked. */
         Reached giveUp(Sent given) {
             if (limits.closeToGiveUp() && sent.size() == 1) {
--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -11,8 +11,8 @@
 public final class Link {
     /** Reads in a row before other connections have their turn. */
     private static final int READS = 8;
-    /** Bytes read at once by a look: mostly there are none. */
-    private static final int LOOK = 1 << 10;
+    /** Bytes read at once by a look: mostly there are none, and some hundred commands at most. */
+    private static final int LOOK = 8 << 10;
     /** Bytes read ahead at most while held: more than a hundred commands; an end behind more is not seen. */
     private static final int AHEAD = 16 << 10;
 
@@ -29,7 +29,7 @@
             ended("closed by the peer");
         }
 
-        /** All that had come is handed on, and the connection has not ended. */
+        /** All that had come is handed on, and the connection has not ended; where {@link Link#isBlind}, as much as can be held. */
         default void caughtUp() {}
 
         /** All that was put out is written. */
@@ -45,6 +45,8 @@
     private long written;
     private boolean closed;
     private boolean paused;
+    /** The last read left off before all was read. */
+    private boolean hasMore;
     /** What has come while held; null while it is handed on at once. */
     private ByteBuffer ahead;
 
@@ -81,9 +83,9 @@
         }
     }
 
-    /** Whether an end could not be seen now: more has come than is read ahead. */
+    /** Whether an end could not be seen now: more has come than is read, or read ahead. */
     public boolean isBlind() {
-        return ahead != null && !ahead.hasRemaining();
+        return hasMore || ahead != null && !ahead.hasRemaining();
     }
 
     /** Whether something has come that is not handed on yet. */
@@ -118,6 +120,12 @@
         return closed;
     }
 
+    /** Takes back what was put out and has not gone to the system. */
+    public void dropUnwritten() {
+        out.release();
+        sink.suspendWrites();
+    }
+
     public void flush() {
         if (closed) {
             return;
@@ -183,7 +191,8 @@
                 break;
             }
         }
-        if (!closed) {
+        hasMore = !closed && count > 0;
+        if (!closed && !hasMore) {
             events.caughtUp();
         }
     }
@@ -194,8 +203,8 @@
         } catch (RuntimeException e) { // as above
             end("fault: " + e);
         }
-        if (!closed) {
-            events.caughtUp();
+        if (!closed) { // an end may be behind what could not be read ahead
+            read(ByteBuffer.allocate(LOOK));
         }
     }
 
--- a/src/test/java/dappleseam/clients/ByHand.java
+++ b/src/test/java/dappleseam/clients/ByHand.java
@@ -20,6 +20,7 @@
     public final BufferPool pool = new BufferPool(64);
     public double now = 1000;
     public int left;
+    public int rejected;
 
     @Override
     public double nowMs() {
@@ -67,6 +68,12 @@
         return new QueryId(owed.size());
     }
 
+    @Override
+    public void reject(Command command, Owed one) {
+        rejected++;
+        one.busy(0);
+    }
+
     @Override
     public void clientLeft(QueryId id) {
         left++;
