--- a/src/test/java/dappleseam/proxy/SystemCallsTest.java
+++ b/src/test/java/dappleseam/proxy/SystemCallsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dappleseam.proxy.FailingCalls.Call;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -196,6 +197,33 @@
         assertThat(first.answer()).isEqualTo("one");
     }
 
+    /** What the next process is to take over is written once the disk takes it, though the list does not change again. */
+    @ParameterizedTest
+    @CsvSource({"FILE_OPEN,28", "FILE_WRITE,28", "FILE_WRITE,5", "FILE_WRITE,-1", "FILE_RENAME,5"})
+    void aListThatCouldNotBeKeptIsKeptLater(Call call, int error) throws Exception {
+        sockets.control = Sockets.freePort();
+        Sockets.Client client = sockets.start(folder, "").client();
+        Path kept = folder.resolve("dappleseam-seats-1").resolve("127.0.0.1-" + sockets.port + "-list");
+        awaitText(kept, "\"rev\":1");
+        calls.fail(call, error, 1, FailingCalls.ALWAYS);
+        String drains = Sockets.entry("s-1", sockets.cache, "m", "draining");
+        sockets.list.next().answer(Sockets.ok("{\"rev\":2,\"all\":false,\"targets\":[" + drains + "]}"));
+        for (int i = 0; i < 2000 && calls.failed(call) == 0; i++) {
+            Thread.sleep(10);
+        }
+        ask(client, "meanwhile");
+        assertThat(client.answer()).isNotEmpty();
+        calls.stop(call);
+        awaitText(kept, "\"state\":\"draining\"");
+    }
+
+    private static void awaitText(Path file, String text) throws Exception {
+        for (int i = 0; i < 500 && !(Files.exists(file) && Files.readString(file).contains(text)); i++) {
+            Thread.sleep(10);
+        }
+        assertThat(Files.readString(file)).contains(text);
+    }
+
     @Test
     void theDoorAnswersInTimeThoughAcceptFailsAgainAndAgain() throws Exception {
         sockets.control = Sockets.freePort();
