The kill is counted by the shortest settings that may hold, and what could not be kept is kept later

Cause: Serve took the time to the kill once, at SIGTERM, by the settings that it had read until then. Seats opens its files at a later look where it could not at the start, as its test shows: it never saw another process before.

--- a/src/main/java/dappleseam/proxy/Seats.java
+++ b/src/main/java/dappleseam/proxy/Seats.java
@@ -21,33 +21,42 @@
     /** Of the way the files are used; another version of this program with another way keeps to its own. */
     static final String VERSION = "dappleseam-seats-1";
 
-    private final FileChannel first;
-    private final FileChannel second;
+    private final Path folder;
+    private final String name;
+    /** Null until they could be opened. */
+    private FileChannel first;
+    private FileChannel second;
     /** Locked by the second one once it listens for clients. */
-    private final FileChannel listens;
+    private FileChannel listens;
+    private boolean isListening;
     private FileLock mine;
     private FileLock listening;
     private boolean isFirst;
     private volatile boolean beside;
 
-    private Seats(FileChannel first, FileChannel second, FileChannel listens) {
-        this.first = first;
-        this.second = second;
-        this.listens = listens;
+    private Seats(Path folder, String name) {
+        this.folder = folder;
+        this.name = name;
     }
 
-    /** Takes a seat in that folder; a process that cannot is alone, as far as it knows. */
+    /** Takes a seat in that folder; a process that cannot is alone, as far as it knows, until a later look finds it can. */
     static Seats take(Path folder, InetSocketAddress listen) {
+        Seats seats = new Seats(folder, name(listen));
+        seats.look();
+        if (seats.first == null) {
+            LOG.log(Level.WARNING, "another process on this address would not be seen: {0} cannot be used", folder);
+        }
+        return seats;
+    }
+
+    private void openFiles() {
         try {
             Path at = Files.createDirectories(folder.resolve(VERSION));
-            String name = name(listen);
-            Seats seats = new Seats(open(at.resolve(name + "-first")), open(at.resolve(name + "-second")),
-                    open(at.resolve(name + "-listens")));
-            seats.look();
-            return seats;
+            second = second == null ? open(at.resolve(name + "-second")) : second;
+            listens = listens == null ? open(at.resolve(name + "-listens")) : listens;
+            first = open(at.resolve(name + "-first"));
         } catch (IOException | RuntimeException e) {
-            LOG.log(Level.WARNING, "another process on this address would not be seen: {0}", e.toString());
-            return new Seats(null, null, null);
+            LOG.log(Level.DEBUG, "seats: {0}", e.toString());
         }
     }
 
@@ -65,6 +74,9 @@
 
     /** Looks again; never waits. */
     synchronized void look() {
+        if (first == null) {
+            openFiles();
+        }
         if (first == null) {
             return;
         }
@@ -85,6 +97,7 @@
                     mine = second.tryLock(); // a third process sits nowhere, and waits for either
                 }
             }
+            lockListening();
             beside = !isFirst || isTaken(second);
         } catch (IOException | RuntimeException e) {
             LOG.log(Level.WARNING, "seats: {0}", e.toString());
@@ -107,15 +120,20 @@
 
     /** This process listens for clients from now on. */
     synchronized void listens() {
+        isListening = true;
         try {
-            if (first != null && !isFirst) {
-                listening = listens.tryLock();
-            }
-        } catch (IOException | RuntimeException e) {
+            lockListening();
+        } catch (IOException | RuntimeException e) { // tried again at the next look
             LOG.log(Level.WARNING, "seats: {0}", e.toString());
         }
     }
 
+    private void lockListening() throws IOException {
+        if (isListening && listening == null && first != null && !isFirst) {
+            listening = listens.tryLock();
+        }
+    }
+
     /** Whether the other process listens for clients, so that this one need not. */
     synchronized boolean otherListens() {
         try {
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -8,7 +8,6 @@
 import dappleseam.list.ListFile;
 import dappleseam.list.NodeList;
 import dappleseam.router.Learnt;
-import dappleseam.router.ServiceGrade;
 import dappleseam.site.FaultySettingException;
 import dappleseam.site.Post;
 import dappleseam.site.SiteReader;
@@ -61,9 +60,6 @@
     private static final double LOOK_AGAIN_MS = 10;
     /** Connections that each process has room for, however few descriptors there are. */
     private static final int LEAST_CONNECTIONS = 24;
-    /** The platform kills no sooner than the longest statement timeout, up to so many ms, and so many more after it. */
-    private static final double LONGEST_WAIT_MS = 3000;
-    private static final double KILL_MORE_MS = 700;
     /** Time in ms before the kill at which the program ends even if the I/O thread hangs. */
     private static final double LAST_LEAD_MS = 60;
     /** Time in ms for the last lines of the log to be written. */
@@ -75,6 +71,10 @@
     /** Longest wait for the list from the start, in ms: beside another process, and alone. */
     private static final double LIST_WAIT_MS = 2500;
     private static final double FIRST_LIST_MS = 1500;
+    /** Rest between two writings of the list, as a multiple of what one took: a long list that changes often is not to take the processor. */
+    private static final double KEEP_REST = 20;
+    /** Time in ms until it is written again where it could not be. */
+    private static final double KEEP_AGAIN_MS = 500;
     /** Time in ms between two writings of what was learnt: a share of the time for which it is news. */
     private static final double LEARNT_EVERY_MS = 1000;
     /** Ends of the names of what one process leaves for the next. */
@@ -100,6 +100,7 @@
     private volatile Proxy proxy;
     /** The list last written for a process that takes over; the door's thread's. */
     private NodeList kept;
+    private double keepListFrom;
     private List<Learnt> learntKept = List.of();
     private double learntKeptAt;
     private final Figures figures = new Figures();
@@ -107,7 +108,7 @@
     private final long socketsUntil = System.nanoTime() + TimeUnit.SECONDS.toNanos(SOCKETS_S);
     private volatile boolean ready;
     private volatile boolean startedUp;
-    private volatile double killAfterMs;
+    private KillDelay killDelay;
     private final SiteReader reader = new SiteReader();
     private boolean rehearsed;
     private boolean awaitsList;
@@ -136,7 +137,7 @@
             System.err.println("dappleseam serve: " + e.getMessage());
             return 1;
         }
-        killAfterMs = killAfterMs(post);
+        killDelay = new KillDelay(post.site().deployment());
         worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.THREAD_DAEMON, true).getMap());
@@ -177,12 +178,6 @@
         }
     }
 
-    private static double killAfterMs(Post post) {
-        double longest = post.site().deployment().grades().stream().mapToDouble(ServiceGrade::timeoutMs).max()
-                .orElseThrow();
-        return Math.min(LONGEST_WAIT_MS, longest) + KILL_MORE_MS;
-    }
-
     /** Whether it could; where not, the cause is said. */
     private boolean start(Post post) throws InterruptedException {
         awaitSockets();
@@ -347,13 +342,18 @@
     /** On the door's thread. */
     private void keepList(Post post) {
         Proxy serving = proxy;
-        if (serving != null && serving.lastList() != kept && seats.isFirst()) {
-            kept = serving.lastList();
-            try {
-                ListFile.write(leftFile(post, LIST), kept);
-            } catch (IOException e) {
-                LOG.log(Level.WARNING, "the list is not kept for a process that takes over: {0}", e.toString());
-            }
+        double now = EventLoop.machineMs();
+        NodeList last = serving == null ? kept : serving.lastList();
+        if (last == kept || now < keepListFrom || !seats.isFirst()) {
+            return;
+        }
+        try {
+            ListFile.write(leftFile(post, LIST), last);
+            kept = last;
+            keepListFrom = now + KEEP_REST * (EventLoop.machineMs() - now);
+        } catch (IOException | RuntimeException e) {
+            keepListFrom = now + KEEP_AGAIN_MS;
+            LOG.log(Level.WARNING, "the list is not kept yet for a process that takes over: {0}", e.toString());
         }
     }
 
@@ -364,10 +364,11 @@
         boolean isNews = serving != null && !(serving.learnt().isEmpty() && learntKept.isEmpty());
         if (isNews && now > learntKeptAt + LEARNT_EVERY_MS && seats.isFirst()) {
             learntKeptAt = now;
-            learntKept = serving.learnt();
+            List<Learnt> last = serving.learnt();
             try {
-                LearntFile.write(leftFile(post, LEARNT), post.site(), now, learntKept);
-            } catch (IOException e) {
+                LearntFile.write(leftFile(post, LEARNT), post.site(), now, last);
+                learntKept = last;
+            } catch (IOException | RuntimeException e) {
                 LOG.log(Level.WARNING, "what was learnt is not kept: {0}", e.toString());
             }
         }
@@ -480,8 +481,11 @@
             Runnable fleetAnew = fleet == null ? () -> { } : fleet.readAgain();
             Post post = reader.readPost(config);
             fleetAnew.run();
-            killAfterMs = killAfterMs(post);
-            worker.getIoThread().execute(() -> proxy.reloaded(post));
+            killDelay.changed(post.site().deployment(), EventLoop.machineMs());
+            worker.getIoThread().execute(() -> {
+                proxy.reloaded(post);
+                shutdown.killWithin(KillDelay.delayMs(post.site().deployment())); // where SIGTERM has come before
+            });
             figures.reloaded(true);
             LOG.log(Level.INFO, "configuration read again: the list is at {0}", post.listService());
         } catch (FaultySettingException | IOException e) {
@@ -501,19 +505,14 @@
         if (inFleet && handOver) {
             fleet.end(true);
         }
-        double killMs = killAfterMs;
         worker.getIoThread().execute(() -> {
             if (front == null || !front.isListening()) { // nor will it: this thread is its
                 ended.countDown();
             } else {
-                shutdown.begin(handOver, (System.nanoTime() - toldAt) / NANOS_PER_MS, killMs);
+                shutdown.begin(handOver, sinceMs(toldAt), killDelay.earliestMs(EventLoop.machineMs()));
             }
         });
-        try {
-            ended.await((long) (killMs - LAST_LEAD_MS - (System.nanoTime() - toldAt) / NANOS_PER_MS), TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        awaitEnd(toldAt);
         if (inFleet && !handOver) {
             fleet.end(false); // not before: until here it takes its share of what the fleet may send
         }
@@ -521,4 +520,20 @@
         BackgroundLog.written(LAST_LINES_MS);
         Runtime.getRuntime().halt(0);
     }
+
+    private static double sinceMs(long nanos) {
+        return (System.nanoTime() - nanos) / NANOS_PER_MS;
+    }
+
+    /** Until all is answered; also where the I/O thread hangs, until shortly before the kill, which new settings may bring nearer. */
+    private void awaitEnd(long toldAt) {
+        double killMs = killDelay.earliestMs(EventLoop.machineMs());
+        try {
+            while (sinceMs(toldAt) < killMs - LAST_LEAD_MS && !ended.await((long) LOOK_AGAIN_MS, TimeUnit.MILLISECONDS)) {
+                killMs = Math.min(killMs, killDelay.earliestMs(EventLoop.machineMs()));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/src/main/java/dappleseam/proxy/Shutdown.java
+++ b/src/main/java/dappleseam/proxy/Shutdown.java
@@ -36,9 +36,10 @@
     private final ClientFront front;
     private final Runnable abortAll;
     private final Runnable whenEnded;
-    /** When the platform may kill; the settings that come later do not change it. */
+    /** When the platform may kill. */
     private double killAt;
-    private double beganAt;
+    /** When the process was told to end; NaN before. */
+    private double beganAt = Double.NaN;
     private State state = State.ACCEPTING;
 
     /** Made at the start, when there is time: loading it late would take of the time to the kill. {@code abortAll} answers all that is open. */
@@ -60,6 +61,13 @@
         step();
     }
 
+    /** The platform may kill so long after it told this process to end, if that is earlier than was known: the settings are others. */
+    void killWithin(double killAfterMs) {
+        if (!Double.isNaN(beganAt)) {
+            killAt = Math.min(killAt, beganAt + killAfterMs);
+        }
+    }
+
     private void step() {
         State due = due();
         if (state == State.ACCEPTING && due != State.ACCEPTING) {
--- a/src/test/java/dappleseam/proxy/SystemCallsTest.java
+++ b/src/test/java/dappleseam/proxy/SystemCallsTest.java
@@ -224,6 +224,16 @@
         assertThat(Files.readString(file)).contains(text);
     }
 
+    /** Another process on the address is seen though the folder could not be used at the start. */
+    @Test
+    void aFolderThatCouldNotBeUsedAtTheStartIsUsedLater() throws Exception {
+        sockets.control = Sockets.freePort();
+        Path blocked = Files.writeString(folder.resolve("dappleseam-seats-1"), "in the way");
+        sockets.start(folder, "").client();
+        Files.delete(blocked);
+        awaitText(folder.resolve("dappleseam-seats-1").resolve("127.0.0.1-" + sockets.port + "-list"), "\"rev\":1");
+    }
+
     @Test
     void theDoorAnswersInTimeThoughAcceptFailsAgainAndAgain() throws Exception {
         sockets.control = Sockets.freePort();
