--- a/src/main/java/dappleseam/lab/Lab.java
+++ b/src/main/java/dappleseam/lab/Lab.java
@@ -30,13 +30,13 @@
 
 /** The laboratory's sub-commands. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Rehearse troubles against stand-ins.",
-        subcommands = {Lab.Run.class, Lab.FleetCommand.class, HistoriesCommand.class, SizesCommand.class, ExploreCommand.class, LeasesCommand.class, SubsetsCommand.class}, synopsisSubcommandLabel = "COMMAND")
+        subcommands = {Lab.Run.class, Lab.FleetCommand.class, HistoriesCommand.class, SizesCommand.class, ExploreCommand.class, LeasesCommand.class, SubsetsCommand.class, GrowthCommand.class}, synopsisSubcommandLabel = "COMMAND")
 public final class Lab implements Callable<Integer> {
     private static final int BEAT_MS = 2;
 
     @Override
     public Integer call() {
-        System.err.println("dappleseam lab: say which: run, fleet, histories, sizes, explore, leases, subsets");
+        System.err.println("dappleseam lab: say which: run, fleet, histories, sizes, explore, leases, subsets, growth");
         return 2;
     }
 
--- /dev/null
+++ b/src/main/java/dappleseam/lab/emulator/LargeFleet.java
@@ -0,0 +1,159 @@
+package dappleseam.lab.emulator;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dappleseam.lab.check.Ledger;
+import dappleseam.lab.scenario.Scenario;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** A list of many caches, behind which stand a few emulators: what a proxy does for each listed cache is what is measured. */
+public final class LargeFleet implements AutoCloseable {
+    /** What happens to the caches in the course of a day. */
+    public enum Day { CALM, ROLLING_REPLACEMENT, ZONE_LOST, WHOLE_LISTS }
+
+    /** Emulators that are lost together. */
+    private static final int LOST = 2;
+    /** Times as shares of the day: when something first happens, and when the last step of a replacement begins. */
+    private static final double FROM = 0.2;
+    private static final double UP_TO = 0.8;
+    private static final int STEPS = 20;
+    private static final long DRAIN_MS = 800;
+    private static final long AWAY_MS = 5000;
+    private static final long NOTICE_MS = 1500;
+
+    private final int nodes;
+    private final Ledger ledger;
+    private final ListEmulator list;
+    private final OriginEmulator origin;
+    private final List<CacheEmulator> caches = new ArrayList<>();
+    private final ScheduledExecutorService steps = Executors.newSingleThreadScheduledExecutor(work -> {
+        Thread thread = new Thread(work, "steps");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    public LargeFleet(Scenario scenario, int nodes, Ledger ledger) throws IOException {
+        this.nodes = nodes;
+        this.ledger = ledger;
+        list = new ListEmulator(ledger);
+        origin = new OriginEmulator(scenario.origin(), scenario.caches(), ledger);
+        list.tell("origin", origin.port(), "origin", "ready", 0);
+        for (int i = 0; i < scenario.caches().count(); i++) {
+            caches.add(new CacheEmulator("cache-" + i, scenario.caches(), ledger, origin, scenario.seed() + i));
+        }
+        tell(0, nodes, "", "ready", 0);
+        origin.caches(caches);
+        caches.forEach(Peer::begin);
+        origin.begin();
+        list.begin();
+    }
+
+    /** Nodes of those numbers, all in one change of the list; {@code generation} tells successors from those before them. */
+    private void tell(int from, int to, String generation, String state, double bootMs) {
+        synchronized (list) {
+            for (int i = from; i < to; i++) {
+                list.tell("node-" + i + generation, caches.get(i % caches.size()).port(), "cache", state, bootMs);
+            }
+        }
+    }
+
+    public int listPort() {
+        return list.port();
+    }
+
+    public ObjectNode known() {
+        return list.whole();
+    }
+
+    /** Connections that caches have accepted so far. */
+    public int connectionsMade() {
+        return caches.stream().mapToInt(Peer::accepted).sum();
+    }
+
+    /** Bytes of lists told so far. */
+    public long listBytes() {
+        return list.bytesTold();
+    }
+
+    /** Begins a day of that length. */
+    public void begin(Day day, double seconds) {
+        switch (day) {
+            case CALM -> { }
+            case ROLLING_REPLACEMENT -> replaceHalf(seconds);
+            case WHOLE_LISTS -> {
+                list.tellsWhole();
+                replaceHalf(seconds);
+            }
+            case ZONE_LOST -> loseZone(seconds);
+        }
+    }
+
+    private void replaceHalf(double seconds) {
+        int each = nodes / 2 / STEPS;
+        for (int step = 0; step < STEPS; step++) {
+            int from = step * each;
+            long at = (long) (1000 * seconds * (FROM + (UP_TO - FROM) * step / STEPS));
+            steps.schedule(() -> tell(from, from + each, "", "draining", 0), at, TimeUnit.MILLISECONDS);
+            steps.schedule(() -> {
+                synchronized (list) {
+                    tell(from, from + each, "", "gone", 0);
+                    tell(from, from + each, "+", "ready", System.currentTimeMillis());
+                }
+            }, at + DRAIN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void loseZone(double seconds) {
+        long at = (long) (1000 * seconds * FROM);
+        at(at, () -> {
+            for (CacheEmulator cache : caches.subList(0, LOST)) {
+                cache.die();
+            }
+        });
+        at(at + NOTICE_MS, () -> tellZone("gone", 0));
+        at(at + AWAY_MS, () -> {
+            for (CacheEmulator cache : caches.subList(0, LOST)) {
+                cache.restart(cache.uid());
+            }
+        });
+        at(at + AWAY_MS + NOTICE_MS, () -> tellZone("ready", System.currentTimeMillis()));
+    }
+
+    private void tellZone(String state, double bootMs) {
+        synchronized (list) {
+            for (int i = 0; i < nodes; i++) {
+                if (i % caches.size() < LOST) {
+                    tell(i, i + 1, "", state, bootMs);
+                }
+            }
+        }
+    }
+
+    private interface Work {
+        void run() throws IOException;
+    }
+
+    private void at(long ms, Work work) {
+        steps.schedule(() -> {
+            try {
+                work.run();
+            } catch (IOException e) {
+                ledger.notes.add("a step could not be played: " + e.getMessage());
+            }
+        }, ms, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() throws IOException {
+        steps.shutdownNow();
+        for (CacheEmulator cache : caches) {
+            cache.close();
+        }
+        origin.close();
+        list.close();
+    }
+}
--- a/src/main/java/dappleseam/lab/emulator/ListEmulator.java
+++ b/src/main/java/dappleseam/lab/emulator/ListEmulator.java
@@ -30,6 +30,8 @@
     private int borne;
     private int thisSecond;
     private double secondFrom;
+    private boolean whole;
+    private long bytesTold;
 
     ListEmulator(Ledger ledger) throws IOException {
         this.ledger = ledger;
@@ -40,6 +42,19 @@
         borne = callsPerS;
     }
 
+    /** From now on each answer is the whole list. */
+    synchronized void tellsWhole() {
+        whole = true;
+    }
+
+    synchronized long bytesTold() {
+        return bytesTold;
+    }
+
+    private synchronized void told(int bytes) {
+        bytesTold += bytes;
+    }
+
     private synchronized boolean isBorne() {
         double now = ledger.nowMs();
         if (now >= secondFrom + 1000) {
@@ -57,10 +72,11 @@
 
     /** The list as JSON: what came after {@code from}, or all that is not gone. */
     private synchronized ObjectNode since(long from, List<Entry> told) {
-        ObjectNode list = JSON.createObjectNode().put("rev", rev).put("all", from == 0);
+        boolean all = from == 0 || whole && rev > from;
+        ObjectNode list = JSON.createObjectNode().put("rev", rev).put("all", all);
         ArrayNode targets = list.putArray("targets");
         for (Entry e : entries.values()) {
-            if (e.rev > from && (from > 0 || !e.state.equals("gone"))) {
+            if (all ? !e.state.equals("gone") : e.rev > from) {
                 told.add(e);
                 targets.addObject().put("uid", e.uid).put("endpoint", "127.0.0.1:" + e.port).put("az", "a")
                         .put("model", e.machine).put("pod_group", 0).put("state", e.state).put("capacity_hint", 1.0)
@@ -104,6 +120,7 @@
             byte[] body = JSON.writeValueAsBytes(since(from, told));
             out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
             out.write(body);
+            told(body.length);
             told.forEach(e -> ledger.told.add(new Ledger.Told(e.uid, e.state, ledger.nowMs())));
         }
     }
--- a/src/main/java/dappleseam/lab/emulator/Peer.java
+++ b/src/main/java/dappleseam/lab/emulator/Peer.java
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A stand-in that listens on a port of its own, with a thread for each connection. */
 abstract class Peer implements AutoCloseable {
@@ -21,6 +22,7 @@
     private static final long BIND_AGAIN_MS = 20;
 
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger accepted = new AtomicInteger();
     private ServerSocket server;
     private final int port;
 
@@ -36,6 +38,7 @@
                 Socket socket = listening.accept();
                 socket.setTcpNoDelay(true);
                 open.add(socket);
+                accepted.incrementAndGet();
                 Blocking.start("peer", () -> {
                     try (socket) {
                         serve(new BufferedInputStream(socket.getInputStream()), socket.getOutputStream());
@@ -54,6 +57,11 @@
         return port;
     }
 
+    /** Connections accepted so far. */
+    int accepted() {
+        return accepted.get();
+    }
+
     int connections() {
         return open.size();
     }
--- a/src/main/java/dappleseam/lab/proxies/ProxyProcess.java
+++ b/src/main/java/dappleseam/lab/proxies/ProxyProcess.java
@@ -48,10 +48,15 @@
 
     /** What one of so many is told, that listens on that port. */
     public static ObjectNode config(Scenario scenario, Fleet fleet, int proxies, int number, int port) {
+        return config(scenario, fleet.listPort(), fleet.known(), proxies, number, port);
+    }
+
+    /** The same with the list as it is known at the start, and where it is followed. */
+    public static ObjectNode config(Scenario scenario, int listPort, ObjectNode known, int proxies, int number, int port) {
         ObjectNode config = new ObjectMapper().createObjectNode().put("name", "lab-" + number).put("listen", "127.0.0.1:" + port)
-                .put("discovery", "127.0.0.1:" + fleet.listPort()).put("seed", String.format("%016x", scenario.seed() + number));
+                .put("discovery", "127.0.0.1:" + listPort).put("seed", String.format("%016x", scenario.seed() + number));
         config.putObject("limits").put("cores", 1).put("memory_mb", MEMORY_MB).put("sockets", SOCKETS);
-        config.set("known", fleet.known());
+        config.set("known", known);
         ObjectNode settings = config.putObject("settings").put("balancers", proxies).put("membershipMode", "on_request")
                 .put("weightSource", "nominal").put("tickS", 0.005);
         settings.putArray("flavors").add("cache").add("origin");
@@ -123,8 +128,23 @@
 
     /** Memory in MB that it has resident; NaN as above. */
     public double residentMb() {
+        return memoryMb("VmRSS:");
+    }
+
+    /** The most that it has had. */
+    public double peakMb() {
+        return memoryMb("VmHWM:");
+    }
+
+    /** Descriptors that it has open; 0 once it has ended. */
+    public int descriptors() {
+        String[] open = Path.of("/proc", Long.toString(process.pid()), "fd").toFile().list();
+        return open == null ? 0 : open.length;
+    }
+
+    private double memoryMb(String figure) {
         try (Stream<String> lines = Files.lines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
-            return lines.filter(line -> line.startsWith("VmRSS:")).mapToDouble(line -> Double.parseDouble(line.replaceAll("[^0-9]", "")) / KB_PER_MB).findFirst().orElse(Double.NaN);
+            return lines.filter(line -> line.startsWith(figure)).mapToDouble(line -> Double.parseDouble(line.replaceAll("[^0-9]", "")) / KB_PER_MB).findFirst().orElse(Double.NaN);
         } catch (IOException | UncheckedIOException e) { // it has just ended
             return Double.NaN;
         }
--- a/src/main/java/dappleseam/proxy/Nodes.java
+++ b/src/main/java/dappleseam/proxy/Nodes.java
@@ -22,13 +22,20 @@
 /** The nodes as the list tells of them, and where each is dialled. */
 final class Nodes {
     private static final Logger LOG = System.getLogger(Nodes.class.getName());
+    /** Nodes of one list that have lines of their own in the log: a whole fleet of the usual size at its start. */
+    private static final int MOST_LOGGED = 40;
 
     private final Loop loop;
     private int originModel;
     private Connections connections;
     private final Map<NodeId, Peer> peers = new HashMap<>();
-    /** The list as last told, for the process that takes over. */
+    private long version;
+    /** Whether something has changed since the list was last published. */
+    private boolean hasChanged;
+    /** The list as last published, for other threads. */
     private volatile NodeList last = new NodeList(0, true, List.of());
+    /** Lines of the log about single nodes of the list that is being learnt. */
+    private int logged;
 
     /** A listed node and where it is dialled. */
     private record Peer(Listed entry, Backend backend) {
@@ -64,11 +71,24 @@
         return peer == null ? null : peer.backend;
     }
 
-    /** The whole list as last told; for any thread. */
+    /** The whole list as last published; for any thread. */
     NodeList lastList() {
         return last;
     }
 
+    /** The whole list as last told. */
+    NodeList wholeList() {
+        return new NodeList(version, true, peers.values().stream().map(Peer::entry).toList());
+    }
+
+    /** Shows other threads the list as it is now. */
+    void publish() {
+        if (hasChanged) {
+            hasChanged = false;
+            last = wholeList();
+        }
+    }
+
     /** The caches in use, and when each started. */
     Map<NodeId, Double> readyCaches() {
         Map<NodeId, Double> caches = new HashMap<>();
@@ -82,10 +102,15 @@
     }
 
     void learn(NodeList list) {
+        version = list.version();
+        hasChanged = true;
+        logged = 0;
         Set<NodeId> listed = new HashSet<>();
         for (Listed entry : list.entries()) {
             Member m = entry.member();
-            listed.add(m.node());
+            if (list.whole()) {
+                listed.add(m.node());
+            }
             if (m.state() == Member.State.GONE) {
                 forget(m.node());
             } else if (entry.endpoint() != null) {
@@ -95,7 +120,14 @@
         if (list.whole()) {
             List.copyOf(peers.keySet()).stream().filter(id -> !listed.contains(id)).forEach(this::forget);
         }
-        last = new NodeList(list.version(), true, peers.values().stream().map(Peer::entry).toList());
+        if (logged > MOST_LOGGED) {
+            LOG.log(Level.INFO, "{0} more nodes have changed, {1} are listed", logged - MOST_LOGGED, peers.size());
+        }
+    }
+
+    /** Says it of the first few of a list; all of a large fleet's would take more time than the list itself. */
+    private boolean mayLog() {
+        return ++logged <= MOST_LOGGED;
     }
 
     private void know(Listed entry) {
@@ -103,8 +135,9 @@
         Peer peer = peers.get(m.node());
         boolean moved = peer != null && !peer.endpoint().equals(entry.endpoint());
         if (peer == null || moved || !peer.entry.equals(entry)) {
-            LOG.log(Level.INFO, "node {0} is {1} at {2}: {3}", entry.uid(), name(m.node()), entry.endpoint(),
-                    m.state());
+            if (mayLog()) {
+                LOG.log(Level.INFO, "node {0} is {1} at {2}: {3}", entry.uid(), name(m.node()), entry.endpoint(), m.state());
+            }
             if (moved) {
                 peer.backend.retire();
             }
@@ -128,7 +161,9 @@
     private void forget(NodeId node) {
         Peer peer = peers.remove(node);
         if (peer != null) {
-            LOG.log(Level.INFO, "node {0} has left the list", name(node));
+            if (mayLog()) {
+                LOG.log(Level.INFO, "node {0} has left the list", name(node));
+            }
             peer.backend.retire();
         }
     }
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -200,6 +200,7 @@
         if (lookout != null) {
             lookout.look(loop.nowMs(), learnt, nodes.readyCaches());
         }
+        nodes.publish();
         figures.list(nodes.count(), router.avoided(loop.nowMs()));
     }
 
@@ -266,7 +267,7 @@
         }
         nodes.learn(list);
         if (isFirst) { // with what the file knew: all of it is judged together
-            List<Member> all = startTimes.ofFirst(nodes.lastList(), now, System.currentTimeMillis());
+            List<Member> all = startTimes.ofFirst(nodes.wholeList(), now, System.currentTimeMillis());
             tell(() -> router.listGiven(loop.nowMs(), all, false));
             return;
         }
@@ -289,7 +290,7 @@
         }
     }
 
-    /** The whole list as last told; for any thread. */
+    /** The whole list as last published; for any thread. */
     NodeList lastList() {
         return nodes.lastList();
     }
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -302,7 +302,11 @@
         return Path.of(told == null || told.isEmpty() ? System.getProperty("java.io.tmpdir") : told);
     }
 
+    /** For the door and the fleet, where there is one: it walks all nodes. */
     private void publish() {
+        if (seats == null && fleet == null) {
+            return;
+        }
         proxy.publish();
         loop.at(loop.nowMs() + PUBLISH_MS, this::publish);
     }
--- a/src/main/java/dappleseam/wire/Json.java
+++ b/src/main/java/dappleseam/wire/Json.java
@@ -24,6 +24,11 @@
         }
     }
 
+    /** The same bounds, without a tree. */
+    public static JsonParser parser(byte[] text) throws IOException {
+        return PARSERS.createParser(text);
+    }
+
     private static JsonNode value(JsonParser parser) throws IOException {
         JsonToken token = parser.currentToken();
         if (token == null) {
--- a/src/test/java/dappleseam/list/ListReaderTest.java
+++ b/src/test/java/dappleseam/list/ListReaderTest.java
@@ -41,5 +41,20 @@
                 .hasMessageContaining("nowhere");
         assertThatThrownBy(() -> read("<html>")).isInstanceOf(IOException.class);
         assertThatThrownBy(() -> read("{\"rev\":1,\"targets\":[{}]}")).isInstanceOf(IOException.class);
+        for (String odd : new String[] {"", "[]", "7", "{\"rev\":1,\"targets\":[7]}", "{\"rev\":1,\"targets\":[[]]}", "{\"rev\":1.5,\"targets\":[]}",
+                "{\"rev\":99999999999999999999,\"targets\":[]}", "{\"rev\":1,\"targets\":{}}"}) {
+            assertThatThrownBy(() -> read(odd)).as(odd).isInstanceOf(IOException.class);
+        }
+    }
+
+    /** Cut at any byte it is no list; what is not known in it is passed over. */
+    @Test
+    void partOfAListIsNone() throws IOException {
+        String whole = list("s-1", "127.0.0.1:6379").replace("\"rev\"", "\"new\":{\"a\":[1,{}]},\n  \"rev\"").replace("\"az\"", "\"tags\":[{\"uid\":\"no\"}], \"az\"");
+        assertThat(read(whole).entries()).isEqualTo(read(list("s-1", "127.0.0.1:6379")).entries());
+        for (int i = 0; i < whole.length(); i++) {
+            String part = whole.substring(0, i);
+            assertThatThrownBy(() -> read(part)).as(part).isInstanceOf(IOException.class);
+        }
     }
 }
