--- a/src/main/java/dappleseam/proxy/Nodes.java
+++ b/src/main/java/dappleseam/proxy/Nodes.java
@@ -14,10 +14,8 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /** The nodes as the list tells of them, and where each is dialled. */
 final class Nodes {
@@ -30,6 +28,8 @@
     private Connections connections;
     private final Map<NodeId, Peer> peers = new HashMap<>();
     private long version;
+    /** Lists heard of so far. */
+    private long lists;
     /** Whether something has changed since the list was last published. */
     private boolean hasChanged;
     /** The list as last published, for other threads. */
@@ -38,7 +38,18 @@
     private int logged;
 
     /** A listed node and where it is dialled. */
-    private record Peer(Listed entry, Backend backend) {
+    private static final class Peer {
+        final Listed entry;
+        final Backend backend;
+        /** The last list that named it. */
+        long listedIn;
+
+        Peer(Listed entry, Backend backend, long listedIn) {
+            this.entry = entry;
+            this.backend = backend;
+            this.listedIn = listedIn;
+        }
+
         InetSocketAddress endpoint() {
             return entry.endpoint();
         }
@@ -78,7 +89,7 @@
 
     /** The whole list as last told. */
     NodeList wholeList() {
-        return new NodeList(version, true, peers.values().stream().map(Peer::entry).toList());
+        return new NodeList(version, true, peers.values().stream().map(peer -> peer.entry).toList());
     }
 
     /** Shows other threads the list as it is now. */
@@ -105,20 +116,20 @@
         version = list.version();
         hasChanged = true;
         logged = 0;
-        Set<NodeId> listed = new HashSet<>();
+        lists++;
         for (Listed entry : list.entries()) {
             Member m = entry.member();
-            if (list.whole()) {
-                listed.add(m.node());
-            }
+            Peer peer = peers.get(m.node());
             if (m.state() == Member.State.GONE) {
                 forget(m.node());
-            } else if (entry.endpoint() != null) {
-                know(entry);
+            } else if (entry.endpoint() != null && (peer == null || !peer.entry.equals(entry))) {
+                know(entry, peer);
+            } else if (peer != null) {
+                peer.listedIn = lists;
             }
         }
         if (list.whole()) {
-            List.copyOf(peers.keySet()).stream().filter(id -> !listed.contains(id)).forEach(this::forget);
+            peers.entrySet().stream().filter(e -> e.getValue().listedIn != lists).map(Map.Entry::getKey).toList().forEach(this::forget);
         }
         if (logged > MOST_LOGGED) {
             LOG.log(Level.INFO, "{0} more nodes have changed, {1} are listed", logged - MOST_LOGGED, peers.size());
@@ -130,22 +141,20 @@
         return ++logged <= MOST_LOGGED;
     }
 
-    private void know(Listed entry) {
+    /** A node is new, or something of it has changed. */
+    private void know(Listed entry, Peer before) {
         Member m = entry.member();
-        Peer peer = peers.get(m.node());
-        boolean moved = peer != null && !peer.endpoint().equals(entry.endpoint());
-        if (peer == null || moved || !peer.entry.equals(entry)) {
-            if (mayLog()) {
-                LOG.log(Level.INFO, "node {0} is {1} at {2}: {3}", entry.uid(), name(m.node()), entry.endpoint(), m.state());
-            }
-            if (moved) {
-                peer.backend.retire();
-            }
-            Backend backend = peer == null || moved ? backend(m, entry.endpoint()) : peer.backend;
-            peers.put(m.node(), new Peer(entry, backend));
-            if (m.state() == Member.State.DRAINING) {
-                backend.endWaiting();
-            }
+        if (mayLog()) {
+            LOG.log(Level.INFO, "node {0} is {1} at {2}: {3}", entry.uid(), name(m.node()), entry.endpoint(), m.state());
+        }
+        boolean stays = before != null && before.endpoint().equals(entry.endpoint());
+        if (before != null && !stays) {
+            before.backend.retire();
+        }
+        Backend backend = stays ? before.backend : backend(m, entry.endpoint());
+        peers.put(m.node(), new Peer(entry, backend, lists));
+        if (m.state() == Member.State.DRAINING) {
+            backend.endWaiting();
         }
     }
 
--- a/src/main/java/dappleseam/router/Ring.java
+++ b/src/main/java/dappleseam/router/Ring.java
@@ -23,7 +23,7 @@
     private static final int FIRST_ROOM = 4;
 
     /** By arc, in order; an entry is a position with the slot of its cache in the low bits. */
-    private final long[][] arcs = new long[ARCS][FIRST_ROOM];
+    private final long[][] arcs = new long[ARCS][];
     private final int[] counts = new int[ARCS];
     private final Node[] caches = new Node[SLOTS];
     private final ArrayDeque<Integer> freeSlots = new ArrayDeque<>();
@@ -103,7 +103,9 @@
         while (at < counts[in] && arcs[in][at] >> SLOT_BITS == position && owner(arcs[in][at]).id.value() < cache.id.value()) {
             at++; // of caches at one position the lowest id comes first
         }
-        if (counts[in] == arcs[in].length) {
+        if (arcs[in] == null) {
+            arcs[in] = new long[FIRST_ROOM];
+        } else if (counts[in] == arcs[in].length) {
             arcs[in] = Arrays.copyOf(arcs[in], 2 * counts[in]);
         }
         System.arraycopy(arcs[in], at, arcs[in], at + 1, counts[in] - at);
