The first call after a failed one for the list comes within 0.4 s

Cause: ASK_AGAIN_MS of 1.5 s came on top of a silent watch (3.6 s) and a given-up call (1 s). The back-off now grows from 0.4 s by 2.5 to the 2 s it had at most; what spreads the first calls of many proxies stays 1.5 s.

--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -109,9 +109,13 @@
     /** Measuring buckets: length in ms and number; four seconds hold a few queries even of a quiet proxy. */
     private static final double BUCKET_MS = 250;
     private static final int BUCKETS = 16;
-    /** Back-off for the list, in ms, first and most: two calls fit into the 6 s after which news is told. */
-    private static final double ASK_AGAIN_MS = 1500;
+    /** Back-off for the list in ms, first, most and its growth: the first fits behind a silent watch and a given-up call, two calls with the
+     * longest fit into the 6 s after which news is told. */
+    private static final double ASK_AGAIN_MS = 400;
     private static final double ASK_MOST_MS = 2000;
+    private static final double ASK_GROWTH = 2.5;
+    /** Time in ms over which the first calls of many proxies are spread. */
+    private static final double ASK_SPREAD_MS = 1500;
     /** Latest queries over which a key's or a cache's own share is taken: a thin proxy's ten to twenty s. */
     private static final double MEMORY = 64;
     /** Difference between two times left, in ms, that may come from the ways alone. */
@@ -179,7 +183,7 @@
         longestTry = new double[site.grades().size()];
         highestImportance = site.grades().stream().mapToDouble(ServiceGrade::importance).max().orElse(1);
         if (site.askEveryMs() > 0 && !followed) {
-            askAfter(random.nextDouble() * ASK_AGAIN_MS);
+            askAfter(random.nextDouble() * ASK_SPREAD_MS);
         }
     }
 
@@ -215,9 +219,9 @@
     public void listFailed(double nowMs) {
         now = nowMs;
         followed = false;
-        // Guards the list service, which does not grow with the fleet: each failure doubles the wait.
+        // Guards the list service, which does not grow with the fleet: each failure lengthens the wait.
         askAfter((0.2 + 0.8 * random.nextDouble()) * askWait);
-        askWait = Math.min(2 * askWait, Math.min(ASK_MOST_MS, site.askEveryMs() / 2));
+        askWait = Math.min(ASK_GROWTH * askWait, Math.min(ASK_MOST_MS, site.askEveryMs() / 2));
     }
 
     private void askAfter(double delayMs) {
