--- a/src/test/java/dappleseam/proxy/OperatingTest.java
+++ b/src/test/java/dappleseam/proxy/OperatingTest.java
@@ -132,6 +132,29 @@
         assertThat(again.answer()).isEqualTo("+PONG");
     }
 
+    /** 4 s after the call no connection may hold a query of the last 2 s: not that of a client either which is never idle. */
+    @Test
+    void aDrainEndsTheConnectionOfAClientThatAlwaysAsks() throws Exception {
+        sockets.cache.always = hit("value");
+        Sockets.Client client = sockets.start(folder, "").client();
+        long id = 0;
+        for (; id < 3; id++) { // in flight at any time from here on
+            read(client, "id" + id);
+        }
+        assertThat(sockets.call("POST /control/out-of-service")).startsWith("HTTP/1.1 200");
+        long until = System.nanoTime() + 4_000_000_000L;
+        boolean isOpen = true;
+        try {
+            for (; isOpen && System.nanoTime() < until; id++) {
+                read(client, "id" + id);
+                assertThat(client.answer()).matches("value|-BUSY.*");
+            }
+        } catch (IOException e) { // what it had sent and was not read is reset, and asked elsewhere
+            isOpen = false;
+        }
+        assertThat(isOpen).isFalse();
+    }
+
     private static final String OLD_GRADES = """
             {"name":"read","semantics":"read_like","sloTimeS":20,"statementTimeoutS":30},
             {"name":"put","semantics":"read_like","sloTimeS":20,"statementTimeoutS":30}""";
--- a/src/test/java/dappleseam/proxy/SystemCallsTest.java
+++ b/src/test/java/dappleseam/proxy/SystemCallsTest.java
@@ -197,6 +197,28 @@
         assertThat(first.answer()).isEqualTo("one");
     }
 
+    /** Rule 3 where the system takes no more bytes: what has not begun to go to a node that drains never does. */
+    @Test
+    void aCommandThatIsNotWrittenWhenItsNodeDrainsIsNeverSent() throws Exception {
+        sockets.cache.always = null;
+        sockets.origin.always = Sockets.ok("elsewhere");
+        Sockets.Client first = sockets.start(folder, "").client();
+        ask(first, "first");
+        Sockets.Told open = sockets.cache.next();
+        Sockets.Told watch = sockets.list.next();
+        calls.fail(Call.WRITE, FailingCalls.EAGAIN, 1, FailingCalls.ALWAYS);
+        Sockets.Client second = sockets.client();
+        ask(second, "second");
+        Thread.sleep(200);
+        watch.answer(Sockets.ok("{\"rev\":2,\"all\":false,\"targets\":[" + Sockets.entry("s-1", sockets.cache, "m", "draining") + "]}"));
+        Thread.sleep(300);
+        calls.stop(Call.WRITE);
+        assertThat(second.answer()).matches("elsewhere|-BUSY.*");
+        open.answer(Sockets.hit("one"));
+        assertThat(first.answer()).isEqualTo("one");
+        assertThat(sockets.cache.told.stream().map(Sockets.Told::words)).noneMatch(words -> words.contains("second"));
+    }
+
     /** What the next process is to take over is written once the disk takes it, though the list does not change again. */
     @ParameterizedTest
     @CsvSource({"FILE_OPEN,28", "FILE_WRITE,28", "FILE_WRITE,5", "FILE_WRITE,-1", "FILE_RENAME,5"})
