--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -485,7 +485,7 @@
     }
 
     /**
-     * Guards the memory limit: flags are fixed before the configuration is read, so the launcher works them out, with
+     * Guards the memory limit, which holds for both processes of an upgrade together: flags are fixed before the configuration is read, so the launcher works them out, with
      * no program but java to be found.
      */
     @ParameterizedTest
@@ -501,7 +501,7 @@
         launcher.environment().put("PATH", tools.toString());
         sockets.program = launcher.start();
         String flags = new String(sockets.program.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        assertThat(flags).contains("-Xms32m -Xmx32m").contains("-XX:MaxDirectMemorySize=32m").endsWith("Serve\n");
+        assertThat(flags).contains("-Xms18m -Xmx18m").contains("-XX:MaxDirectMemorySize=32m").endsWith("Serve\n");
     }
 
     /** Guards nodes and clients against a cold start: what is slow at first has been run before one is let in. */
