Two processes of an upgrade stay under the configured memory from 112 MB on

Cause: a quarter of the limit as heap, touched at the start, beside some 35 MB of the JVM's own in each process. The heap is now at most half of the limit less 46 MB.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -2,6 +2,8 @@
 # Starts one proxy. The JVM takes the bounds of its memory only as flags, so they are worked out here from the
 # configuration's limits.memory_mb: a quarter for the heap, a quarter for direct memory, of which the program's buffers
 # take four fifths; the rest is for the JVM itself. The heap is touched at the start, so that use does not grow later.
+# Two processes share the limit during an upgrade: beside its heap one takes some 35 MB and what buffers are in use, so that
+# the heap is at most half of the limit less 46 MB, but 16 MB at least.
 # The two properties keep XNIO and its threads from setting up management beans that nobody reads: a tenth of the start.
 # The shell reads the figure itself: operators may refuse a start that begins any other program on its way.
 memory=''
@@ -18,8 +20,11 @@
   esac
 done < "${NODE_CONFIG:?names no file}"
 quarter=$((${memory:-192} / 4))
+heap=$((${memory:-192} / 2 - 46))
+if [ "$heap" -lt 16 ]; then heap=16; fi
+if [ "$heap" -gt "$quarter" ]; then heap=$quarter; fi
 exec java -XX:SharedArchiveFile=target/dappleseam.jsa -Xlog:disable -Xlog:all=error:stderr -XX:+UseSerialGC \
-  -XX:TieredStopAtLevel=1 -XX:-UsePerfData -Xss256k "-Xms${quarter}m" "-Xmx${quarter}m" -XX:+AlwaysPreTouch \
+  -XX:TieredStopAtLevel=1 -XX:-UsePerfData -Xss256k "-Xms${heap}m" "-Xmx${heap}m" -XX:+AlwaysPreTouch \
   "-XX:MaxDirectMemorySize=${quarter}m" -XX:MaxMetaspaceSize=48m -XX:ReservedCodeCacheSize=24m \
   -Djboss.threads.eqe.register-mbean=false -Djavax.management.builder.initial=none \
   -cp target/dappleseam.jar dappleseam.proxy.Serve "$@"
