--- a/src/main/java/dappleseam/lab/FleetRun.java
+++ b/src/main/java/dappleseam/lab/FleetRun.java
@@ -49,6 +49,9 @@
 final class FleetRun implements AutoCloseable {
     private static final double NANOS_PER_MS = 1e6;
     private static final double MS_PER_S = 1000;
+    /** Looks for a holder of a lease before a blow at it, and the time in ms between two. */
+    private static final int HOLDER_TRIES = 50;
+    private static final long HOLDER_AGAIN_MS = 100;
     private static final int SEEDS = 2;
     /** From a process's spawning until a slow start stands still, in ms: in the middle of its way up. */
     private static final long SLOW_FROM_MS = 300;
@@ -323,7 +326,7 @@
 
     /** Whoever holds the lease by the processes' own records; nobody is hit where nobody does. */
     private void hit(Takeover takeover) throws IOException, InterruptedException {
-        Instance holder = holder();
+        Instance holder = awaitHolder();
         if (holder == null) {
             note(takeover.blow() + " of a holder: there is none");
             return;
@@ -349,6 +352,16 @@
         }
     }
 
+    /** Null where nobody holds it for so long: a busy machine may take seconds to the first lease. */
+    private Instance awaitHolder() throws IOException, InterruptedException {
+        Instance holder = holder();
+        for (int tries = 0; holder == null && tries < HOLDER_TRIES; tries++) {
+            Thread.sleep(HOLDER_AGAIN_MS);
+            holder = holder();
+        }
+        return holder;
+    }
+
     private Instance holder() throws IOException {
         for (Instance instance : instances) {
             boolean runs = instance.shouldRun && instance == instance.seat.now;
--- a/src/main/java/dappleseam/router/Ring.java
+++ b/src/main/java/dappleseam/router/Ring.java
@@ -163,11 +163,13 @@
 
     /** Among the first so many entries, the first that the one named comes before. */
     private int firstBehind(long[] entries, int count, long entry) {
+        long position = entry >> SLOT_BITS;
         int low = 0;
         int high = count;
         while (low < high) {
             int middle = low + high >>> 1;
-            if (isBefore(entry, entries[middle])) {
+            long there = entries[middle] >> SLOT_BITS;
+            if (position < there || position == there && isBefore(entry, entries[middle])) {
                 high = middle;
             } else {
                 low = middle + 1;
