--- a/src/test/java/dappleseam/clients/ClientFrontTest.java
+++ b/src/test/java/dappleseam/clients/ClientFrontTest.java
@@ -130,6 +130,20 @@
         })).isEqualTo(List.of(0, false));
     }
 
+    /** A client that sends a query, what cannot be read, and more without end: both answers are owed in time. */
+    @Test
+    void anErrorIsNotHeldUpByWhatComesBehindItWithoutEnd() throws Exception {
+        assertThat(played("", 10, (loop, front, client) -> {
+            write(client, ASKED + "noise\r\n");
+            for (int i = 0; i < 40 && front.hasClients(); i++) {
+                write(client, "x".repeat(20_000)); // more than is read in one go
+                front.closeIdle();
+                loop.pass(loop.now + 10);
+            }
+            return List.of(loop.owed.size() + loop.rejected, front.hasClients());
+        })).isEqualTo(List.of(1, false));
+    }
+
     /** Guards nodes: a client that sent more than is taken at once, and closed, has gone, though not all of it is read. */
     @Test
     void backpressureDoesNotHideAClose() throws Exception {
