--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -125,11 +125,17 @@
 
     /** Takes nothing more; ends the connection once this and what else is owed is written. */
     private void refuse(String line) {
-        last = true;
+        takeNothingBehind();
         reader.release();
         oweOne().line(line);
     }
 
+    /** What is read from here on is dropped. Where it goes on and on, the queries before it are answered all the same. */
+    private void takeNothingBehind() {
+        last = true;
+        loop.at(loop.nowMs() + BUFFERS_AGAIN_MS, this::rejectAsked);
+    }
+
     @Override
     public void received(ByteBuffer bytes) {
         while (bytes.hasRemaining() && !last && !link.isClosed()) {
@@ -177,7 +183,7 @@
             case "PING" -> one.line(front.sendsAway() ? "-ERR out of service" : "+PONG");
             case "CLIENT", "SELECT" -> one.line("+OK");
             case "QUIT" -> {
-                last = true;
+                takeNothingBehind();
                 one.line("+OK");
             }
             default -> one.line("-ERR unknown command");
