--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -259,7 +259,7 @@
             }
             sent.removeLast();
             unwritten.remove(newest);
-            if (link.written() <= newest.beginsAt) {
+            if (link.written() == newest.beginsAt) { // all that is unwritten is its own
                 link.dropUnwritten();
                 settled();
             } else {
