--- a/src/main/java/dappleseam/lab/GrowthCommand.java
+++ b/src/main/java/dappleseam/lab/GrowthCommand.java
@@ -36,9 +36,9 @@
         Growth growth = new Growth(serve, home, seconds, perSecond);
         boolean isOver = false;
         for (Day day : days) {
-            String table = Growth.table(day, large, growth.play(day, usual), growth.play(day, large));
-            System.out.print(table);
-            isOver |= table.contains(" over");
+            Growth.Comparison comparison = Growth.compare(day, large, growth.play(day, usual), growth.play(day, large));
+            System.out.print(comparison.table());
+            isOver |= comparison.isOver();
         }
         return isOver ? 1 : 0;
     }
--- a/src/main/java/dappleseam/lab/emulator/Fleet.java
+++ b/src/main/java/dappleseam/lab/emulator/Fleet.java
@@ -10,9 +10,6 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 
 /** All peers of the proxies, and the troubles that befall them by the scenario. */
 public final class Fleet implements AutoCloseable {
@@ -27,15 +24,12 @@
     private final List<Integer> reachedAt = new ArrayList<>();
     private final List<FaultTool> tools = new ArrayList<>();
     private final int listPort;
-    private final ScheduledExecutorService troubles = Executors.newSingleThreadScheduledExecutor(work -> {
-        Thread thread = new Thread(work, "troubles");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final Timetable troubles;
 
     public Fleet(Scenario scenario, Ledger ledger) throws IOException {
         this.scenario = scenario;
         this.ledger = ledger;
+        troubles = new Timetable(ledger);
         list = new ListEmulator(ledger);
         listPort = through(Where.LIST, list.port());
         origin = new OriginEmulator(scenario.origin(), scenario.caches(), ledger);
@@ -83,18 +77,8 @@
         }
     }
 
-    private interface Work {
-        void run() throws IOException;
-    }
-
-    private void at(double seconds, Work work) {
-        troubles.schedule(() -> {
-            try {
-                work.run();
-            } catch (IOException e) {
-                ledger.notes.add("a trouble could not be played: " + e.getMessage());
-            }
-        }, Math.round(seconds * 1000), TimeUnit.MILLISECONDS);
+    private void at(double seconds, Timetable.Event trouble) {
+        troubles.in(Math.round(seconds * 1000), trouble);
     }
 
     private void set(Trouble trouble, boolean begins) throws IOException {
@@ -140,7 +124,7 @@
 
     @Override
     public void close() throws IOException {
-        troubles.shutdownNow();
+        troubles.close();
         for (FaultTool tool : tools) {
             tool.close();
         }
--- a/src/main/java/dappleseam/lab/emulator/LargeFleet.java
+++ b/src/main/java/dappleseam/lab/emulator/LargeFleet.java
@@ -6,9 +6,6 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 
 /** A list of many caches, behind which stand a few emulators: what a proxy does for each listed cache is what is measured. */
 public final class LargeFleet implements AutoCloseable {
@@ -26,19 +23,14 @@
     private static final long NOTICE_MS = 1500;
 
     private final int nodes;
-    private final Ledger ledger;
     private final ListEmulator list;
     private final OriginEmulator origin;
     private final List<CacheEmulator> caches = new ArrayList<>();
-    private final ScheduledExecutorService steps = Executors.newSingleThreadScheduledExecutor(work -> {
-        Thread thread = new Thread(work, "steps");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final Timetable steps;
 
     public LargeFleet(Scenario scenario, int nodes, Ledger ledger) throws IOException {
         this.nodes = nodes;
-        this.ledger = ledger;
+        steps = new Timetable(ledger);
         list = new ListEmulator(ledger);
         origin = new OriginEmulator(scenario.origin(), scenario.caches(), ledger);
         list.tell("origin", origin.port(), "origin", "ready", 0);
@@ -97,30 +89,30 @@
         for (int step = 0; step < STEPS; step++) {
             int from = step * each;
             long at = (long) (1000 * seconds * (FROM + (UP_TO - FROM) * step / STEPS));
-            steps.schedule(() -> tell(from, from + each, "", "draining", 0), at, TimeUnit.MILLISECONDS);
-            steps.schedule(() -> {
+            steps.in(at, () -> tell(from, from + each, "", "draining", 0));
+            steps.in(at + DRAIN_MS, () -> {
                 synchronized (list) {
                     tell(from, from + each, "", "gone", 0);
                     tell(from, from + each, "+", "ready", System.currentTimeMillis());
                 }
-            }, at + DRAIN_MS, TimeUnit.MILLISECONDS);
+            });
         }
     }
 
     private void loseZone(double seconds) {
         long at = (long) (1000 * seconds * FROM);
-        at(at, () -> {
+        steps.in(at, () -> {
             for (CacheEmulator cache : caches.subList(0, LOST)) {
                 cache.die();
             }
         });
-        at(at + NOTICE_MS, () -> tellZone("gone", 0));
-        at(at + AWAY_MS, () -> {
+        steps.in(at + NOTICE_MS, () -> tellZone("gone", 0));
+        steps.in(at + AWAY_MS, () -> {
             for (CacheEmulator cache : caches.subList(0, LOST)) {
                 cache.restart(cache.uid());
             }
         });
-        at(at + AWAY_MS + NOTICE_MS, () -> tellZone("ready", System.currentTimeMillis()));
+        steps.in(at + AWAY_MS + NOTICE_MS, () -> tellZone("ready", System.currentTimeMillis()));
     }
 
     private void tellZone(String state, double bootMs) {
@@ -133,23 +125,9 @@
         }
     }
 
-    private interface Work {
-        void run() throws IOException;
-    }
-
-    private void at(long ms, Work work) {
-        steps.schedule(() -> {
-            try {
-                work.run();
-            } catch (IOException e) {
-                ledger.notes.add("a step could not be played: " + e.getMessage());
-            }
-        }, ms, TimeUnit.MILLISECONDS);
-    }
-
     @Override
     public void close() throws IOException {
-        steps.shutdownNow();
+        steps.close();
         for (CacheEmulator cache : caches) {
             cache.close();
         }
--- a/src/main/java/dappleseam/lab/growth/Growth.java
+++ b/src/main/java/dappleseam/lab/growth/Growth.java
@@ -87,8 +87,11 @@
         return thread;
     }
 
-    /** The figures of both sizes beside the bounds that the acceptance sets. */
-    public static String table(Day day, int largeCaches, Need usual, Need large) {
+    /** The figures of both sizes beside the bounds, as they are printed, and whether one is passed. */
+    public record Comparison(String table, boolean isOver) {}
+
+    /** Both sizes beside the bounds that the acceptance sets. */
+    public static Comparison compare(Day day, int largeCaches, Need usual, Need large) {
         double thousands = largeCaches / 1000.0;
         List<Line> lines = List.of(
                 atMost("CPU, s", usual.cpuS, large.cpuS, 1.4 * usual.cpuS + 0.02 + 0.12 * thousands),
@@ -102,7 +105,7 @@
             table.append(String.format(Locale.ROOT, "  %-28s %10.2f %10.2f   bound %10.2f  %s%n", line.what, line.usual, line.large, line.bound,
                     line.isOver ? "over" : "holds"));
         }
-        return table.toString();
+        return new Comparison(table.toString(), lines.stream().anyMatch(Line::isOver));
     }
 
     private static Line atMost(String what, double usual, double large, double bound) {
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -45,7 +45,6 @@
     /** Share of the memory for buffers; the launcher's flags leave a quarter for all direct memory. */
     private static final double SHARE_FOR_BUFFERS = 0.2;
     private static final int BYTES_PER_MB = 1 << 20;
-    private static final double NANOS_PER_MS = 1e6;
     /** Descriptors that are no connection: the program's own files and its selectors. */
     private static final int OWN_DESCRIPTORS = 48;
     /** Share of the other descriptors that is kept for caches, origin and list. */
@@ -54,8 +53,8 @@
     private static final double SHARE_FOR_CLOSED = 0.125;
     /** Descriptors for each connection that clients may hold for queries: they have a third of them at most. */
     private static final int DESCRIPTORS_A_CLIENT = 3;
-    /** Time in s from the start within which a listener has to be had; the system may lack descriptors or buffers for a moment. */
-    private static final long SOCKETS_S = 5;
+    /** Time in ms from the start within which a listener has to be had; the system may lack descriptors or buffers for a moment. */
+    private static final double SOCKETS_MS = 5000;
     /** Time in ms between looks whether the first list has come, and between two tries to listen. */
     private static final double LOOK_AGAIN_MS = 10;
     /** Connections that each process has room for, however few descriptors there are. */
@@ -105,7 +104,7 @@
     private double learntKeptAt;
     private final Figures figures = new Figures();
     private Seats seats;
-    private final long socketsUntil = System.nanoTime() + TimeUnit.SECONDS.toNanos(SOCKETS_S);
+    private final double socketsUntil = EventLoop.machineMs() + SOCKETS_MS;
     private volatile boolean ready;
     private volatile boolean startedUp;
     private KillDelay killDelay;
@@ -265,7 +264,7 @@
             proxy.prepare();
             front.listen(worker, post.listen());
         } catch (IOException | RuntimeException e) {
-            if (mayPass(e) && System.nanoTime() < socketsUntil) {
+            if (mayPass(e) && EventLoop.machineMs() < socketsUntil) {
                 loop.at(loop.nowMs() + LOOK_AGAIN_MS, () -> listen(post, untilMs, fault, begun));
                 return;
             }
@@ -282,7 +281,7 @@
 
     /** Waits until a socket is to be had; where none is in time, what needs one says so. */
     private void awaitSockets() throws InterruptedException {
-        while (System.nanoTime() < socketsUntil) {
+        while (EventLoop.machineMs() < socketsUntil) {
             try {
                 SharedPort.lookForSharing();
                 return;
@@ -386,7 +385,7 @@
                 listenForOperators(post);
                 return true;
             } catch (IOException | RuntimeException e) {
-                if (!mayPass(e) || System.nanoTime() > socketsUntil) {
+                if (!mayPass(e) || EventLoop.machineMs() > socketsUntil) {
                     System.err.println("dappleseam serve: control: cannot listen on " + post.control() + ": " + e.getMessage());
                     return false;
                 }
@@ -501,7 +500,7 @@
 
     /** SIGTERM: answers all it has taken, and ends with status 0; a process that serves nobody yet ends at once. */
     private void shutDown() {
-        long toldAt = System.nanoTime(); // the platform counts from here, however late the I/O thread hears of it
+        double toldAt = EventLoop.machineMs(); // the platform counts from here, however late the I/O thread hears of it
         ready = false;
         boolean handOver = seats != null && seats.otherListens();
         LOG.log(Level.INFO, "told to end: answering what was taken, {0}",
@@ -514,7 +513,7 @@
             if (front == null || !front.isListening()) { // nor will it: this thread is its
                 ended.countDown();
             } else {
-                shutdown.begin(handOver, sinceMs(toldAt), killDelay.earliestMs(EventLoop.machineMs()));
+                shutdown.begin(handOver, loop.nowMs() - toldAt, killDelay.earliestMs(EventLoop.machineMs()));
             }
         });
         awaitEnd(toldAt);
@@ -526,15 +525,11 @@
         Runtime.getRuntime().halt(0);
     }
 
-    private static double sinceMs(long nanos) {
-        return (System.nanoTime() - nanos) / NANOS_PER_MS;
-    }
-
     /** Until all is answered; also where the I/O thread hangs, until shortly before the kill, which new settings may bring nearer. */
-    private void awaitEnd(long toldAt) {
+    private void awaitEnd(double toldAt) {
         double killMs = killDelay.earliestMs(EventLoop.machineMs());
         try {
-            while (sinceMs(toldAt) < killMs - LAST_LEAD_MS && !ended.await((long) LOOK_AGAIN_MS, TimeUnit.MILLISECONDS)) {
+            while (EventLoop.machineMs() - toldAt < killMs - LAST_LEAD_MS && !ended.await((long) LOOK_AGAIN_MS, TimeUnit.MILLISECONDS)) {
                 killMs = Math.min(killMs, killDelay.earliestMs(EventLoop.machineMs()));
             }
         } catch (InterruptedException e) {
