Reports list all sure breaches, and lateness of laboratory and I/O thread has a cause

The laboratory now notes each time that it was 50 ms late or more with what it waited for (a processor, garbage collection), and a proxy logs when its I/O thread is 250 ms late, with what it worked and waited meanwhile (the kernel's figures for that thread).

Tests: ReportTest (sure breaches: fails without the change by the order), ThreadTimesTest.

--- a/src/main/java/dappleseam/lab/FleetRun.java
+++ b/src/main/java/dappleseam/lab/FleetRun.java
@@ -232,7 +232,8 @@
         }
         double readyMs = nowMs() - spawned;
         LoadTool load = new LoadTool(scenario.play(), ledger, seats.stream().map(s -> s.clients).toList());
-        Thread metronome = Lab.metronome(ledger);
+        Metronome metronome = new Metronome(ledger);
+        metronome.start();
         beganMs = nowMs();
         links.play(scenario.links());
         double playMs = ledger.nowMs();
--- a/src/main/java/dappleseam/lab/Lab.java
+++ b/src/main/java/dappleseam/lab/Lab.java
@@ -32,8 +32,6 @@
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Rehearse troubles against stand-ins.",
         subcommands = {Lab.Run.class, Lab.FleetCommand.class, HistoriesCommand.class, SizesCommand.class, ExploreCommand.class, LeasesCommand.class, SubsetsCommand.class, GrowthCommand.class}, synopsisSubcommandLabel = "COMMAND")
 public final class Lab implements Callable<Integer> {
-    private static final int BEAT_MS = 2;
-
     @Override
     public Integer call() {
         System.err.println("dappleseam lab: say which: run, fleet, histories, sizes, explore, leases, subsets, growth");
@@ -160,7 +158,8 @@
                 }
             }
             LoadTool load = new LoadTool(scenario, ledger, ports);
-            Thread metronome = metronome(ledger);
+            Metronome metronome = new Metronome(ledger);
+            metronome.start();
             fleet.begin();
             load.play();
             metronome.interrupt();
@@ -183,24 +182,6 @@
         }
     }
 
-    /** Measures how late a thread of this process is run, as all stand-ins are. */
-    static Thread metronome(Ledger ledger) {
-        Thread thread = new Thread(() -> {
-            try {
-                while (true) {
-                    double before = ledger.nowMs();
-                    Thread.sleep(BEAT_MS);
-                    ledger.late(ledger.nowMs() - before - BEAT_MS);
-                }
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "metronome");
-        thread.setDaemon(true);
-        thread.start();
-        return thread;
-    }
-
     /** Connections that are still there a while after all proxies and clients have ended. */
     private static int leftOpen(List<FaultTool> tools) throws InterruptedException {
         for (int i = 0; i < 50 && tools.stream().anyMatch(t -> t.open() > 0); i++) {
--- a/src/main/java/dappleseam/lab/check/Ledger.java
+++ b/src/main/java/dappleseam/lab/check/Ledger.java
@@ -24,6 +24,13 @@
     /** A cache's process started; 0 for one that is warm from the beginning. */
     public record Started(String node, double atMs, boolean cold) {}
 
+    /** Lateness in ms of the laboratory's own threads from which it is noted by itself. */
+    public static final double HELD_UP_MS = 50;
+
+    /** The laboratory was late itself until {@code atMs}: of that, and of the time since the last one, it waited for a processor and collected garbage so long. */
+    public record HeldUp(double atMs, double lateMs, double waitedMs, double collectedMs) {}
+
+    public final Queue<HeldUp> heldUps = new ConcurrentLinkedQueue<>();
     public final Queue<Execution> executions = new ConcurrentLinkedQueue<>();
     public final Queue<Query> queries = new ConcurrentLinkedQueue<>();
     public final Queue<Told> told = new ConcurrentLinkedQueue<>();
--- a/src/main/java/dappleseam/lab/report/Report.java
+++ b/src/main/java/dappleseam/lab/report/Report.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dappleseam.lab.check.Ledger;
 import dappleseam.lab.check.Ledger.Verdict;
@@ -10,20 +11,23 @@
 import dappleseam.lab.scenario.Scenario;
 import dappleseam.lab.scenario.Scenario.Grade;
 import java.io.IOException;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
 import org.HdrHistogram.Histogram;
 
 /** What one run showed, as JSON and as text made of the same tree. */
 public final class Report implements Told {
     private static final double[] PERCENTILES = {50, 90, 99, 100};
+    /** Breaches that a report lists where more of them are doubtful; sure ones are all listed. */
     private static final int MOST_BREACHES = 20;
-    /** Lateness of the tools in ms from which a run tells of the laboratory. */
-    private static final double LATE_MS = 50;
+    /** Times that the laboratory was held up that a report lists, the longest first. */
+    private static final int MOST_HELD_UPS = 5;
 
     private final ObjectNode tree = new ObjectMapper().createObjectNode();
 
@@ -32,7 +36,11 @@
         tree.put("complete", ledger.notes.stream().noneMatch(n -> n.contains("incomplete")));
         ObjectNode tools = tree.putObject("tools").put("latest_ms", round(ledger.latenessMs()))
                 .put("load_was_full", load.wasFull()).put("faults_planned", faults).put("connections_left_at_fault_tools", leftOpen);
-        tools.put("trustworthy", ledger.latenessMs() < LATE_MS && !load.wasFull());
+        tools.put("trustworthy", ledger.latenessMs() < Ledger.HELD_UP_MS && !load.wasFull());
+        ArrayNode heldUps = tools.putArray("held_up");
+        ledger.heldUps.stream().sorted(Comparator.comparingDouble(Ledger.HeldUp::lateMs).reversed()).limit(MOST_HELD_UPS).forEach(h -> heldUps.addObject()
+                .put("at_ms", Math.round(h.atMs())).put("late_ms", Math.round(h.lateMs())).put("waited_for_a_processor_ms", Math.round(h.waitedMs()))
+                .put("collected_garbage_ms", Math.round(h.collectedMs())));
         ObjectNode grades = tree.putObject("grades");
         for (Grade grade : scenario.load().grades()) {
             grade(grades.putObject(grade.name()), grade, ledger, load.times().get(grade.name()));
@@ -50,8 +58,14 @@
         // Guards the proxy against blame for a busy machine: a laboratory that is late cannot judge a time limit.
         ObjectNode rules = tree.putObject("rules").put("broken", sure.size()).put("doubtful", breaches.size() - sure.size());
         var told = rules.putArray("breaches");
-        breaches.stream().limit(MOST_BREACHES).forEach(b -> told.addObject().put("rule", b.rule())
-                .put("sure", trustworthy || !b.timed()).put("what", b.what()));
+        listed(breaches, trustworthy).forEach(b -> told.addObject().put("rule", b.rule()).put("sure", trustworthy || !b.timed()).put("what", b.what()));
+    }
+
+    /** All sure breaches, and after them as many of the doubtful ones as there is room for. */
+    private static List<Breach> listed(List<Breach> breaches, boolean trustworthy) {
+        List<Breach> sure = breaches.stream().filter(b -> trustworthy || !b.timed()).toList();
+        Stream<Breach> doubtful = breaches.stream().filter(b -> !trustworthy && b.timed());
+        return Stream.concat(sure.stream(), doubtful.limit(Math.max(0, MOST_BREACHES - sure.size()))).toList();
     }
 
     private static void grade(ObjectNode node, Grade grade, Ledger ledger, Histogram times) {
--- a/src/main/java/dappleseam/proxy/EventLoop.java
+++ b/src/main/java/dappleseam/proxy/EventLoop.java
@@ -45,6 +45,7 @@
     private XnioExecutor.Key alarm;
     /** Connections to nodes, on their way or open; they are closed on other threads, too. */
     private final AtomicInteger dialled = new AtomicInteger();
+    private final EventLoopMonitor monitor = new EventLoopMonitor();
     private boolean hasReadFirst;
 
     EventLoop(XnioIoThread thread, BufferPool pool, int mostDialled) {
@@ -123,6 +124,9 @@
 
     private void fire() {
         double now = nowMs();
+        if (!hasReadFirst) {
+            monitor.fired(alarmAt, now);
+        }
         if (now > alarmAt + LATE_MS && !hasReadFirst) {
             // Guards nodes against this thread's own lateness: their answers may be here, unread.
             hasReadFirst = true;
