The counted fleet falls below the file's number by evidence of ends only

Cause: a process whose views had agreed three times took those it knew for the whole fleet, below the number in its file, though the others had just not started. Fix: members of the file that were never heard of stay in the count (the file's number less the most known at once). No clock, period or count of comparisons is in the proof any more: who starts takes its part of the file's number, which nobody has taken.

--- a/src/main/java/dappleseam/fleet/membership/Membership.java
+++ b/src/main/java/dappleseam/fleet/membership/Membership.java
@@ -122,6 +122,8 @@
     private double heardAt;
     private boolean heardAny;
     private double counted;
+    /** The most members that were counted at once, this one among them: those of the file's number beyond it were never heard of, and may come at any time. */
+    private int mostKnown = 1;
     private double fallsFrom;
     private Standing standing;
     private final Set<Long> outranked = new HashSet<>();
@@ -773,6 +775,7 @@
                 fallsFrom = now + FALL_AFTER_PERIODS * terms.periodMs();
             }
         }
+        mostKnown = Math.max(mostKnown, known());
         counted = Math.max(counted, actual());
         spread(to);
         host.seen(before, to);
@@ -944,9 +947,13 @@
 
     // How it stands.
 
+    /** What the counted fleet may fall to: silence lowers it for nobody, neither of those that failed nor of those that were never heard of. */
     private int actual() {
-        int known = present.size() + failed.size() + 1;
-        return caughtUp ? known : Math.max(known, terms.counted());
+        return known() + Math.max(0, terms.counted() - mostKnown);
+    }
+
+    private int known() {
+        return present.size() + failed.size() + 1;
     }
 
     private void stand() {
@@ -1034,7 +1041,7 @@
     public String state() {
         StringBuilder text = new StringBuilder(256);
         text.append(self).append(health).append(' ').append(caughtUp ? -1 : agreed).append(heardAny).append(' ').append(compareIn).append(' ')
-                .append(periods % (RETRY_PERIODS * SEED_PERIODS)).append(' ').append(nextProbed).append(' ').append(Math.ceil(counted)).append(' ').append(Math.round(Math.max(0, fallsFrom - now)));
+                .append(periods % (RETRY_PERIODS * SEED_PERIODS)).append(' ').append(nextProbed).append(' ').append(Math.ceil(counted)).append(' ').append(mostKnown).append(' ').append(Math.round(Math.max(0, fallsFrom - now)));
         for (Peer peer : present) {
             text.append('\n').append(peer.notice).append(peer.viaOthers);
             if (peer.suspicion != null) {
--- a/src/main/java/dappleseam/lab/ExploreCommand.java
+++ b/src/main/java/dappleseam/lab/ExploreCommand.java
@@ -15,13 +15,16 @@
     @Option(names = "--faults", defaultValue = "2", description = "Losses, repeats, deaths and stalls among them, at most (default: 2).")
     private int faults;
 
+    @Option(names = "--early", defaultValue = "3", description = "Members of the three that run at first; the others start later, or never (default: 3).")
+    private int early;
+
     @Option(names = "--planted", defaultValue = "NONE", description = "A defence that is taken out: ${COMPLETION-CANDIDATES}.")
     private Planted planted;
 
     @Override
     public Integer call() {
-        Exploration.Found found = new Exploration(depth, faults, true, planted).run();
-        System.out.printf("depth %d, faults %d, planted %s: %d states in %d ways, %s%n", depth, faults, planted, found.states(), found.ways(),
+        Exploration.Found found = new Exploration(early, depth, faults, true, planted).run();
+        System.out.printf("early %d, depth %d, faults %d, planted %s: %d states in %d ways, %s%n", early, depth, faults, planted, found.states(), found.ways(),
                 found.broken() == null ? "nothing broken" : found.broken());
         return found.broken() == null ? 0 : 1;
     }
--- a/src/test/java/dappleseam/lab/fleet/ExplorationTest.java
+++ b/src/test/java/dappleseam/lab/fleet/ExplorationTest.java
@@ -13,6 +13,14 @@
         assertThat(found.states()).isGreaterThan(800);
     }
 
+    /** Guards the whole against a member that starts while the others have long agreed. */
+    @Test
+    void noOrderOfLateStartsTakesMoreThanTheWhole() {
+        for (int early = 1; early < 3; early++) {
+            assertThat(new Exploration(early, 5, 2, true, Planted.NONE).run().broken()).isNull();
+        }
+    }
+
     @Test
     void aDefenceTakenOutIsFound() {
         assertThat(new Exploration(3, 2, true, Planted.NO_REFUTATION).run().broken()).contains("in the quiet after");
