The laboratory notes when things came, not when a late thread read them

Now: an answer is waited for 30 s past its time, so UNANSWERED says that there was none, and stays a sure break; a late one breaks the statement timeout as before. Peers and clients stamp what they read with the earliest time at which it can have come (TimedInput: less what the thread waited for a processor, and not later than it was there unread). Histories of a query stand in the order in which nodes noted them, not by those times. The origin's window of repeats counts from the noted time to the earliest.

--- a/src/main/java/dappleseam/lab/check/Ledger.java
+++ b/src/main/java/dappleseam/lab/check/Ledger.java
@@ -8,15 +8,23 @@
 
 /** What peers and clients saw, each thing once, with its time in ms; any thread writes. */
 public final class Ledger {
-    /** An execution whose last byte came to a node; {@code effect} where it ran and was no repeat that is dropped. */
+    /** An execution whose last byte came to a node, at {@code atMs} at the earliest; {@code effect} where it ran and was no repeat that is dropped. */
     public record Execution(String query, String node, double atMs, String mark, boolean effect, boolean turnedAway) {}
 
     /** {@code TAKEN_DOWN}: had no answer in time, and the scenario killed or stopped its proxy meanwhile. */
     public enum Verdict { COMPLETED, REJECTED, ABORTED, SPOILT, CUT, UNANSWERED, LEFT, TAKEN_DOWN }
 
-    /** A query as its client saw it; {@code answers} counts whole answers to it; {@code port}: of the proxy that had it last, 0 for none. */
-    public record Query(String id, String grade, boolean write, double sentMs, double timeoutMs, double endedMs,
-                        Verdict verdict, int answers, int port) {}
+    /**
+     * A query as its client saw it: written by {@code sentMs}, its end noted at {@code endedMs}; its last byte came at {@code cameMs} at the earliest. {@code answers} counts whole answers to it;
+     * {@code port}: of the proxy that had it last, 0 for none.
+     */
+    public record Query(String id, String grade, boolean write, double sentMs, double timeoutMs, double cameMs, double endedMs,
+                        Verdict verdict, int answers, int port) {
+        /** By a client that is never late. */
+        public Query(String id, String grade, boolean write, double sentMs, double timeoutMs, double endedMs, Verdict verdict, int answers, int port) {
+            this(id, grade, write, sentMs, timeoutMs, endedMs, endedMs, verdict, answers, port);
+        }
+    }
 
     /** The list service has told of a node's state. */
     public record Told(String node, String state, double atMs) {}
@@ -87,6 +95,11 @@
 
     /** Ms since the ledger began. */
     public double nowMs() {
-        return (System.nanoTime() - bornNanos) / 1e6;
+        return msAt(System.nanoTime());
+    }
+
+    /** The same for a time of {@link System#nanoTime}. */
+    public double msAt(long nanos) {
+        return (nanos - bornNanos) / 1e6;
     }
 }
--- a/src/main/java/dappleseam/lab/check/RuleChecker.java
+++ b/src/main/java/dappleseam/lab/check/RuleChecker.java
@@ -41,8 +41,8 @@
     /** Faults on the clients' own connections are not the proxy's: an answer cut there breaks nothing. */
     public static List<Breach> check(Scenario scenario, Ledger ledger, boolean clientsAreCut) {
         RuleChecker checker = new RuleChecker(scenario);
-        Map<String, List<Execution>> byQuery = ledger.executions.stream()
-                .sorted(Comparator.comparingDouble(Execution::atMs)).collect(Collectors.groupingBy(Execution::query));
+        // In the order in which nodes noted them: a node notes an execution before it answers, and times are only the earliest.
+        Map<String, List<Execution>> byQuery = ledger.executions.stream().collect(Collectors.groupingBy(Execution::query));
         for (Query query : ledger.queries) {
             checker.oneAnswer(query, byQuery.getOrDefault(query.id(), List.of()), clientsAreCut);
             checker.noEffectTwice(query, byQuery.getOrDefault(query.id(), List.of()));
@@ -72,7 +72,7 @@
                     + Math.round(q.endedMs() - q.sentMs()) + " of " + Math.round(q.timeoutMs()) + " ms", executions);
         } else if (!lost && q.verdict() != Verdict.LEFT && q.answers() != 1) {
             breach(1, "query " + q.id() + " had " + q.answers() + " answers", executions);
-        } else if (!lost && q.endedMs() > q.sentMs() + q.timeoutMs() + SLACK_MS) {
+        } else if (!lost && q.cameMs() > q.sentMs() + q.timeoutMs() + SLACK_MS) {
             breach(1, "query " + q.id() + " was answered after its statement timeout", executions, true);
         }
         for (Execution e : executions) {
--- a/src/main/java/dappleseam/lab/emulator/CacheEmulator.java
+++ b/src/main/java/dappleseam/lab/emulator/CacheEmulator.java
@@ -2,6 +2,7 @@
 
 import dappleseam.lab.check.Ledger;
 import dappleseam.lab.peer.Blocking;
+import dappleseam.lab.peer.TimedInput;
 import dappleseam.lab.scenario.Scenario.Caches;
 import java.io.IOException;
 import java.io.InputStream;
@@ -105,22 +106,16 @@
     }
 
     @Override
-    void serve(InputStream in, OutputStream out) throws IOException, InterruptedException {
+    void serve(TimedInput in, OutputStream out) throws IOException, InterruptedException {
         if (connections() > rules.connections()) {
             return;
         }
-        double cameAt = Double.NaN;
         while (true) {
             String[] words = command(in);
-            String answer = answer(words, Double.isNaN(cameAt) ? ledger.nowMs() : cameAt);
+            String answer = answer(words, ledger.msAt(in.receivedNanos()));
             while (silent) {
                 Thread.sleep(SILENT_STEP_MS); // a machine cut off says nothing, and goes on when it is back
-                if (Double.isNaN(cameAt) && in.available() > 0) {
-                    cameAt = ledger.nowMs(); // guards the proxy: what is read late came now
-                }
-            }
-            if (in.available() == 0) {
-                cameAt = Double.NaN;
+                in.available(); // guards the proxy: what is read late came after nothing was there
             }
             out.write(answer.getBytes(StandardCharsets.ISO_8859_1));
         }
--- a/src/main/java/dappleseam/lab/emulator/ListEmulator.java
+++ b/src/main/java/dappleseam/lab/emulator/ListEmulator.java
@@ -5,8 +5,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dappleseam.lab.check.Ledger;
 import dappleseam.lab.peer.Blocking;
+import dappleseam.lab.peer.TimedInput;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -98,7 +98,7 @@
     }
 
     @Override
-    void serve(InputStream in, OutputStream out) throws IOException, InterruptedException {
+    void serve(TimedInput in, OutputStream out) throws IOException, InterruptedException {
         while (true) {
             Matcher call = CALL.matcher(Blocking.line(in));
             for (String line = Blocking.line(in); !line.isEmpty(); line = Blocking.line(in)) {
--- a/src/main/java/dappleseam/lab/emulator/OriginEmulator.java
+++ b/src/main/java/dappleseam/lab/emulator/OriginEmulator.java
@@ -2,10 +2,10 @@
 
 import dappleseam.lab.check.Ledger;
 import dappleseam.lab.peer.Blocking;
+import dappleseam.lab.peer.TimedInput;
 import dappleseam.lab.scenario.Scenario.Caches;
 import dappleseam.lab.scenario.Scenario.Origin;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -47,7 +47,7 @@
     }
 
     @Override
-    void serve(InputStream in, OutputStream out) throws IOException, InterruptedException {
+    void serve(TimedInput in, OutputStream out) throws IOException, InterruptedException {
         while (true) {
             String[] first = Blocking.line(in).split(" ");
             if (first.length != 3 || !first[1].startsWith("/")) {
@@ -55,22 +55,21 @@
             }
             Map<String, String> headers = Blocking.headers(in);
             in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
-            String body = answer(first[0].equals("PUT"), first[1].substring(1), headers);
+            String body = answer(first[0].equals("PUT"), first[1].substring(1), headers, ledger.msAt(in.receivedNanos()));
             out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
                     .getBytes(StandardCharsets.ISO_8859_1));
         }
     }
 
-    private String answer(boolean write, String key, Map<String, String> headers) throws InterruptedException {
+    private String answer(boolean write, String key, Map<String, String> headers, double cameAt) throws InterruptedException {
         String query = headers.getOrDefault("x-correlation-id", "");
         String mark = "";
         for (String fact : headers.getOrDefault("x-facts", "").split(",")) {
             mark = fact.startsWith("k=") ? fact.substring(2) : mark;
         }
-        double now = ledger.nowMs();
-        Double before = mark.isEmpty() ? null : marks.putIfAbsent(mark, now);
-        boolean repeat = before != null && now < before + caches.windowMs();
-        ledger.executions.add(new Ledger.Execution(query, "origin", now, mark, !repeat, false));
+        Double before = mark.isEmpty() ? null : marks.putIfAbsent(mark, ledger.nowMs());
+        boolean repeat = before != null && cameAt < before + caches.windowMs();
+        ledger.executions.add(new Ledger.Execution(query, "origin", cameAt, mark, !repeat, false));
         slots.acquire();
         try {
             Thread.sleep(Math.round(rules.workMs()));
--- a/src/main/java/dappleseam/lab/emulator/Peer.java
+++ b/src/main/java/dappleseam/lab/emulator/Peer.java
@@ -1,9 +1,9 @@
 package dappleseam.lab.emulator;
 
+import dappleseam.diagnostics.ThreadTimes;
 import dappleseam.lab.peer.Blocking;
-import java.io.BufferedInputStream;
+import dappleseam.lab.peer.TimedInput;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.BindException;
 import java.net.InetAddress;
@@ -35,13 +35,15 @@
         ServerSocket listening = server;
         Blocking.start("accept", () -> {
             while (!listening.isClosed()) {
+                ThreadTimes before = ThreadTimes.ofCaller();
                 Socket socket = listening.accept();
+                long openedNanos = TimedInput.nanosLess(before);
                 socket.setTcpNoDelay(true);
                 open.add(socket);
                 accepted.incrementAndGet();
                 Blocking.start("peer", () -> {
                     try (socket) {
-                        serve(new BufferedInputStream(socket.getInputStream()), socket.getOutputStream());
+                        serve(new TimedInput(socket.getInputStream(), openedNanos), socket.getOutputStream());
                     } finally {
                         open.remove(socket);
                     }
@@ -51,7 +53,7 @@
     }
 
     /** Speaks on one connection until it ends. */
-    abstract void serve(InputStream in, OutputStream out) throws IOException, InterruptedException;
+    abstract void serve(TimedInput in, OutputStream out) throws IOException, InterruptedException;
 
     public int port() {
         return port;
--- a/src/main/java/dappleseam/lab/emulator/StoreEmulator.java
+++ b/src/main/java/dappleseam/lab/emulator/StoreEmulator.java
@@ -4,9 +4,9 @@
 import dappleseam.fleet.lease.Token;
 import dappleseam.lab.fleet.LeaseChecker.Write;
 import dappleseam.lab.peer.Blocking;
+import dappleseam.lab.peer.TimedInput;
 import dappleseam.wire.Json;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
@@ -47,7 +47,7 @@
     }
 
     @Override
-    void serve(InputStream in, OutputStream out) throws IOException, InterruptedException {
+    void serve(TimedInput in, OutputStream out) throws IOException, InterruptedException {
         while (true) {
             String[] first = Blocking.line(in).split(" ");
             Map<String, String> headers = Blocking.headers(in);
--- a/src/main/java/dappleseam/lab/load/LoadTool.java
+++ b/src/main/java/dappleseam/lab/load/LoadTool.java
@@ -5,10 +5,10 @@
 import dappleseam.lab.emulator.OriginEmulator;
 import dappleseam.lab.fault.FaultTool;
 import dappleseam.lab.peer.Blocking;
+import dappleseam.lab.peer.TimedInput;
 import dappleseam.lab.scenario.Scenario;
 import dappleseam.lab.scenario.Scenario.Grade;
 import dappleseam.lab.scenario.Scenario.Repeat;
-import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -35,8 +35,8 @@
     /** Queries open at once at most; a load that reaches it says so, as it is no longer open. */
     private static final int MOST_OPEN = 600;
     private static final int CONNECT_MS = 1000;
-    /** Time in ms past a query's time for which its answer is waited for: a late one is told from none. */
-    private static final int LATE_MS = 2000;
+    /** Time in ms past a query's time for which its answer is waited for: a late one, of a proxy that was not run for seconds, is told from none. */
+    private static final int LATE_MS = 30_000;
     private static final double LONGEST_MS = 600_000;
 
     /** One first try, as drawn. */
@@ -52,7 +52,7 @@
     private int turn;
     private volatile boolean wasFull;
 
-    private record Client(Socket socket, InputStream in, int port) {}
+    private record Client(Socket socket, TimedInput in, int port) {}
 
     public LoadTool(Scenario scenario, Ledger ledger, List<Integer> proxies) {
         this.scenario = scenario;
@@ -156,7 +156,8 @@
     private Answer ask(Arrival a, String id, String mark, double intendedMs) {
         Grade grade = a.grade();
         Client client = null;
-        double sent = intendedMs;
+        double began = intendedMs;
+        double written = intendedMs;
         Answer answer = new Answer(Verdict.UNANSWERED, 0);
         try {
             for (int tries = 0; ; tries++) {
@@ -166,11 +167,12 @@
                 double waits = Math.min(grade.timeoutMs(), a.leavesAfterMs());
                 client.socket.setSoTimeout((int) Math.ceil(waits) + (a.leavesAfterMs() < grade.timeoutMs() ? 0 : LATE_MS));
                 String facts = "c=" + grade.name() + ",d=" + Math.round(grade.timeoutMs()) + (mark.isEmpty() ? "" : ",k=" + mark);
-                sent = ledger.nowMs();
+                began = ledger.nowMs();
                 int first;
                 try {
                     client.socket.getOutputStream().write(command(grade.write() ? new String[] {"C.SET", a.key(), id, facts, "value"}
                             : new String[] {"C.GET", a.key(), id, facts}));
+                    written = ledger.nowMs();
                     first = client.in.read();
                 } catch (SocketTimeoutException e) {
                     throw e;
@@ -178,7 +180,7 @@
                     first = -1;
                 }
                 // The proxy closed it between queries: once more, on a new one; but not one that was taken down with it.
-                if (first < 0 && reused != null && !ledger.wasDown(reused.port, sent, ledger.nowMs())) {
+                if (first < 0 && reused != null && !ledger.wasDown(reused.port, began, ledger.nowMs())) {
                     close(client);
                     continue;
                 }
@@ -190,15 +192,17 @@
         } catch (IOException e) {
             answer = new Answer(Verdict.CUT, 0);
         }
-        boolean late = ledger.nowMs() > sent + grade.timeoutMs();
+        double ended = ledger.nowMs();
+        boolean late = ended > began + grade.timeoutMs();
         boolean lost = answer.verdict == Verdict.CUT || answer.verdict == Verdict.UNANSWERED || answer.verdict == Verdict.SPOILT;
-        if ((late || lost) && (client == null ? ledger.wasAnyDown(sent - CONNECT_MS, ledger.nowMs())
-                : ledger.wasDown(client.port, sent, ledger.nowMs()))) {
+        if ((late || lost) && (client == null ? ledger.wasAnyDown(began - CONNECT_MS, ended)
+                : ledger.wasDown(client.port, began, ended))) {
             answer = new Answer(Verdict.TAKEN_DOWN, 0);
         }
         boolean whole = answer.verdict == Verdict.COMPLETED || answer.verdict == Verdict.REJECTED
                 || answer.verdict == Verdict.ABORTED;
-        ledger.queries.add(new Ledger.Query(id, grade.name(), grade.write(), sent, grade.timeoutMs(), ledger.nowMs(),
+        double came = whole ? ledger.msAt(client.in.receivedNanos()) : ended;
+        ledger.queries.add(new Ledger.Query(id, grade.name(), grade.write(), written, grade.timeoutMs(), came, ended,
                 answer.verdict, whole ? 1 : 0, client == null ? 0 : client.port));
         if (whole) {
             idle.get(client.port).addFirst(client);
@@ -222,7 +226,7 @@
         Socket socket = new Socket();
         socket.setTcpNoDelay(true);
         socket.connect(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), CONNECT_MS);
-        return new Client(socket, new BufferedInputStream(socket.getInputStream()), port);
+        return new Client(socket, new TimedInput(socket.getInputStream(), System.nanoTime()), port);
     }
 
     private static void close(Client client) {
--- a/src/test/java/dappleseam/lab/emulator/PeerTest.java
+++ b/src/test/java/dappleseam/lab/emulator/PeerTest.java
@@ -3,9 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dappleseam.lab.check.Ledger;
+import dappleseam.lab.peer.TimedInput;
 import dappleseam.lab.scenario.Scenario;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -50,7 +50,7 @@
     void aPeerComesBackAtItsAddressRightAfterItDied() throws Exception {
         try (Peer peer = new Peer() {
             @Override
-            void serve(InputStream in, OutputStream out) throws IOException {
+            void serve(TimedInput in, OutputStream out) throws IOException {
                 out.write('x');
             }
         }) {
--- /dev/null
+++ b/src/test/java/dappleseam/lab/load/LoadToolTest.java
@@ -0,0 +1,50 @@
+package dappleseam.lab.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dappleseam.lab.check.Ledger;
+import dappleseam.lab.check.Ledger.Verdict;
+import dappleseam.lab.check.RuleChecker;
+import dappleseam.lab.scenario.Scenario;
+import dappleseam.lab.scenario.Scenario.Caches;
+import dappleseam.lab.scenario.Scenario.Grade;
+import dappleseam.lab.scenario.Scenario.Load;
+import dappleseam.lab.scenario.Scenario.Origin;
+import dappleseam.lab.scenario.Scenario.Repeat;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class LoadToolTest {
+    /** Else a proxy that the machine did not run for seconds passes for one that never answers, which no lateness excuses. */
+    @Test
+    void anAnswerThatComesSecondsLateIsToldFromNone() throws Exception {
+        Scenario scenario = new Scenario("s", 3, 0.2, new Caches(1, 1, 1, 1, 9, 9, 1, 0, 0, 9), new Origin(1, 1),
+                new Load(10, 10, 1, List.of(new Grade("read", 1, Repeat.IDEMPOTENT, false, 50, 100, 0, 0))), List.of(), List.of());
+        assertThat(LoadTool.draw(scenario)).isNotEmpty();
+        Ledger ledger = new Ledger();
+        try (ServerSocket proxy = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Thread late = new Thread(() -> answerLate(proxy));
+            late.setDaemon(true);
+            late.start();
+            new LoadTool(scenario, ledger, List.of(proxy.getLocalPort())).play();
+        }
+        assertThat(ledger.queries).isNotEmpty().allMatch(q -> q.verdict() == Verdict.ABORTED);
+        assertThat(RuleChecker.check(scenario, ledger, false)).hasSameSizeAs(ledger.queries).allMatch(b -> b.rule() == 1 && b.timed());
+    }
+
+    private static void answerLate(ServerSocket proxy) {
+        try {
+            while (true) {
+                Socket client = proxy.accept();
+                Thread.sleep(2500);
+                client.getOutputStream().write("-ERR late\r\n".getBytes(StandardCharsets.US_ASCII));
+            }
+        } catch (Exception e) {
+            Thread.currentThread().interrupt(); // the test is over
+        }
+    }
+}
