--- a/src/test/java/dappleseam/proxy/EventLoopTest.java
+++ b/src/test/java/dappleseam/proxy/EventLoopTest.java
@@ -5,12 +5,22 @@
 import dappleseam.wire.BufferPool;
 import dappleseam.wire.Link;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.xnio.ChannelPipe;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -18,6 +28,10 @@
 import org.xnio.XnioWorker;
 
 class EventLoopTest {
+    private static final int DIALS = 20_000;
+    private static final int AT_ONCE = 64;
+    private static final int CLOSERS = 5;
+
     /** litoral reload: right after a start answers lay unread while their deadlines were taken for silence. */
     @Test
     void aThreadThatIsLateReadsBeforeItJudges() throws Exception {
@@ -47,4 +61,50 @@
         assertThat(happened.poll(20, TimeUnit.SECONDS)).isEqualTo("due");
         worker.shutdownNow();
     }
+
+    /** Connections are closed on other threads while the loop dials: a count that drifts ends in none being dialled, or too many. */
+    @Test
+    void theCountOfConnectionsHoldsWhileOthersCloseThem() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        ExecutorService closers = Executors.newFixedThreadPool(CLOSERS);
+        try (ServerSocket peer = new ServerSocket(0, AT_ONCE, InetAddress.getLoopbackAddress())) {
+            closers.execute(() -> acceptAll(peer));
+            EventLoop loop = new EventLoop(worker.getIoThread(), new BufferPool(8), AT_ONCE + 1);
+            CountDownLatch closed = new CountDownLatch(DIALS);
+            Semaphore room = new Semaphore(AT_ONCE);
+            for (int i = 0; i < DIALS; i++) {
+                assertThat(room.tryAcquire(20, TimeUnit.SECONDS)).as("room for dial %d", i).isTrue();
+                worker.getIoThread().execute(() -> loop.dial((InetSocketAddress) peer.getLocalSocketAddress(), 10_000, connection -> closers.execute(() -> {
+                    IoUtils.safeClose(connection);
+                    room.release();
+                    closed.countDown();
+                }), cause -> {
+                    room.release();
+                    closed.countDown();
+                }));
+            }
+            assertThat(closed.await(20, TimeUnit.SECONDS)).isTrue();
+            CompletableFuture<List<Boolean>> counts = new CompletableFuture<>();
+            worker.getIoThread().execute(() -> {
+                loop.limitDialled(2);
+                boolean mayDialOne = loop.mayDial();
+                loop.limitDialled(1);
+                counts.complete(List.of(mayDialOne, loop.mayDial()));
+            });
+            assertThat(counts.get(20, TimeUnit.SECONDS)).as("one may be dialled, and none too many").containsExactly(true, false);
+        } finally {
+            closers.shutdownNow();
+            worker.shutdownNow();
+        }
+    }
+
+    private static void acceptAll(ServerSocket peer) {
+        try {
+            while (true) {
+                peer.accept().close();
+            }
+        } catch (IOException e) {
+            Thread.currentThread().interrupt(); // the test is over
+        }
+    }
 }
