A cut of one link lasts until both its ends have run undisturbed for as long as the scenario says

Cause, by the processes' records: in the cut of 8 s the two ends had stood still again and again (0.05 to 1.2 s, a dozen times), accuse nobody for two periods after each, and so came to two suspicions of each other where the check wants four. Now a process writes down that it stood still (FleetHost.stoodStill, "stood_still" in its record), and the rehearsal prolongs the cut by what was disturbed, to three times its length at most. The check and its bound stay.

--- a/src/main/java/dappleseam/fleet/membership/FleetHost.java
+++ b/src/main/java/dappleseam/fleet/membership/FleetHost.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Locale;
 
 /** What the membership can do. Every call takes effect at the time of the event being handled, and may come to nothing. */
 public interface FleetHost extends Correspondent {
@@ -16,5 +17,10 @@
 
     void stands(Standing standing);
 
+    /** This process was not run for so many ms, up to now; what it heard and did not hear meanwhile tells nothing. */
+    default void stoodStill(double ms) {
+        log(String.format(Locale.ROOT, "fleet: this process stood still for %.0f ms", ms));
+    }
+
     void log(String text);
 }
--- a/src/main/java/dappleseam/fleet/membership/Membership.java
+++ b/src/main/java/dappleseam/fleet/membership/Membership.java
@@ -38,8 +38,9 @@
     private static final double GRAIN_MS = 0.001;
     /** Share of a period by which a wake-up that comes late is a stall of this process's own. */
     private static final double STALL_SHARE = 0.2;
-    /** Periods after a stall in which nobody is accused, and in which it counts as slow. */
-    private static final double DOUBT_PERIODS = 2;
+    /** Periods after a stall in which a process accuses nobody. */
+    public static final double DOUBT_PERIODS = 2;
+    /** Periods after a stall in which it counts as slow. */
     private static final double SLOW_PERIODS = 5;
     /** Worst state of one's own health, which multiplies periods and time-outs (Lifeguard); from which one counts as slow. */
     private static final int WORST_HEALTH = 8;
@@ -436,7 +437,7 @@
             if (probe != null) {
                 probe.tellsNothing = true;
             }
-            host.log(String.format(Locale.ROOT, "fleet: this process stood still for %.0f ms", late));
+            host.stoodStill(late);
         }
         now = Math.max(now, nowMs - lost);
     }
--- a/src/main/java/dappleseam/fleet/peers/PeerSocket.java
+++ b/src/main/java/dappleseam/fleet/peers/PeerSocket.java
@@ -372,6 +372,12 @@
         views.stands(nowMs(), standing, membership.counted());
     }
 
+    @Override
+    public void stoodStill(double ms) {
+        super.stoodStill(ms);
+        views.stoodStill(nowMs(), ms);
+    }
+
     @Override
     public void log(String text) {
         LOG.log(Level.INFO, text);
--- a/src/main/java/dappleseam/fleet/peers/ViewRecord.java
+++ b/src/main/java/dappleseam/fleet/peers/ViewRecord.java
@@ -88,6 +88,11 @@
         });
     }
 
+    /** The process was not run for so many ms, up to now. */
+    void stoodStill(double nowMs, double ms) {
+        line(nowMs, to -> to.writeNumberField("stood_still", ms));
+    }
+
     void counts(double nowMs, int counted) {
         line(nowMs, to -> to.writeNumberField("counted", counted));
     }
--- a/src/main/java/dappleseam/lab/FleetRun.java
+++ b/src/main/java/dappleseam/lab/FleetRun.java
@@ -4,12 +4,14 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dappleseam.fleet.membership.Membership;
 import dappleseam.fleet.membership.Notice.State;
 import dappleseam.lab.check.Ledger;
 import dappleseam.lab.check.RuleChecker;
 import dappleseam.lab.emulator.Fleet;
 import dappleseam.lab.emulator.StoreEmulator;
 import dappleseam.lab.fault.LinkTool;
+import dappleseam.lab.fleet.Disturbances;
 import dappleseam.lab.fleet.LeaseChecker;
 import dappleseam.lab.fleet.Planted;
 import dappleseam.lab.fleet.Sight;
@@ -64,6 +66,9 @@
     private static final int ENOUGH_TO_HELP = 5;
     /** Share of a period from which a delay is a trouble. */
     private static final double LONG_DELAY = 0.2;
+    /** Before its end, in ms, it is looked at whether a cut has to last longer; multiple of its time that it lasts at most. */
+    private static final double PROLONG_LEAD_MS = 100;
+    private static final double MOST_PROLONGED = 3;
 
     private final FleetScenario scenario;
     private final boolean alone;
@@ -236,6 +241,7 @@
         metronome.start();
         beganMs = nowMs();
         links.play(scenario.links());
+        scenario.links().stream().filter(fault -> fault.how() == LinkHow.CUT && fault.isOneLink()).forEach(this::watchCut);
         double playMs = ledger.nowMs();
         peers.begin();
         scenario.links().forEach(this::mark);
@@ -302,11 +308,43 @@
         }
     }
 
+    /** One link's cut lasts until both its ends have run undisturbed for as long as the scenario says: else a busy machine hides what it shows. */
+    private void watchCut(LinkFault fault) {
+        double fromMs = beganMs + fault.atS() * MS_PER_S;
+        lookAtCut(fault, fromMs, fault.forS() * MS_PER_S, fromMs + MOST_PROLONGED * fault.forS() * MS_PER_S);
+    }
+
+    private void lookAtCut(LinkFault fault, double fromMs, double wantedMs, double mostUntilMs) {
+        double endMs = beganMs + (fault.atS() + fault.forS()) * MS_PER_S;
+        clock.schedule(safely(() -> {
+            double now = nowMs();
+            double undisturbed = now - fromMs - Math.max(disturbedMs(fault.from(), fromMs, now), disturbedMs(fault.to(), fromMs, now));
+            double more = Math.min(wantedMs - undisturbed, mostUntilMs - endMs);
+            if (more > PROLONG_LEAD_MS) {
+                note(String.format(Locale.ROOT, "the cut %s %s lasts %.1f s longer: its ends were not run", fault.from(), fault.to(), more / MS_PER_S));
+                lookAtCut(links.prolong(fault, more / MS_PER_S), fromMs, wantedMs, mostUntilMs);
+            }
+        }), Math.round(Math.max(0, endMs - PROLONG_LEAD_MS - nowMs())), TimeUnit.MILLISECONDS);
+    }
+
+    /** Of the processes in those places as they are now, by their own records. */
+    private double disturbedMs(Set<Integer> numbers, double fromMs, double toMs) throws IOException {
+        Disturbances disturbances = new Disturbances(Membership.DOUBT_PERIODS * scenario.periodMs());
+        for (int number : numbers) {
+            for (JsonNode line : lines(seats.get(number).now)) {
+                if (line.has("stood_still")) {
+                    disturbances.stoodStill(line.path("ms").asDouble(), line.path("stood_still").asDouble());
+                }
+            }
+        }
+        return disturbances.within(fromMs, toMs);
+    }
+
     /** What the checker has to know of a fault on links. */
     private void mark(LinkFault fault) {
         double from = beganMs + MS_PER_S * fault.atS();
         double to = from + MS_PER_S * fault.forS();
-        boolean oneLink = fault.from().size() == 1 && fault.to().size() == 1 && scenario.proxies() >= ENOUGH_TO_HELP;
+        boolean oneLink = fault.isOneLink() && scenario.proxies() >= ENOUGH_TO_HELP;
         boolean slight = fault.how() == LinkHow.DOUBLE || (fault.how() == LinkHow.DELAY || fault.how() == LinkHow.REORDER)
                 && fault.size() < LONG_DELAY * scenario.periodMs();
         if (slight || oneLink) {
--- a/src/main/java/dappleseam/lab/fault/LinkTool.java
+++ b/src/main/java/dappleseam/lab/fault/LinkTool.java
@@ -292,6 +292,14 @@
         return kinds;
     }
 
+    /** That fault of the script lasts for so much longer; from any thread. Returns it as it is then. */
+    public LinkFault prolong(LinkFault fault, double byS) {
+        LinkFault longer = fault.prolonged(byS);
+        posted.add(() -> script = script.stream().map(f -> f.equals(fault) ? longer : f).toList());
+        selector.wakeup();
+        return longer;
+    }
+
     /** From now on for so long, nothing passes to or from that proxy; from any thread. */
     public void isolate(int number, double forS) {
         posted.add(() -> {
--- a/src/main/java/dappleseam/lab/scenario/FleetScenario.java
+++ b/src/main/java/dappleseam/lab/scenario/FleetScenario.java
@@ -38,6 +38,16 @@
         public boolean concerns(int sender, int receiver) {
             return (from.isEmpty() || from.contains(sender)) && (to.isEmpty() || to.contains(receiver));
         }
+
+        /** Whether it is on one link only, one way. */
+        public boolean isOneLink() {
+            return from.size() == 1 && to.size() == 1;
+        }
+
+        /** The same with its end so much later. */
+        public LinkFault prolonged(double byS) {
+            return new LinkFault(atS, forS + byS, how, from, to, size);
+        }
     }
 
     /** What happens to a process. */
