A call for the list dials again beside a connection that hangs

What callers could see: after a watch fell silent (found out after up to 3.6 s), two connections to the list service that each hang kept a drain from a proxy for 7 s, where it counts as told after 6: queries to a node that drains, and perhaps is gone. Cause: a call had one connection and waited 1 s for it, then the back-off. Now it dials once more after 0.4 s and after 0.8 s while none is up, if a descriptor is left; the first that is up is used, the others are called off. A third is under way 4.4 s after the silence began. ListWatchTest (fails where nothing is dialled beside: 1 connection for 3); a refusal still fails the call at once; ServeTest passed.

--- a/src/main/java/dappleseam/list/ListWatch.java
+++ b/src/main/java/dappleseam/list/ListWatch.java
@@ -10,6 +10,8 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.DoubleUnaryOperator;
 import java.util.random.RandomGenerator;
@@ -28,6 +30,9 @@
     /** How long a call may take beyond its waiting, in ms: the service works through calls in turn. */
     private static final double LATE_MS = 1000;
     private static final double CONNECT_MS = 1000;
+    /** Time in ms after which a call whose connections all hang dials once more beside them; connections that it dials at most. */
+    static final double DIAL_AGAIN_MS = 400;
+    static final int MOST_DIALS = 3;
     /** Longest time in ms, drawn, before a watch that broke or fell silent is opened anew: all of them may have at once. */
     private static final double ANEW_MS = 100;
     /** Back-off in ms before a failed call is made again where the list is pushed; doubled. What the agent has counts as told at once. */
@@ -107,7 +112,10 @@
     private final class Call implements Link.Events {
         private final HttpReader reader = new HttpReader(loop.pool(), LONGEST_LIST);
         private Loop.Deadline late = () -> { };
-        private Loop.Deadline dialling;
+        private final List<Loop.Deadline> dials = new ArrayList<>();
+        /** Dials that are neither up nor failed. */
+        private int hanging;
+        private Loop.Deadline dialAgain = () -> { };
         private final long firstHoldMs;
         private Link link;
         /** Whether it goes on from an answer: the service was well then, and may be. */
@@ -119,10 +127,32 @@
         }
 
         void dial() {
-            dialling = loop.dialKept(service, CONNECT_MS, this::up, this::fail);
+            hanging++;
+            dials.add(loop.dialKept(service, CONNECT_MS, this::up, this::dialFailed));
+            dialAgain = loop.at(loop.nowMs() + DIAL_AGAIN_MS, this::dialBeside);
+        }
+
+        /** One connection that hangs says nothing of the service; not where nodes and clients hold all descriptors. */
+        private void dialBeside() {
+            if (loop.mayDial()) {
+                hanging++;
+                dials.add(loop.dial(service, CONNECT_MS, this::up, this::dialFailed));
+            }
+            if (dials.size() < MOST_DIALS) {
+                dialAgain = loop.at(loop.nowMs() + DIAL_AGAIN_MS, this::dialBeside);
+            }
+        }
+
+        private void dialFailed(String cause) {
+            hanging--;
+            if (hanging == 0 && link == null) {
+                fail(cause);
+            }
         }
 
         private void up(StreamConnection connection) {
+            dialAgain.callOff();
+            dials.forEach(Loop.Deadline::callOff);
             link = loop.link(connection, this);
             link.resume();
             ask(firstHoldMs);
@@ -207,7 +237,8 @@
         private void end() {
             call = null;
             late.callOff();
-            dialling.callOff();
+            dialAgain.callOff();
+            dials.forEach(Loop.Deadline::callOff);
             reader.release();
             if (link != null) {
                 link.close();
