--- a/src/test/java/dappleseam/proxy/SystemCallsTest.java
+++ b/src/test/java/dappleseam/proxy/SystemCallsTest.java
@@ -21,6 +21,9 @@
     private static final String VALUE = "value";
     private static final int TIME_MS = 1500;
     private static final double NANOS_PER_MS = 1e6;
+    private static final long ASKED_APART_MS = 20;
+    /** Time in ms after which a node that could not be reached is tried again at the latest. */
+    private static final double LATEST_BACK_MS = 3000;
 
     @TempDir
     Path folder;
@@ -153,6 +156,35 @@
         assertThat(client.answer()).isEqualTo(VALUE);
     }
 
+    /** Each query gets its one answer in its time, though nothing can be dialled for all of it; and the next once that is over. */
+    @ParameterizedTest
+    @CsvSource({"CONNECT,99", "CONNECT,101", "CONNECT,110", "CONNECT,113", "SOCKET,23", "SOCKET,24", "SOCKET,105"})
+    void callsThatFailForAsLongAsADeadlineCostNoAnswer(Call call, int error) throws Exception {
+        sockets.origin.always = Sockets.ok(VALUE);
+        Sockets.Client client = sockets.start(folder, "").client();
+        client.send("PING");
+        assertThat(client.answer()).isEqualTo("+PONG");
+        calls.fail(call, error, 1, FailingCalls.ALWAYS);
+        long began = System.nanoTime();
+        for (int i = 0; System.nanoTime() - began < 2 * TIME_MS * NANOS_PER_MS; i++) {
+            long asked = System.nanoTime();
+            ask(client, "during" + i);
+            assertThat(client.answer()).matches("-(BUSY|ERR).*");
+            assertThat((System.nanoTime() - asked) / NANOS_PER_MS).isLessThan(TIME_MS + 500);
+            Thread.sleep(ASKED_APART_MS);
+        }
+        assertThat(calls.failed(call)).isPositive();
+        calls.stop(call);
+        long stopped = System.nanoTime();
+        String answer = "";
+        for (int i = 0; !answer.equals(VALUE) && (System.nanoTime() - stopped) / NANOS_PER_MS < LATEST_BACK_MS; i++) {
+            Thread.sleep(ASKED_APART_MS);
+            ask(client, "after" + i);
+            answer = client.answer();
+        }
+        assertThat(answer).isEqualTo(VALUE);
+    }
+
     @Test
     void readsAndWritesMayBeShort() throws Exception {
         Sockets.Client client = sockets.start(folder, "").client();
