--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -20,6 +20,7 @@
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.Selector;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
@@ -137,9 +138,7 @@
             return 1;
         }
         killDelay = new KillDelay(post.site().deployment());
-        worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.THREAD_DAEMON, true).getMap());
+        worker = awaitWorker();
         CountDownLatch started = new CountDownLatch(1);
         Signal.handle(new Signal("HUP"), signal -> { // each on a thread of its own; one that comes early waits
             awaitStart(started);
@@ -279,6 +278,23 @@
         begun.countDown();
     }
 
+    /** Waits until the I/O thread's selector is to be had; its descriptors may be short for a moment. */
+    private XnioWorker awaitWorker() throws IOException, InterruptedException {
+        OptionMap oneThread = OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.THREAD_DAEMON, true).getMap();
+        while (true) {
+            try {
+                Selector.open().close(); // XNIO looks once for what it needs, and is of no use after that where it found nothing
+                return Xnio.getInstance().createWorker(oneThread);
+            } catch (IOException e) {
+                if (EventLoop.machineMs() > socketsUntil) {
+                    throw e;
+                }
+                Thread.sleep((long) LOOK_AGAIN_MS);
+            }
+        }
+    }
+
     /** Waits until a socket is to be had; where none is in time, what needs one says so. */
     private void awaitSockets() throws InterruptedException {
         while (EventLoop.machineMs() < socketsUntil) {
--- a/src/test/c/failing_calls.c
+++ b/src/test/c/failing_calls.c
@@ -10,13 +10,14 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/uio.h>
 #include <unistd.h>
 
-enum kind { ACCEPT, SOCKET, CONNECT, READ, WRITE, EPOLL_WAIT, FILE_OPEN, FILE_WRITE, FILE_SYNC, FILE_RENAME, KINDS };
+enum kind { ACCEPT, SOCKET, CONNECT, READ, WRITE, EPOLL_WAIT, FILE_OPEN, FILE_WRITE, FILE_SYNC, FILE_RENAME, EPOLL_CREATE, EVENTFD, KINDS };
 
 /* error: errno, or SHORT for one byte only; every: each so many calls; left: failures to come, under 0 for no end. */
 struct rule { int error; int every; int left; int calls; int failed; };
@@ -115,6 +116,21 @@
     return REAL(writev)(fd, parts, e == SHORT ? 1 : count);
 }
 
+int epoll_create1(int flags) {
+    FAIL(EPOLL_CREATE);
+    return REAL(epoll_create1)(flags);
+}
+
+int epoll_create(int size) {
+    FAIL(EPOLL_CREATE);
+    return REAL(epoll_create)(size);
+}
+
+int eventfd(unsigned int value, int flags) {
+    FAIL(EVENTFD);
+    return REAL(eventfd)(value, flags);
+}
+
 int epoll_wait(int fd, struct epoll_event *events, int most, int timeout) {
     FAIL(EPOLL_WAIT);
     return REAL(epoll_wait)(fd, events, most, timeout);
--- a/src/test/java/dappleseam/proxy/FailingCalls.java
+++ b/src/test/java/dappleseam/proxy/FailingCalls.java
@@ -16,7 +16,7 @@
 /** Makes system calls of a started program fail: a library for LD_PRELOAD, built here from src/test/c, and the file that steers it. */
 final class FailingCalls {
     /** In the order of the library's own list. */
-    enum Call { ACCEPT, SOCKET, CONNECT, READ, WRITE, EPOLL_WAIT, FILE_OPEN, FILE_WRITE, FILE_SYNC, FILE_RENAME }
+    enum Call { ACCEPT, SOCKET, CONNECT, READ, WRITE, EPOLL_WAIT, FILE_OPEN, FILE_WRITE, FILE_SYNC, FILE_RENAME, EPOLL_CREATE, EVENTFD }
 
     /** Errors of Linux, as numbers on x86 and ARM alike; {@code SHORT} is no error: one byte is read or written. */
     static final int SHORT = -1;
--- a/src/test/java/dappleseam/proxy/SystemCallsTest.java
+++ b/src/test/java/dappleseam/proxy/SystemCallsTest.java
@@ -134,6 +134,16 @@
         assertThat(calls.failed(Call.SOCKET)).isEqualTo(12);
     }
 
+    @ParameterizedTest
+    @CsvSource({"EPOLL_CREATE,23,1", "EPOLL_CREATE,24,3", "EPOLL_CREATE,12,20", "EVENTFD,23,1", "EVENTFD,24,3"})
+    void aSelectorThatCannotBeHadForAMomentIsNoReasonNotToStart(Call call, int error, int times) throws Exception {
+        calls.fail(call, error, 1, times);
+        Sockets.Client client = sockets.start(folder, "").client();
+        ask(client, "first");
+        assertThat(client.answer()).isEqualTo(VALUE);
+        assertThat(calls.failed(call)).isPositive();
+    }
+
     @ParameterizedTest
     @CsvSource({"CONNECT,99", "CONNECT,101", "CONNECT,113", "CONNECT,105", "SOCKET,23", "SOCKET,105", "READ,110", "READ,113", "WRITE,110"})
     void aCallThatFailsOnceLeavesAnAnswerAndTheNextQueryUnharmed(Call call, int error) throws Exception {
