--- a/src/test/java/dappleseam/proxy/SystemCallsTest.java
+++ b/src/test/java/dappleseam/proxy/SystemCallsTest.java
@@ -149,14 +149,16 @@
     void aCallThatFailsOnceLeavesAnAnswerAndTheNextQueryUnharmed(Call call, int error) throws Exception {
         sockets.origin.always = Sockets.ok(VALUE);
         Sockets.Client client = sockets.start(folder, "").client();
-        client.send("PING");
-        assertThat(client.answer()).isEqualTo("+PONG");
-        calls.fail(call, error, 1, 1);
         Sockets.Client other = sockets.client();
-        ask(other, "first");
+        for (Sockets.Client one : List.of(client, other)) { // a connection is read once more after its answer: at the other's, the first's is over
+            one.send("PING");
+            assertThat(one.answer()).isEqualTo("+PONG");
+        }
+        calls.fail(call, error, 1, 1);
         boolean answered = call != Call.READ && call != Call.WRITE; // else the call may be this client's own
         String first = null;
         try {
+            ask(other, "first");
             first = other.answer();
         } catch (java.io.IOException e) {
             assertThat(answered).isFalse();
