--- /dev/null
+++ b/review/standins/src/LateCopy.java
@@ -0,0 +1,113 @@
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Clients read one key after the other. Now and then a cache answers a second time, some milliseconds late, while nothing else waits on the
+ * connection. Every value that a client gets has to be that of the key it asked for.
+ */
+final class LateCopy {
+    /** Time between a cache's answer and its copy, ms: "some milliseconds late". */
+    private static final double LATE_MS = 2;
+    /** One way between the proxy and the caches, ms: the site's locations are 2.6 to 4.8 ms apart. */
+    private static final double ONE_WAY_MS = 3;
+    /** Time between two copies, over all caches, ms: longer than the program remembers a spoilt answer. */
+    private static final double EVERY_MS = 11_000;
+    private static final double LENGTH_MS = 80_000;
+    private static final int CLIENTS = 3;
+    private static final int KEYS = 40;
+
+    private static double nextCopyAt = 4000;
+
+    public static void main(String[] args) throws Exception {
+        Stand.run(Path.of(args[0]), LateCopy::play);
+    }
+
+    private static synchronized boolean isCopyDue() {
+        if (!Stand.TROUBLE || Stand.nowMs() < nextCopyAt) {
+            return false;
+        }
+        nextCopyAt = Stand.nowMs() + EVERY_MS;
+        return true;
+    }
+
+    private static final class Copying extends Stand.Cache {
+        Copying(String uid) throws Exception {
+            super(uid);
+        }
+
+        @Override
+        void answer(Socket socket, InputStream in, OutputStream out, Stand.Asked asked, LinkedBlockingQueue<Stand.Asked> waiting) throws Exception {
+            super.answer(socket, in, out, asked, waiting);
+            if (waiting.isEmpty() && socket.getInputStream().available() == 0 && isCopyDue()) {
+                Stand.Asked next = waiting.poll((long) LATE_MS, MILLISECONDS);
+                if (next == null && socket.getInputStream().available() == 0) { // nothing else waits on the connection
+                    out.write(Stand.cacheAnswer(value(asked.key)));
+                    Stand.record("%s answers id %s a second time, nothing else waits", uid, asked.id);
+                } else {
+                    Stand.record("%s: no second answer, as a command has come", uid);
+                    nextCopyAt = Stand.nowMs();
+                    if (next != null) {
+                        Stand.record("%s reads %s %s id %s", uid, next.verb, next.key, next.id);
+                        super.answer(socket, in, out, next, waiting);
+                    }
+                }
+            }
+        }
+    }
+
+    private static String play() throws Exception {
+        List<String> entries = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            Stand.Cache cache = new Copying("cache-" + i);
+            Stand.Way way = new Stand.Way("way-" + i, cache.port(), ONE_WAY_MS);
+            entries.add(cache.entry(i == 0 ? "economico" : "estandar", way.port(), i));
+        }
+        Stand.Origin origin = new Stand.Origin();
+        entries.add(origin.entry("origin", origin.port(), 0));
+        Stand.Program program = new Stand.Program(new Stand.Discovery(entries));
+        List<String> wrong = new ArrayList<>();
+        AtomicInteger served = new AtomicInteger();
+        AtomicInteger ids = new AtomicInteger();
+        double until = Stand.nowMs() + LENGTH_MS;
+        List<Thread> clients = new ArrayList<>();
+        for (int c = 0; c < CLIENTS; c++) {
+            int number = c;
+            clients.add(Stand.go("client " + c, () -> {
+                Stand.Client client = new Stand.Client("client " + number, program.port);
+                for (int i = 0; Stand.nowMs() < until; i++) {
+                    String key = String.format("%016x", 1 + (number * 17L + i * 7L) % KEYS);
+                    String id = String.format("%016x", ids.incrementAndGet());
+                    client.write(Stand.command("C.GET", key, id, "c=consulta,d=4000"));
+                    String answer = client.read().get(0);
+                    if (answer != null && !answer.startsWith("-")) {
+                        served.incrementAndGet();
+                        if (!answer.equals(Stand.valueOf(key))) {
+                            String text = "client " + number + " asked for " + key + " (id " + id + ") and was served with " + answer;
+                            Stand.record("WRONG: %s", text);
+                            synchronized (wrong) {
+                                wrong.add(text);
+                            }
+                        }
+                    }
+                }
+                client.close();
+            }));
+        }
+        for (Thread client : clients) {
+            client.join();
+        }
+        Stand.record("%d answers with a value", served.get());
+        if (served.get() < 1000) {
+            throw new IllegalStateException("only " + served.get() + " answers with a value");
+        }
+        return String.join("\n", wrong);
+    }
+}
