Review, case 1: a write that must not run twice is refused after it has run

Cause: a second copy of a long answer is discarded as it comes, on a connection that counts as idle. A write sent on it loses its entry to the copy's end, is found in no queue at its deadline, and so counts as never written: the client is told -BUSY and sends it again. Nothing is fixed.

--- a/review/standins/src/Stand.java
+++ b/review/standins/src/Stand.java
@@ -231,8 +231,8 @@
             return server.getLocalPort();
         }
 
-        String entry(String model, int port, int zone) {
-            return "{\"uid\":\"" + uid + "\",\"endpoint\":\"127.0.0.1:" + port + "\",\"az\":\"" + ZONES[zone] + "\",\"model\":\"" + model
+        String entry(String model, int port, String zone) {
+            return "{\"uid\":\"" + uid + "\",\"endpoint\":\"127.0.0.1:" + port + "\",\"az\":\"" + zone + "\",\"model\":\"" + model
                     + "\",\"pod_group\":0,\"state\":\"ready\",\"capacity_hint\":1.0,\"boot_ms\":0}";
         }
     }
@@ -242,12 +242,15 @@
         final String verb;
         final String key;
         final String id;
+        /** The value of a write; null for a read. */
+        final String value;
         final double atMs;
 
         Asked(List<String> elements, double atMs) {
             verb = elements.get(0);
             key = elements.get(1);
             id = elements.get(2);
+            value = elements.size() > 4 ? elements.get(4) : null;
             this.atMs = atMs;
         }
     }
@@ -296,8 +299,9 @@
 
         void answer(Socket socket, InputStream in, OutputStream out, Asked asked, LinkedBlockingQueue<Asked> waiting) throws Exception {
             sleep(asked.atMs + workMs(asked) - nowMs());
-            out.write(cacheAnswer(value(asked.key)));
-            record("%s answers id %s with %s", uid, asked.id, cut(value(asked.key)));
+            String text = asked.value == null ? value(asked.key) : "receipt-of-" + asked.id;
+            out.write(cacheAnswer(text));
+            record("%s answers id %s with %s", uid, asked.id, cut(text));
         }
     }
 
@@ -332,9 +336,15 @@
                 String body = request[0].equals("PUT") ? "receipt-of-" + id : valueOf(key);
                 out.write(ascii("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body));
                 record("origin answers id %s with %s", id, cut(body));
+                answered(id);
             }
         }
 
+        /** It has written its answer. */
+        void answered(String id) {
+            // for those who count
+        }
+
         double workMs(String method, String key) {
             return 150;
         }
@@ -416,10 +426,12 @@
 
     // ---- the program
 
+    /** The limits of the days that are scored. */
+    static final int SOCKETS = 1024;
     static final String[] ZONES = {"parana", "santa-fe", "rosario", "concordia"};
 
     /** The settings of litoral-homebanking, from its site file. */
-    static String settings() {
+    static String litoral() {
         return """
                 {"balancers":1,
                  "ceilings":{"connectTimeoutS":0.25,"cpuUsPerRequest":0.0,"cpuUsPerS":100000,"idleCloseS":10.0,"maxRetryAfterS":2.0,
@@ -444,19 +456,50 @@
                  "serviceType":"cache","stage":0,"tickS":0.005,"tiers":["cache-cuentas"],"weightSource":"nominal","zone":0}""";
     }
 
+    /** The settings of kingston-league, from its site file. */
+    static String kingston() {
+        return """
+                {"balancers":1,
+                 "ceilings":{"connectTimeoutS":0.2,"cpuUsPerRequest":0.0,"cpuUsPerS":500000,"idleCloseS":15.0,"maxRetryAfterS":2.0,
+                   "mayCancel":true,"mostExecutions":5,"mostHeld":4000,"parallelTries":true,"peers":false,"probing":true,
+                   "retryAfter":false,"streamsPerConn":1},
+                 "clients":{"marksRetry":true},
+                 "dcs":["hall-a","hall-b"],
+                 "excessImportance":0.1,
+                 "extra":{"mode":"through","notes":"1 hit, 2 miss, 3 miss while this server has told another request to fetch",
+                   "originFallMultiple":0.0,"originFallS":3.0,"originKind":-1,"reportX0":"","reportX1":"fetches out"},
+                 "flavors":["std-3core"],
+                 "goal":{"whole":0.45,"worstClass":0.2,"worstTenant":0.0,"worstWindow":0.35},
+                 "importanceBasis":"request","me":0,"membershipMode":"pushed",
+                 "penalties":{"connection":0.0,"crossZone":0.01,"handshake":0.02,"lateFail":0.055,"membershipMode":0.0,"moves":0.0,
+                   "origin":0.0,"peer":0.0,"probe":0.01,"waste":0.031},
+                 "projects":[],"report":{"fields":["outstanding","errors_per_s","x1"],"how":"inline"},
+                 "rules":{"askEveryS":10.0,"coldFrom":0.15,"drainGraceS":0.25,"fallMultiple":3.0,"fallS":1.5,"graceToAnswerS":0.005,"warmAfterS":23.0},
+                 "serviceGrades":[
+                   {"group":"all","importance":3.0,"name":"team-view","semantics":"read_like","sloTimeS":0.5,"statementTimeoutS":1.0,
+                    "stream":false,"tardyImportance":0.0,"windowS":5.0},
+                   {"group":"all","importance":1.0,"name":"league-table","semantics":"read_like","sloTimeS":1.2,"statementTimeoutS":4.0,
+                    "stream":false,"tardyImportance":0.0,"windowS":5.0},
+                   {"group":"all","importance":8.0,"name":"transfer","semantics":"non_idempotent","sloTimeS":1.2,"statementTimeoutS":4.0,
+                    "stream":false,"tardyImportance":0.0,"windowS":5.0},
+                   {"group":"all","importance":2.0,"name":"captain-pick","semantics":"idempotency_key","sloTimeS":1.5,"statementTimeoutS":5.0,
+                    "stream":false,"tardyImportance":0.0,"windowS":3.0}],
+                 "serviceType":"cache","stage":0,"tickS":0.005,"tiers":["score-cache"],"weightSource":"live","zone":0}""";
+    }
+
     /** One proxy, started by the run command of the deploy file. */
     static final class Program {
         final int port = freePort();
         final int control = freePort();
         final Process process;
 
-        Program(Discovery discovery) throws Exception {
+        Program(Discovery discovery, String settings) throws Exception {
             Path config = temporary.resolve("config.json");
             Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"control\":\"127.0.0.1:" + control
                     + "\",\"discovery\":\"127.0.0.1:" + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\n"
-                    + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\n\"known\":" + discovery.list()
-                    + ",\n\"settings\":" + settings() + "}\n");
-            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", deployFile("run"));
+                    + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + SOCKETS + "},\n\"known\":" + discovery.list()
+                    + ",\n\"settings\":" + settings + "}\n");
+            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n " + SOCKETS + "; " + deployFile("run"));
             builder.environment().putAll(Map.of("NODE_NAME", "n0", "NODE_LISTEN", "127.0.0.1:" + port, "NODE_DISCOVERY",
                     "127.0.0.1:" + discovery.port(), "NODE_CONFIG", config.toString(), "NODE_CONTROL", "127.0.0.1:" + control,
                     "TMPDIR", Files.createDirectories(temporary.resolve("tmp")).toString()));
