--- a/review/standins/src/BrokenLong.java
+++ b/review/standins/src/BrokenLong.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 
 /**
- * A client sends three reads at once on one connection: a usual one, one of a long value, and a usual one. The cache of the long value resets
- * its connection in the middle of that value. The usual reads, whose caches answer in time, have to be answered.
+ * A client sends three commands at once on one connection: a read or a write, a read of a long value, and a read. The cache of the long value
+ * resets its connection in the middle of that value. The other two, whose cache or origin answers in time, have to be answered.
  */
 final class BrokenLong {
     private static final int LONG_BYTES = 100_000;
@@ -68,11 +68,16 @@
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             Stand.Cache cache = new Breaking("cache-" + i);
-            entries.add(cache.entry(i == 0 ? "economico" : "estandar", cache.port(), i));
+            entries.add(cache.entry(i == 0 ? "economico" : "estandar", cache.port(), Stand.ZONES[i]));
         }
-        Stand.Origin origin = new Stand.Origin();
-        entries.add(origin.entry("origin", origin.port(), 0));
-        Stand.Program program = new Stand.Program(new Stand.Discovery(entries));
+        Stand.Origin origin = new Stand.Origin() {
+            @Override
+            void answered(String id) {
+                ANSWERED_WHOLE.add(id);
+            }
+        };
+        entries.add(origin.entry("origin", origin.port(), Stand.ZONES[0]));
+        Stand.Program program = new Stand.Program(new Stand.Discovery(entries), Stand.litoral());
         List<String> keys = learnCaches(program);
         LONG_KEYS.add(keys.get(1));
         isBreaking = Stand.TROUBLE;
@@ -85,12 +90,14 @@
             List<String> ids = new ArrayList<>();
             for (int i = 0; i < 3; i++) {
                 ids.add(String.format("%08x%08x", round + 1, i));
-                all.append(new String(Stand.command("C.GET", keys.get(i), ids.get(i), "c=consulta,d=" + (int) DEADLINE_MS),
-                        java.nio.charset.StandardCharsets.ISO_8859_1));
+                byte[] command = i == 0 && round % 2 == 1 // every other time the first one is a write, which goes to the origin
+                        ? Stand.command("C.SET", keys.get(i), ids.get(i), "c=transferencia,d=3000,k=" + ids.get(i), "amount=1")
+                        : Stand.command("C.GET", keys.get(i), ids.get(i), "c=consulta,d=" + (int) DEADLINE_MS);
+                all.append(new String(command, java.nio.charset.StandardCharsets.ISO_8859_1));
             }
             client.write(Stand.ascii(all.toString()));
             double sentAt = Stand.nowMs();
-            Stand.record("client %d sends %s: usual, long, usual", round, ids);
+            Stand.record("client %d sends %s: a %s, a read of a long value, a read", round, ids, round % 2 == 1 ? "write" : "read");
             boolean hasBegunLong = false;
             for (int i = 0; i < 3; i++) {
                 String text;
@@ -110,15 +117,15 @@
                 boolean isJudged = i == 0 || i == 2 && !hasBegunLong; // behind a value that has begun, a close is all that can tell
                 usual += isJudged ? 1 : 0;
                 if (isJudged && !inTime) {
-                    broken.add("id " + ids.get(i) + ", a usual read, " + text + (ANSWERED_WHOLE.contains(ids.get(i)) ? "; its cache had answered it" : ""));
+                    broken.add("id " + ids.get(i) + ", " + text + (ANSWERED_WHOLE.contains(ids.get(i)) ? "; it had been answered whole to the proxy" : ""));
                 }
             }
             client.close();
-            Stand.sleep(3000);
+            Stand.sleep(2500);
         }
-        Stand.record("%d usual reads, %d lost", usual, broken.size());
+        Stand.record("%d usual commands judged, %d lost", usual, broken.size());
         broken.forEach(line -> Stand.record("LOST: %s", line));
-        return broken.isEmpty() ? "" : broken.size() + " of " + usual + " usual reads were lost, such as: " + broken.get(0);
+        return broken.isEmpty() ? "" : broken.size() + " of " + usual + " usual commands were lost, such as: " + broken.get(0);
     }
 
     /** Keys of three different caches, found by reading some. */
--- a/review/standins/src/DrainedPipeline.java
+++ b/review/standins/src/DrainedPipeline.java
@@ -20,7 +20,7 @@
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             Stand.Cache cache = new Stand.Cache("cache-" + i);
-            entries.add(cache.entry(i == 0 ? "economico" : "estandar", cache.port(), i));
+            entries.add(cache.entry(i == 0 ? "economico" : "estandar", cache.port(), Stand.ZONES[i]));
         }
         Stand.Origin origin = new Stand.Origin() {
             @Override
@@ -28,8 +28,8 @@
                 return method.equals("PUT") ? ORIGIN_MS : 150;
             }
         };
-        entries.add(origin.entry("origin", origin.port(), 0));
-        Stand.Program program = new Stand.Program(new Stand.Discovery(entries));
+        entries.add(origin.entry("origin", origin.port(), Stand.ZONES[0]));
+        Stand.Program program = new Stand.Program(new Stand.Discovery(entries), Stand.litoral());
         List<String> broken = new ArrayList<>();
         for (int round = 0; round < ROUNDS; round++) {
             Stand.Client client = new Stand.Client("client " + round, program.port);
--- a/review/standins/src/LateCopy.java
+++ b/review/standins/src/LateCopy.java
@@ -68,11 +68,11 @@
         for (int i = 0; i < 3; i++) {
             Stand.Cache cache = new Copying("cache-" + i);
             Stand.Way way = new Stand.Way("way-" + i, cache.port(), ONE_WAY_MS);
-            entries.add(cache.entry(i == 0 ? "economico" : "estandar", way.port(), i));
+            entries.add(cache.entry(i == 0 ? "economico" : "estandar", way.port(), Stand.ZONES[i]));
         }
         Stand.Origin origin = new Stand.Origin();
-        entries.add(origin.entry("origin", origin.port(), 0));
-        Stand.Program program = new Stand.Program(new Stand.Discovery(entries));
+        entries.add(origin.entry("origin", origin.port(), Stand.ZONES[0]));
+        Stand.Program program = new Stand.Program(new Stand.Discovery(entries), Stand.litoral());
         List<String> wrong = new ArrayList<>();
         AtomicInteger served = new AtomicInteger();
         AtomicInteger ids = new AtomicInteger();
--- a/review/standins/src/SlowWriters.java
+++ b/review/standins/src/SlowWriters.java
@@ -27,11 +27,11 @@
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             Stand.Cache cache = new Stand.Cache("cache-" + i);
-            entries.add(cache.entry(i == 0 ? "economico" : "estandar", cache.port(), i));
+            entries.add(cache.entry(i == 0 ? "economico" : "estandar", cache.port(), Stand.ZONES[i]));
         }
         Stand.Origin origin = new Stand.Origin();
-        entries.add(origin.entry("origin", origin.port(), 0));
-        Stand.Program program = new Stand.Program(new Stand.Discovery(entries));
+        entries.add(origin.entry("origin", origin.port(), Stand.ZONES[0]));
+        Stand.Program program = new Stand.Program(new Stand.Discovery(entries), Stand.litoral());
         List<String> late = new ArrayList<>();
         int judged = 0;
         for (int round = 0; round < ROUNDS; round++) {
