Review, case 3: with long values both processes of an upgrade go over the memory limit

Cause: each process keeps a buffer pool of up to a fifth of the whole limit, which never shrinks and is not divided while another process shares the address; only the heaps are cut for two.

--- a/review/standins/src/Stand.java
+++ b/review/standins/src/Stand.java
@@ -489,12 +489,18 @@
 
     /** One proxy, started by the run command of the deploy file. */
     static final class Program {
-        final int port = freePort();
+        final int port;
         final int control = freePort();
         final Process process;
 
         Program(Discovery discovery, String settings) throws Exception {
-            Path config = temporary.resolve("config.json");
+            this(discovery, settings, freePort());
+        }
+
+        /** Also the next process of a proxy, with the same address and another one for operators. */
+        Program(Discovery discovery, String settings, int port) throws Exception {
+            this.port = port;
+            Path config = temporary.resolve("config-" + control + ".json");
             Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"control\":\"127.0.0.1:" + control
                     + "\",\"discovery\":\"127.0.0.1:" + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\n"
                     + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + SOCKETS + "},\n\"known\":" + discovery.list()
@@ -503,15 +509,15 @@
             builder.environment().putAll(Map.of("NODE_NAME", "n0", "NODE_LISTEN", "127.0.0.1:" + port, "NODE_DISCOVERY",
                     "127.0.0.1:" + discovery.port(), "NODE_CONFIG", config.toString(), "NODE_CONTROL", "127.0.0.1:" + control,
                     "TMPDIR", Files.createDirectories(temporary.resolve("tmp")).toString()));
-            process = builder.redirectErrorStream(true).redirectOutput(temporary.resolve("log").toFile()).start();
+            process = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(temporary.resolve("log").toFile())).start();
             STARTED_PROCESSES.add(process);
             for (int i = 0; ; i++) {
-                try (Client client = new Client("ready", port)) {
-                    client.write(command("PING"));
-                    if (client.read().get(0).equals("+PONG")) {
+                try {
+                    if (call("GET", "/control/ready").contains(" 200 ")) {
                         record("the program is ready, process %d", process.pid());
                         return;
                     }
+                    sleep(50);
                 } catch (IOException e) {
                     if (i > 300 || !process.isAlive()) {
                         throw new IllegalStateException("the program did not become ready");
