--- a/review/standins/src/BrokenLong.java
+++ b/review/standins/src/BrokenLong.java
@@ -72,7 +72,7 @@
         }
         Stand.Origin origin = new Stand.Origin() {
             @Override
-            void answered(String id) {
+            void answered(String id, byte[] answer, Socket socket, OutputStream out) {
                 ANSWERED_WHOLE.add(id);
             }
         };
--- a/review/standins/src/Stand.java
+++ b/review/standins/src/Stand.java
@@ -232,6 +232,10 @@
         }
 
         String entry(String model, int port, String zone) {
+            return entry(uid, model, port, zone);
+        }
+
+        String entry(String uid, String model, int port, String zone) {
             return "{\"uid\":\"" + uid + "\",\"endpoint\":\"127.0.0.1:" + port + "\",\"az\":\"" + zone + "\",\"model\":\"" + model
                     + "\",\"pod_group\":0,\"state\":\"ready\",\"capacity_hint\":1.0,\"boot_ms\":0}";
         }
@@ -334,15 +338,16 @@
                 record("origin reads %s %s id %s, %d bytes", request[0], key, id, length);
                 sleep(workMs(request[0], key));
                 String body = request[0].equals("PUT") ? "receipt-of-" + id : valueOf(key);
-                out.write(ascii("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body));
+                byte[] answer = ascii("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                out.write(answer);
                 record("origin answers id %s with %s", id, cut(body));
-                answered(id);
+                answered(id, answer, socket, out);
             }
         }
 
         /** It has written its answer. */
-        void answered(String id) {
-            // for those who count
+        void answered(String id, byte[] answer, Socket socket, OutputStream out) throws IOException {
+            // for those who do or count more
         }
 
         double workMs(String method, String key) {
