--- a/review/standins/src/LateCopy.java
+++ b/review/standins/src/LateCopy.java
@@ -48,6 +48,16 @@
             super(uid);
         }
 
+        @Override
+        void noteRead(Stand.Asked asked) {
+            // noted with its answer
+        }
+
+        @Override
+        void noteAnswer(Stand.Asked asked, String text) {
+            Stand.brief(uid + " " + asked.verb + " " + Stand.digits(asked.key) + " " + Stand.digits(asked.id));
+        }
+
         @Override
         void answer(Socket socket, InputStream in, OutputStream out, Stand.Asked asked, LinkedBlockingQueue<Stand.Asked> waiting) throws Exception {
             super.answer(socket, in, out, asked, waiting);
@@ -60,7 +70,6 @@
                     Stand.record("%s: no second answer, as a command has come", uid);
                     nextCopyAt = Stand.nowMs();
                     if (next != null) {
-                        Stand.record("%s reads %s %s id %s", uid, next.verb, next.key, next.id);
                         super.answer(socket, in, out, next, waiting);
                     }
                 }
@@ -73,6 +82,16 @@
             super();
         }
 
+        @Override
+        void noteRead(String method, String key, String id, int length) {
+            Stand.brief("origin " + method + " " + Stand.digits(key) + " " + Stand.digits(id));
+        }
+
+        @Override
+        void noteAnswer(String id, String body) {
+            // with its own receipt, ORIGIN_MS after it was read
+        }
+
         @Override
         double workMs(String method, String key) {
             return ORIGIN_MS;
@@ -102,6 +121,9 @@
         Stand.Way originWay = new Stand.Way("way-origin", new CopyingOrigin().port(), ONE_WAY_MS);
         entries.add(originWay.entry("origin-0", "origin", originWay.port(), Stand.ZONES[0]));
         Stand.Program program = new Stand.Program(new Stand.Discovery(entries), Stand.litoral());
+        Stand.record("short lines: \"MS cache-N COMMAND KEY ID\" is a command that this cache has run and answered with its key's value;");
+        Stand.record("\"MS origin METHOD KEY ID\" is a request that the origin has read, and answers %.0f ms later with its own receipt;", ORIGIN_MS);
+        Stand.record("\"MS client N ID own\" is an answer that is the client's own, \"MS client N ID -...\" an error or a refusal");
         List<String> wrongValues = new ArrayList<>();
         List<String> wrongReceipts = new ArrayList<>();
         AtomicInteger served = new AtomicInteger();
@@ -120,7 +142,9 @@
                     client.write(writes ? Stand.command("C.SET", key, id, "c=transferencia,d=3000,k=" + id, "amount=1")
                             : Stand.command("C.GET", key, id, "c=consulta,d=4000"));
                     String answer = client.read().get(0);
-                    if (answer != null && !answer.startsWith("-")) {
+                    if (answer == null || answer.startsWith("-")) {
+                        Stand.brief("client " + number + " " + Stand.digits(id) + " " + (answer == null ? "-null" : answer));
+                    } else {
                         served.incrementAndGet();
                         if (!answer.equals(writes ? "receipt-of-" + id : Stand.valueOf(key))) {
                             String text = "client " + number + (writes ? " wrote " : " asked for ") + key + " (id " + id + ") and was served with " + answer;
@@ -128,6 +152,8 @@
                             synchronized (wrong) {
                                 wrong.add(text);
                             }
+                        } else {
+                            Stand.brief("client " + number + " " + Stand.digits(id) + " own");
                         }
                     }
                 }
--- a/review/standins/src/Stand.java
+++ b/review/standins/src/Stand.java
@@ -35,7 +35,20 @@
 
     /** Adds a line to the record. */
     static void record(String format, Object... arguments) {
-        String line = String.format("%10.2f  ", nowMs()) + String.format(format, arguments);
+        add(String.format("%10.2f  ", nowMs()) + String.format(format, arguments));
+    }
+
+    /** Adds a short line to the record, for cases with very many requests: one for each at its node, one for each answer at its client. */
+    static void brief(String text) {
+        add(String.format("%.1f ", nowMs()) + text);
+    }
+
+    /** A number of 16 hexadecimal digits without its leading zeros. */
+    static String digits(String number) {
+        return Long.toHexString(Long.parseUnsignedLong(number, 16));
+    }
+
+    private static void add(String line) {
         synchronized (RECORD) {
             RECORD.add(line);
         }
@@ -273,7 +286,7 @@
                 OutputStream out = socket.getOutputStream();
                 while (true) {
                     Asked next = asked.take();
-                    record("%s reads %s %s id %s", uid, next.verb, next.key, next.id);
+                    noteRead(next);
                     answer(socket, in, out, next, asked);
                 }
             });
@@ -305,6 +318,14 @@
             sleep(asked.atMs + workMs(asked) - nowMs());
             String text = asked.value == null ? value(asked.key) : "receipt-of-" + asked.id;
             out.write(cacheAnswer(text));
+            noteAnswer(asked, text);
+        }
+
+        void noteRead(Asked asked) {
+            record("%s reads %s %s id %s", uid, asked.verb, asked.key, asked.id);
+        }
+
+        void noteAnswer(Asked asked, String text) {
             record("%s answers id %s with %s", uid, asked.id, cut(text));
         }
     }
@@ -335,16 +356,24 @@
                     return;
                 }
                 String key = request[1].substring(1);
-                record("origin reads %s %s id %s, %d bytes", request[0], key, id, length);
+                noteRead(request[0], key, id, length);
                 sleep(workMs(request[0], key));
                 String body = request[0].equals("PUT") ? "receipt-of-" + id : valueOf(key);
                 byte[] answer = ascii("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
                 out.write(answer);
-                record("origin answers id %s with %s", id, cut(body));
+                noteAnswer(id, body);
                 answered(id, answer, socket, out);
             }
         }
 
+        void noteRead(String method, String key, String id, int length) {
+            record("origin reads %s %s id %s, %d bytes", method, key, id, length);
+        }
+
+        void noteAnswer(String id, String body) {
+            record("origin answers id %s with %s", id, cut(body));
+        }
+
         /** It has written its answer. */
         void answered(String id, byte[] answer, Socket socket, OutputStream out) throws IOException {
             // for those who do or count more
