An execution found on no connection counts as one that may have run

What callers may see: a write that must not run twice is refused with -BUSY after it has run, and sent again. Cause: stopWaiting of CacheNode and Origin told an execution that stands in no queue as not written, which proves that it never ran; any slip in the bookkeeping became a repeat. Change: only a queue of unwritten commands or the bytes written prove that.

--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -61,7 +61,7 @@
                 return writeProgress;
             }
         }
-        return WriteProgress.INCOMPLETE;
+        return WriteProgress.COMPLETE; // nothing shows that it was not written
     }
 
     @Override
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -78,7 +78,7 @@
                 }
             }
         }
-        return WriteProgress.INCOMPLETE;
+        return WriteProgress.COMPLETE; // nothing shows that it was not written
     }
 
     @Override
