Memory of an upgrade: buffers of both processes get what two JVMs leave of the limit

Cause: each process had a buffer pool of a fifth of the whole limit, never given back; only heaps were worked out for two. Change: BufferMemory leaves room for a second JVM at any time; a second process has 8 MB of buffers until it is alone. Heap 32 of 192 MB (was 48).

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
 # Starts one proxy. The JVM takes the bounds of its memory only as flags, so they are worked out here from the
-# configuration's limits.memory_mb: a quarter for the heap, a quarter for direct memory, of which the program's buffers
-# take four fifths; the rest is for the JVM itself. The heap is touched at the start, so that use does not grow later.
-# Two processes share the limit during an upgrade: beside its heap one takes some 35 MB and what buffers are in use, so that
-# the heap is at most half of the limit less 46 MB, but 16 MB at least.
+# configuration's limits.memory_mb: a quarter for the heap at most, a quarter for direct memory at most; the rest is for the
+# JVM itself. The heap is touched at the start, so that use does not grow later.
+# Two processes share the limit during an upgrade: of a half, less 42 MB for the JVM itself, the heap gets six tenths, but
+# 16 MB at least; the buffers of both get what is left of the limit (BufferMemory).
 # The two properties keep XNIO and its threads from setting up management beans that nobody reads: a tenth of the start.
 # The shell reads the figure itself: operators may refuse a start that begins any other program on its way.
 # dash reads a file with one system call a byte, bash by blocks: a configuration of 3,200 caches has half a megabyte.
@@ -24,7 +24,7 @@
   esac
 done < "${NODE_CONFIG:?names no file}"
 quarter=$((${memory:-192} / 4))
-heap=$((${memory:-192} / 2 - 46))
+heap=$(((${memory:-192} / 2 - 42) * 6 / 10))
 if [ "$heap" -lt 16 ]; then heap=16; fi
 if [ "$heap" -gt "$quarter" ]; then heap=$quarter; fi
 exec java -XX:SharedArchiveFile=target/dappleseam.jsa -Xlog:disable -Xlog:all=error:stderr -XX:+UseSerialGC \
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -43,9 +43,6 @@
 @Command(name = "serve", mixinStandardHelpOptions = true, description = "Serve clients on sockets.")
 public final class Serve implements Callable<Integer> {
     private static final Logger LOG = System.getLogger(Serve.class.getName());
-    /** Share of the memory limit for buffers; the launcher's flags leave a quarter for all direct memory. */
-    private static final double BUFFER_MEMORY_SHARE = 0.2;
-    private static final int BYTES_PER_MB = 1 << 20;
     /** Descriptors that are not connections: the program's files and selectors. */
     private static final int RESERVED_DESCRIPTORS = 48;
     /** Share of the remaining descriptors for connections to caches, the origin and the list service. */
@@ -184,7 +181,7 @@
         }
         ProxyConfig withList = addressLocks != null && addressLocks.isShared() ? withSavedList(proxyConfig) : proxyConfig;
         ProxyConfig effective = fleet == null ? withList : fleet.withStoredList(withList);
-        int buffers = (int) (BUFFER_MEMORY_SHARE * proxyConfig.memoryMb() * (BYTES_PER_MB / BufferPool.SIZE));
+        int buffers = bufferCount(proxyConfig);
         CountDownLatch startDone = new CountDownLatch(1);
         Exception[] failure = new Exception[1];
         worker.getIoThread().execute(() -> {
@@ -227,6 +224,11 @@
         return true;
     }
 
+    /** A process without a control server is never one of two. */
+    private int bufferCount(ProxyConfig proxyConfig) {
+        return BufferMemory.buffers(proxyConfig.memoryMb(), Runtime.getRuntime().maxMemory(), addressLocks == null || addressLocks.isPrimary());
+    }
+
     /** Descriptors for connections when that many processes share the limit of one. */
     private int connectionDescriptors(ProxyConfig proxyConfig, int processes) {
         int reserved = RESERVED_DESCRIPTORS + (proxyConfig.control() == null ? 0 : ControlServer.DESCRIPTORS + AddressLocks.DESCRIPTORS)
@@ -413,6 +415,7 @@
 
     private void startControlServer(ProxyConfig proxyConfig) throws IOException {
         boolean[] shared = {addressLocks.isShared()};
+        boolean[] primary = {addressLocks.isPrimary()};
         new ControlServer(proxyConfig.control(), new ServiceControl() {
             @Override
             public boolean isReady() {
@@ -444,6 +447,14 @@
             addressLocks.refresh();
             saveList(proxyConfig);
             saveHealth(proxyConfig);
+            if (addressLocks.isPrimary() && !primary[0]) {
+                primary[0] = true;
+                worker.getIoThread().execute(() -> {
+                    if (loop != null) {
+                        loop.pool().setMaxBuffers(bufferCount(proxyConfig));
+                    }
+                });
+            }
             if (addressLocks.isShared() != shared[0]) {
                 shared[0] = !shared[0];
                 LOG.log(Level.INFO, "{0}", shared[0] ? "another process serves this address, too"
--- a/src/main/java/dappleseam/wire/BufferPool.java
+++ b/src/main/java/dappleseam/wire/BufferPool.java
@@ -11,13 +11,18 @@
     private static final double RESERVED_FOR_REPLIES = 0.5;
 
     private final ArrayDeque<ByteBuffer> free = new ArrayDeque<>();
-    private final int maxBuffers;
+    private int maxBuffers;
     private int inUseCount;
 
     public BufferPool(int maxBuffers) {
         this.maxBuffers = maxBuffers;
     }
 
+    /** Raises the bound. */
+    public void setMaxBuffers(int newMaxBuffers) {
+        maxBuffers = Math.max(maxBuffers, newMaxBuffers);
+    }
+
     ByteBuffer acquire() {
         if (inUseCount >= maxBuffers) {
             throw new IllegalStateException("all " + maxBuffers + " buffers are in use");
