A PING goes out only for a reply that is wanted, and is dropped with its command

Read over: a command taken back unwritten left its connection waiting for the PING behind it, and a reply to an ended execution was still proven by one.

--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -242,6 +242,7 @@
             RespWriter.bulk(link.out(), "PING");
             fenced = behind;
             fencedAtMs = loop.nowMs();
+            fencedCommandMs = 0;
         }
 
         @Override
@@ -279,6 +280,7 @@
             unwritten.remove(newest);
             if (link.bytesWritten() == newest.startOffset) { // all unwritten bytes belong to it
                 link.dropUnwritten();
+                fenced = fenced == newest ? null : fenced; // a PING behind it is dropped, too
                 scheduleIdleClose();
             } else {
                 disconnected("a partly written command was cancelled"); // otherwise the rest would still be written
@@ -372,18 +374,25 @@
                     fenceOrder.need();
                 }
                 replyProven(result);
-            } else if (fenceOrder.isInOrder() && fenced == null && sent.size() == 1) {
+            } else if (canBeFenced()) {
                 unprovenReply = result;
                 queueFence(sent.peek());
                 link.flush();
             } else {
-                fenceOrder.need();
-                replyUniqueness.recordEqualReply(loop.nowMs());
+                if (!fenceOrder.isInOrder()) {
+                    fenceOrder.need();
+                    replyUniqueness.recordEqualReply(loop.nowMs());
+                }
                 result.release();
                 replyInvalid("a copy of an earlier reply");
             }
         }
 
+        /** Whether a PING can prove the reply to the only command, which is still wanted. */
+        private boolean canBeFenced() {
+            return fenceOrder.isInOrder() && fenced == null && sent.size() == 1 && !sent.peek().execution.hasEnded();
+        }
+
         private void replyProven(ExecutionResult reply) {
             reportReuse(false);
             releaseUnprovenReply(); // it was a copy
