Connections are reused only after a node's replies were seen to differ

Cause: reuse began before anything was known of the node's replies. Change: a node's first two replies come on connections of their own; if they are equal, reuse stays off.

--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -240,7 +240,7 @@
         /** Whether an idle connection can be reused; closes it if input or a close has arrived since the last response. */
         boolean isReusable() {
             idleBeforeReuseMs = loop.nowMs() - idleSince;
-            if (replyUniqueness.permitsReuse(loop.nowMs()) && link.hasNoInput() && policy.reuseStats().mayReuse(idleBeforeReuseMs)) {
+            if ((history.isEmpty() || replyUniqueness.permitsReuse(loop.nowMs())) && link.hasNoInput() && policy.reuseStats().mayReuse(idleBeforeReuseMs)) {
                 return true;
             }
             close();
--- a/src/main/java/dappleseam/query/ReplyHistory.java
+++ b/src/main/java/dappleseam/query/ReplyHistory.java
@@ -24,6 +24,11 @@
         return fingerprints.size() < MAX_REPLIES && !hasLargeValue;
     }
 
+    /** Whether no reply has come. */
+    public boolean isEmpty() {
+        return fingerprints.isEmpty() && !hasLargeValue;
+    }
+
     /** Whether one of the replies was to a write. */
     public boolean hasReceipt() {
         return hasReceipt;
--- a/src/main/java/dappleseam/query/ReplyUniqueness.java
+++ b/src/main/java/dappleseam/query/ReplyUniqueness.java
@@ -13,29 +13,31 @@
     private static final double MAX_SUSPENSION_MS = 3_600_000;
     /** Latest replies that are remembered of a node. */
     private static final int MAX_REMEMBERED = 32;
-    /** Receipts that have to differ before two writes go on one connection. */
-    private static final int MIN_RECEIPTS = 2;
+    /** Replies that have to differ before connections are reused, and receipts before one carries two writes. */
+    private static final int MIN_DISTINCT = 2;
 
     /** Ids of the commands, by the fingerprints of their replies. */
     private final Map<Long, String> recentReplies = new LinkedHashMap<>();
+    private int distinctReplies;
     private int distinctReceipts;
     private double suspensionMs = FIRST_SUSPENSION_MS;
     private double suspendedUntilMs = Double.NEGATIVE_INFINITY;
 
-    /** Whether a connection may carry more than one command. */
+    /** Whether a connection may carry more than one command: the node's replies were seen to differ, and none was equal lately. */
     public boolean permitsReuse(double nowMs) {
-        return nowMs >= suspendedUntilMs;
+        return distinctReplies >= MIN_DISTINCT && nowMs >= suspendedUntilMs;
     }
 
     /** Whether a connection may carry more than one write: its receipts were seen to differ. */
     public boolean permitsSecondWrite() {
-        return distinctReceipts >= MIN_RECEIPTS;
+        return distinctReceipts >= MIN_DISTINCT;
     }
 
     /** Records a reply with a value that is known to belong to {@code command}. */
     public void recordProven(Command command, long fingerprint, double nowMs) {
         String earlierId = recentReplies.putIfAbsent(fingerprint, command.id());
         if (earlierId == null) {
+            distinctReplies++;
             distinctReceipts += command.isWrite() ? 1 : 0;
             if (recentReplies.size() > MAX_REMEMBERED) {
                 recentReplies.remove(recentReplies.keySet().iterator().next());
@@ -47,6 +49,7 @@
 
     /** Records a reply that equals that to another command. */
     public void recordEqualReply(double nowMs) {
+        distinctReplies = 0;
         distinctReceipts = 0;
         suspendedUntilMs = nowMs + suspensionMs;
         suspensionMs = Math.min(2 * suspensionMs, MAX_SUSPENSION_MS);
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -171,7 +171,7 @@
 
         /** Whether a copy of an earlier reply would not be taken for the reply to a further command. */
         private boolean permitsReuse() {
-            return history.permitsReuse()
+            return history.isEmpty() || history.permitsReuse()
                     && (fenceOrder.isInOrder() || !history.hasReplyWithoutValue() && replyUniqueness.permitsReuse(loop.nowMs()));
         }
 
--- a/src/test/java/dappleseam/proxy/RaceConditionsTest.java
+++ b/src/test/java/dappleseam/proxy/RaceConditionsTest.java
@@ -421,6 +421,7 @@
     @Test
     void copyOfAValueAnswersNoOtherQuery() throws Exception {
         ServeFixture.Client client = fixture.start(folder, "").client();
+        showDistinctValues(client);
         client.send("C.GET", "00000000000000aa", "id1", "c=read,d=9000");
         ServeFixture.Received first = fixture.cache.next();
         first.answer(hit("one"));
@@ -435,6 +436,15 @@
         assertThat(client.answer()).isEqualTo("two");
     }
 
+    /** Two values that differ, after which commands are sent on used connections. */
+    private void showDistinctValues(ServeFixture.Client client) throws Exception {
+        for (String value : List.of("zero", "null")) {
+            client.send("C.GET", "00000000000000aa", "id-" + value, "c=read,d=9000");
+            fixture.cache.next().answer(hit(value));
+            assertThat(client.answer()).isEqualTo(value);
+        }
+    }
+
     /** A late copy of a receipt completed a write that had not run yet; what the node does with it is unknown. */
     @Test
     void copyOfAReceiptCompletesNoOtherWrite() throws Exception {
--- a/src/test/java/dappleseam/query/ReplyHistoryTest.java
+++ b/src/test/java/dappleseam/query/ReplyHistoryTest.java
@@ -67,15 +67,24 @@
     @Test
     void equalRepliesSuspendReuseForLongerAndLonger() {
         ReplyUniqueness uniqueness = new ReplyUniqueness();
+        assertThat(uniqueness.permitsReuse(0)).isFalse();
+        recordTwoDistinct(uniqueness, 1);
         assertThat(uniqueness.permitsReuse(0)).isTrue();
         uniqueness.recordEqualReply(0);
+        recordTwoDistinct(uniqueness, 3);
         assertThat(uniqueness.permitsReuse(9_999)).isFalse();
         assertThat(uniqueness.permitsReuse(10_000)).isTrue();
         uniqueness.recordEqualReply(10_000);
+        recordTwoDistinct(uniqueness, 5);
         assertThat(uniqueness.permitsReuse(29_999)).isFalse();
         assertThat(uniqueness.permitsReuse(30_000)).isTrue();
     }
 
+    private static void recordTwoDistinct(ReplyUniqueness uniqueness, long fingerprint) {
+        uniqueness.recordProven(READ, fingerprint, 0);
+        uniqueness.recordProven(READ, fingerprint + 1, 0);
+    }
+
     /** A node may give one receipt for all writes: two go on one connection only after receipts were seen to differ. */
     @Test
     void writesShareAConnectionOnlyWhereReceiptsDiffer() {
@@ -92,6 +101,7 @@
     @Test
     void furtherExecutionsOfOneQueryMayGetTheSameReply() {
         ReplyUniqueness uniqueness = new ReplyUniqueness();
+        recordTwoDistinct(uniqueness, 2);
         uniqueness.recordProven(write("w1"), 1, 0);
         uniqueness.recordProven(write("w1"), 1, 0);
         assertThat(uniqueness.permitsReuse(0)).isTrue();
