Reasons for every close, refusal and retry, counted and logged with request ids

The incident's logs had no line at the time of any lost request. Closes of client connections, refusals and retries have typed reasons, counted at the operators' door (app_client_closes_total, app_refusals_total, app_retries_total, app_hedges_total); a close over open queries, a query that waited in the program and an answer past its time are logged with the query's id, one line a second at most. ClientFrontendTest, ShutdownTest, OperationsTest and LinkTest pass; ManualIoLoop follows the interface.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -1,5 +1,7 @@
 package dappleseam.clients;
 
+import dappleseam.diagnostics.CloseReason;
+import dappleseam.diagnostics.RefusalReason;
 import dappleseam.query.Command;
 import dappleseam.wire.BufferChain;
 import dappleseam.wire.IoLoop;
@@ -11,6 +13,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Locale;
 import java.util.regex.Pattern;
 import org.xnio.StreamConnection;
@@ -81,6 +84,8 @@
     private double waitedMs;
     /** No more commands are accepted; the connection closes once all pending replies are written. */
     private boolean isClosing;
+    /** Why it closes then. */
+    private CloseReason closingReason = CloseReason.DRAINED;
 
     ClientConnection(IoLoop loop, StreamConnection connection, QueryHandler handler, ClientFrontend frontend) {
         this.loop = loop;
@@ -123,23 +128,24 @@
 
     private void closeForSilence() {
         if (reader.isBetweenMessages()) {
-            close();
+            close(CloseReason.SILENCE);
         } else {
-            failAndClose("-ERR the command did not end in time");
+            failAndClose("-ERR the command did not end in time", CloseReason.SILENCE);
         }
     }
 
     /** Accepts no more commands, and closes the connection once this error and the other pending replies are written. */
-    private void failAndClose(String line) {
-        ignoreFurtherInput();
+    private void failAndClose(String line, CloseReason reason) {
+        ignoreFurtherInput(reason);
         reader.release();
         addReply().replyLine(line);
     }
 
     /** Drops all further input. If the input never ends, the queries read before are still rejected after a short delay. */
-    private void ignoreFurtherInput() {
+    private void ignoreFurtherInput(CloseReason reason) {
         isClosing = true;
-        loop.scheduleAt(loop.nowMs() + RECHECK_MS, this::rejectQueries);
+        closingReason = reason;
+        loop.scheduleAt(loop.nowMs() + RECHECK_MS, () -> rejectQueries(RefusalReason.CLOSING));
     }
 
     @Override
@@ -149,7 +155,7 @@
             commandStartedAt = reader.isBetweenMessages() ? lastReadAt : commandStartedAt;
             ParseStatus parsed = reader.read(bytes);
             if (parsed == ParseStatus.MALFORMED) {
-                failAndClose("-ERR Protocol error");
+                failAndClose("-ERR Protocol error", CloseReason.MALFORMED);
             } else if (parsed == ParseStatus.DONE) {
                 handleCommand(reader.takeMessage());
                 releaseGrant();
@@ -192,7 +198,7 @@
             case "PING" -> pending.replyLine(frontend.isOutOfService() ? "-ERR out of service" : "+PONG");
             case "CLIENT", "SELECT" -> pending.replyLine("+OK");
             case "QUIT" -> {
-                ignoreFurtherInput();
+                ignoreFurtherInput(CloseReason.QUIT);
                 pending.replyLine("+OK");
             }
             default -> pending.replyLine("-ERR unknown command");
@@ -216,6 +222,7 @@
                 hasQueried = true;
                 frontend.firstQueryReceived();
             }
+            pending.setRequestId(id);
             parsedQueries.add(new ParsedQuery(command, pending));
         }
     }
@@ -228,7 +235,7 @@
     public void readComplete() {
         isSubmitting = true;
         if (link.hasUnreadInput()) {
-            rejectQueries();
+            rejectQueries(RefusalReason.UNREAD_INPUT);
         } else {
             submitQueries();
         }
@@ -245,10 +252,10 @@
     }
 
     /** Rejects the queries that were read but cannot be submitted, because a close may follow them or no more commands are accepted. */
-    private void rejectQueries() {
+    private void rejectQueries(RefusalReason reason) {
         while (!parsedQueries.isEmpty()) {
             ParsedQuery next = parsedQueries.poll();
-            handler.reject(next.command, next.reply);
+            handler.reject(next.command, next.reply, reason);
         }
     }
 
@@ -293,7 +300,7 @@
     void closeToFreeSlot() {
         link.readAvailable();
         if (!link.isClosed() && hasNothingPending()) {
-            close();
+            close(CloseReason.EVICTED);
         }
     }
 
@@ -307,7 +314,7 @@
         try {
             while (!pendingReplies.isEmpty() && pendingReplies.peekFirst().isAnswered()) {
                 if (pendingReplies.peekFirst().isFailed()) { // closing is the only way to tell the client that the value is incomplete
-                    close();
+                    close(CloseReason.BROKEN_VALUE);
                     return;
                 }
                 if (!pendingReplies.peekFirst().writeTo(link.out())) {
@@ -317,7 +324,7 @@
                 wroteAny = true;
             }
         } catch (RuntimeException e) { // a partly written reply cannot be followed by another
-            close();
+            close(CloseReason.INTERNAL_ERROR);
             return;
         }
         if (!wroteAny && link.out().size() > before) {
@@ -344,7 +351,7 @@
                     return;
                 }
                 if (link.bytesWritten() == before) {
-                    close();
+                    close(CloseReason.NOT_READING);
                 } else {
                     scheduleStallCheck();
                 }
@@ -361,7 +368,7 @@
             return;
         }
         if (isClosing && pendingReplies.isEmpty()) {
-            close();
+            close(closingReason);
         } else if (frontend.isClosingIdle() && isIdle()) {
             loop.scheduleAt(loop.nowMs(), this::closeIfIdle); // deferred: bytes of this connection may be being processed
         } else if (isPaused() && !isFull() && !isSubmitting) {
@@ -413,9 +420,19 @@
         return !link.isClosed() && !link.hasUnreadInput();
     }
 
+    @Override
+    public void endOfStream() {
+        cleanUp(CloseReason.CLIENT_LEFT);
+    }
+
     @Override
     public void disconnected(String cause) {
-        cleanUp();
+        cleanUp(CloseReason.CONNECTION_FAILED);
+    }
+
+    @Override
+    public void failed(RuntimeException error) {
+        cleanUp(CloseReason.INTERNAL_ERROR);
     }
 
     /** Closes the connection if no input has arrived and no reply is pending. */
@@ -425,7 +442,7 @@
         }
         if (!link.isClosed() && isIdle()) {
             link.closeImmediately();
-            cleanUp();
+            cleanUp(CloseReason.DRAINED);
         }
     }
 
@@ -440,20 +457,24 @@
         if (!link.isClosed()) {
             isClosing = true;
             link.pauseReading();
-            rejectQueries();
+            rejectQueries(RefusalReason.CLOSING);
             if (!link.isClosed() && hasNothingPending()) { // an incomplete command is dropped
                 link.closeImmediately();
-                cleanUp();
+                cleanUp(CloseReason.DRAINED);
             }
         }
     }
 
-    void close() {
+    private void close(CloseReason reason) {
+        if (link.out().size() > 0) {
+            frontend.logUnsentReplies(reason, link.out().size());
+        }
         link.close();
-        cleanUp();
+        cleanUp(reason);
     }
 
-    private void cleanUp() {
+    private void cleanUp(CloseReason reason) {
+        List<String> unanswered = pendingReplies.stream().map(PendingReply::requestId).filter(id -> !id.isEmpty()).toList();
         silenceTimer.cancelTask();
         reader.release();
         releaseGrant();
@@ -466,6 +487,6 @@
             }
         }
         pendingReplies.clear();
-        frontend.connectionClosed(slot, hasQueried);
+        frontend.connectionClosed(slot, hasQueried, reason, unanswered);
     }
 }
--- a/src/main/java/dappleseam/clients/ClientFrontend.java
+++ b/src/main/java/dappleseam/clients/ClientFrontend.java
@@ -1,11 +1,15 @@
 package dappleseam.clients;
 
+import dappleseam.diagnostics.CloseReason;
+import dappleseam.diagnostics.RateLimitedLog;
+import dappleseam.diagnostics.ReasonCounter;
 import dappleseam.query.Slots;
 import dappleseam.wire.IoLoop;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.util.List;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
@@ -29,7 +33,7 @@
      */
     private static final double ACCEPT_BACKOFF_MS = 2;
     private static final double MAX_ACCEPT_BACKOFF_MS = 20;
-    /** Minimum interval in ms between two log lines about failed accepts. */
+    /** Minimum interval in ms between two log lines about failed accepts, and about connections closed over open queries. */
     private static final double LOG_INTERVAL_MS = 1000;
     /** Time in ms for which load balancers may still send clients here after a PING was answered with an error. */
     private static final double OUT_OF_SERVICE_GRACE_MS = 400;
@@ -40,8 +44,13 @@
      */
     private static final double STOP_READING_AFTER_MS = 1000;
 
+    /** Ids named at most in a log line. */
+    private static final int MAX_LOGGED_IDS = 8;
+
     private final IoLoop loop;
     private final QueryHandler handler;
+    private final ReasonCounter<CloseReason> closes;
+    private final RateLimitedLog lossLog = new RateLimitedLog(LOG, LOG_INTERVAL_MS);
     private int maxConnections;
     private final int maxQueryingClients;
     private int queryingClients;
@@ -61,11 +70,12 @@
 
     /**
      * Keeps up to {@code maxConnections} connections open, more wait in the backlog. {@code queryConnections} is the maximum number of
-     * connections that clients open for queries.
+     * connections that clients open for queries. {@code closes} counts the connections that end.
      */
-    public ClientFrontend(IoLoop loop, QueryHandler handler, int maxConnections, int queryConnections) {
+    public ClientFrontend(IoLoop loop, QueryHandler handler, int maxConnections, int queryConnections, ReasonCounter<CloseReason> closes) {
         this.loop = loop;
         this.handler = handler;
+        this.closes = closes;
         this.maxConnections = maxConnections;
         maxQueryingClients = (int) (IDLE_SHARE * queryConnections);
     }
@@ -178,8 +188,23 @@
         queryingClients++;
     }
 
-    void connectionClosed(int slot, boolean hadQueried) {
-        queryingClients -= hadQueried && connections.get(slot) != null ? 1 : 0;
+    /** Called when a connection is closed over replies that have not been sent. */
+    void logUnsentReplies(CloseReason reason, long bytes) {
+        lossLog.warn(loop.nowMs(), "client connection closed: " + reason + ", with " + bytes + " reply bytes not sent");
+    }
+
+    /** {@code unanswered} are the ids of its queries that got no whole answer. */
+    void connectionClosed(int slot, boolean hadQueried, CloseReason reason, List<String> unanswered) {
+        if (connections.get(slot) == null) {
+            return;
+        }
+        closes.count(reason);
+        boolean byProxy = reason != CloseReason.CLIENT_LEFT && reason != CloseReason.CONNECTION_FAILED;
+        if (byProxy && !unanswered.isEmpty()) {
+            lossLog.warn(loop.nowMs(), "client connection closed: " + reason + ", with no whole answer to " + unanswered.size() + " queries: "
+                    + String.join(", ", unanswered.subList(0, Math.min(MAX_LOGGED_IDS, unanswered.size()))));
+        }
+        queryingClients -= hadQueried ? 1 : 0;
         connections.free(slot);
     }
 
--- a/src/main/java/dappleseam/clients/PendingReply.java
+++ b/src/main/java/dappleseam/clients/PendingReply.java
@@ -18,11 +18,21 @@
     private boolean headerWritten;
     /** Null for a command other than a query. */
     private QueryId query;
+    /** The id that the client gave its query; empty for other commands. */
+    private String requestId = "";
 
     PendingReply(ClientConnection connection) {
         this.connection = connection;
     }
 
+    void setRequestId(String id) {
+        requestId = id;
+    }
+
+    String requestId() {
+        return requestId;
+    }
+
     void setQuery(QueryId id) {
         query = id;
     }
--- a/src/main/java/dappleseam/clients/QueryHandler.java
+++ b/src/main/java/dappleseam/clients/QueryHandler.java
@@ -1,5 +1,6 @@
 package dappleseam.clients;
 
+import dappleseam.diagnostics.RefusalReason;
 import dappleseam.query.Command;
 import dappleseam.router.QueryId;
 
@@ -11,8 +12,8 @@
      */
     QueryId submit(Command command, PendingReply reply, double waitedMs);
 
-    /** Rejects a query without handling it, because its client may have disconnected. */
-    void reject(Command command, PendingReply reply);
+    /** Rejects a query without handling it. */
+    void reject(Command command, PendingReply reply, RefusalReason reason);
 
     /** Called when the client of an unanswered query has disconnected. */
     void clientLeft(QueryId id);
--- a/src/main/java/dappleseam/control/Metrics.java
+++ b/src/main/java/dappleseam/control/Metrics.java
@@ -1,5 +1,9 @@
 package dappleseam.control;
 
+import dappleseam.diagnostics.CloseReason;
+import dappleseam.diagnostics.ReasonCounter;
+import dappleseam.diagnostics.RefusalReason;
+import dappleseam.router.Outcome;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -33,6 +37,10 @@
     private volatile int unavailableNodes;
     private final AtomicLong reloads = new AtomicLong();
     private final AtomicLong reloadErrors = new AtomicLong();
+    private final AtomicLong hedges = new AtomicLong();
+    private final ReasonCounter<CloseReason> closes = new ReasonCounter<>(CloseReason.class);
+    private final ReasonCounter<RefusalReason> refusals = new ReasonCounter<>(RefusalReason.class);
+    private final ReasonCounter<Outcome> retries = new ReasonCounter<>(Outcome.class);
 
     /** Sets the grades of the current settings; counters of grades that existed before continue. */
     public void setGrades(Collection<String> names) {
@@ -75,6 +83,25 @@
         executions.lazySet(executions.get() + 1);
     }
 
+    /** Closed client connections by reason. */
+    public ReasonCounter<CloseReason> closes() {
+        return closes;
+    }
+
+    /** Queries answered without an execution, by reason. */
+    public ReasonCounter<RefusalReason> refusals() {
+        return refusals;
+    }
+
+    /** Counts a further execution of a query whose last one ended with that outcome; null if that one is still in flight. */
+    public void retried(Outcome last) {
+        if (last == null) {
+            hedges.lazySet(hedges.get() + 1);
+        } else {
+            retries.count(last);
+        }
+    }
+
     /** Sets the gauges: nodes on the list, and those of them that are unavailable. */
     public void setNodeCounts(int listed, int unavailable) {
         listedNodes = listed;
@@ -98,6 +125,10 @@
         appendMetric(text, "members_unavailable", "gauge", unavailableNodes);
         appendMetric(text, "config_reloads_total", "counter", reloads.get());
         appendMetric(text, "config_reload_errors_total", "counter", reloadErrors.get());
+        appendMetric(text, "hedges_total", "counter", hedges.get());
+        retries.appendTo(text, "app_retries_total");
+        refusals.appendTo(text, "app_refusals_total");
+        closes.appendTo(text, "app_client_closes_total");
         return text.toString();
     }
 
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -3,6 +3,8 @@
 import dappleseam.clients.PendingReply;
 import dappleseam.clients.QueryHandler;
 import dappleseam.control.Metrics;
+import dappleseam.diagnostics.RateLimitedLog;
+import dappleseam.diagnostics.RefusalReason;
 import dappleseam.list.ListReader;
 import dappleseam.list.ListWatch;
 import dappleseam.list.NodeList;
@@ -68,6 +70,8 @@
     private static final double ERROR_LOG_INTERVAL_MS = 1000;
     /** Retry delay in ms sent when the table of open queries is full. */
     private static final double TABLE_FULL_RETRY_MS = 250;
+    /** Delay in ms from which a query that waited in this program, or that is answered past its time, is logged. */
+    private static final double LOGGED_DELAY_MS = 100;
 
     private final IoLoop loop;
     private Settings settings;
@@ -91,6 +95,7 @@
     /** The proxy count assigned by the fleet (total over this proxy's share); NaN if the settings' count applies. */
     private double fleetProxyCount = Double.NaN;
     private double errorLoggedAt;
+    private final RateLimitedLog delayLog = new RateLimitedLog(LOG, ERROR_LOG_INTERVAL_MS);
 
     /** An accepted query, until it is answered and its last execution has ended. */
     private static final class PendingQuery {
@@ -312,22 +317,27 @@
         if (grade < 0 || clientTimeoutMs <= 0) {
             command.release();
             metrics.queryRefused(requestedGrade, Metrics.QueryResult.FAILED);
+            metrics.refusals().count(RefusalReason.INVALID_FACTS);
             reply.replyLine("-ERR malformed list of names and values");
             return null;
         }
         if (queries.isFull(settings.mostHeld())) {
-            reject(command, reply);
+            reject(command, reply, RefusalReason.TABLE_FULL);
             return null;
         }
         if (!recentIds.add(command.id())) { // nodes identify a query by its id, which another open or recent query uses
             command.release();
             metrics.queryRefused(requestedGrade, Metrics.QueryResult.FAILED);
+            metrics.refusals().count(RefusalReason.DUPLICATE_ID);
             reply.replyLine("-ERR this id is in use");
             return null;
         }
         if (recentIds.size() > MAX_REMEMBERED_IDS) {
             recentIds.remove(recentIds.iterator().next());
         }
+        if (waitedMs > LOGGED_DELAY_MS) {
+            delayLog.warn(loop.nowMs(), "query " + command.id() + " waited up to " + Math.round(waitedMs) + " ms before it was submitted");
+        }
         double leftMs = Math.max(1, clientTimeoutMs - waitedMs - REPLY_MARGIN_MS);
         PendingQuery pendingQuery = new PendingQuery(command, reply, requestedGrade, settings.routerSettings().grades().get(grade), settings.routerSettings().mostExecutions(),
                 loop.nowMs() + leftMs);
@@ -343,8 +353,9 @@
     }
 
     @Override
-    public void reject(Command command, PendingReply reply) {
+    public void reject(Command command, PendingReply reply, RefusalReason reason) {
         command.release();
+        metrics.refusals().count(reason);
         metrics.queryRefused(command.fact("c"), Metrics.QueryResult.REJECTED);
         reply.replyBusy(settings.routerSettings().maxRetryAfterMs() > 0 ? TABLE_FULL_RETRY_MS : 0);
     }
@@ -390,6 +401,10 @@
     }
 
     private void markAnswered(PendingQuery pendingQuery, Metrics.QueryResult result) {
+        double lateMs = loop.nowMs() - pendingQuery.clientDeadlineMs;
+        if (lateMs > LOGGED_DELAY_MS) {
+            delayLog.warn(loop.nowMs(), "query " + pendingQuery.command.id() + " ended " + Math.round(lateMs) + " ms after its time: " + result);
+        }
         metrics.queryEnded(pendingQuery.gradeName, result);
         markAnswered(pendingQuery);
     }
@@ -426,6 +441,9 @@
             execution.end(ExecutionResult.of(Outcome.UNSENT));
             return;
         }
+        if (!pendingQuery.executions.isEmpty()) {
+            metrics.retried(pendingQuery.executions.get(pendingQuery.executions.size() - 1).execution.outcome());
+        }
         IoLoop.PendingTask timeout = loop.scheduleAt(until, () -> timeOut(execution, backend));
         double deduplicationEndsAt = deduplicationEndsAt(pendingQuery);
         SentExecution sent = new SentExecution(execution, node, backend, timeout);
@@ -517,6 +535,7 @@
 
     @Override
     public void reject(QueryId id, double retryAfterMs) {
+        metrics.refusals().count(RefusalReason.ROUTER);
         finish(id, Metrics.QueryResult.REJECTED, reply -> reply.replyBusy(retryAfterMs));
     }
 
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -203,7 +203,7 @@
                 isWarmedUp = passed;
                 try { // a failure here is not one of the warm-up
                     front = new ClientFrontend(loop, proxy, clientLimit(proxyConfig, 1),
-                            proxyConfig.descriptors() / DESCRIPTORS_PER_CLIENT);
+                            proxyConfig.descriptors() / DESCRIPTORS_PER_CLIENT, metrics.closes());
                     shutdown = new Shutdown(loop, front, proxy::abortAll, shutdownDone::countDown);
                     publish();
                     applyLimits(proxyConfig);
--- a/src/main/java/dappleseam/query/Execution.java
+++ b/src/main/java/dappleseam/query/Execution.java
@@ -23,8 +23,8 @@
     public final double sentAt;
     public final double deadlineMs;
     private final Listener listener;
-    private boolean ended;
-    private boolean neverRan;
+    /** Null until it has ended. */
+    private Outcome outcome;
     private boolean written;
 
     public Execution(QueryId query, int number, Command command, double sentAt, double deadlineMs, Listener listener) {
@@ -46,26 +46,30 @@
 
     /** Whether it may still begin; if not, it ends as unsent. */
     public boolean mayBegin() {
-        if (!ended && !listener.mayBegin(this)) {
+        if (outcome == null && !listener.mayBegin(this)) {
             end(ExecutionResult.of(Outcome.UNSENT));
         }
-        return !ended;
+        return outcome == null;
     }
 
     public boolean hasEnded() {
-        return ended;
+        return outcome != null;
+    }
+
+    /** How it ended; null while it is in flight. */
+    public Outcome outcome() {
+        return outcome;
     }
 
     /** Whether it may have had an effect. */
     public boolean mayHaveRun() {
-        return !neverRan;
+        return outcome == null || !outcome.neverRan;
     }
 
     /** Ends the execution, or releases the result if it has ended already. */
     public void end(ExecutionResult result) {
-        if (!ended) {
-            ended = true;
-            neverRan = result.outcome().neverRan;
+        if (outcome == null) {
+            outcome = result.outcome();
             listener.ended(this, result);
         } else {
             result.release();
--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -35,6 +35,11 @@
             disconnected("closed by the peer");
         }
 
+        /** As {@link #disconnected}, for an error of the listener itself. */
+        default void failed(RuntimeException error) {
+            disconnected("internal error: " + error);
+        }
+
         /**
          * All available input was delivered, or read ahead as far as possible (see {@link Link#hasUnreadInput}), and the connection is still
          * open.
@@ -194,7 +199,7 @@
                 handleFailure("read: " + e.getMessage());
                 return;
             } catch (RuntimeException e) { // an internal error ends this connection only
-                handleFailure("internal error: " + e);
+                handleError(e);
                 return;
             }
             if (count < 0) {
@@ -215,7 +220,7 @@
         try {
             listener.received(input);
         } catch (RuntimeException e) { // see read
-            handleFailure("internal error: " + e);
+            handleError(e);
         }
         if (!closed) { // a close may follow input that could not be read ahead
             read(ByteBuffer.allocate(NESTED_READ_BYTES));
@@ -244,6 +249,13 @@
         }
     }
 
+    private void handleError(RuntimeException error) {
+        if (!closed) {
+            close();
+            listener.failed(error);
+        }
+    }
+
     /** Closes at once on the I/O thread, so that no input can arrive between a last read and the close. */
     public void closeImmediately() {
         if (!closed) {
--- a/src/test/java/dappleseam/clients/ClientFrontendTest.java
+++ b/src/test/java/dappleseam/clients/ClientFrontendTest.java
@@ -32,7 +32,7 @@
         worker.getIoThread().execute(() -> {
             try {
                 ManualIoLoop loop = new ManualIoLoop();
-                ClientFrontend frontend = new ClientFrontend(loop, loop, 100, queryConnections);
+                ClientFrontend frontend = new ClientFrontend(loop, loop, 100, queryConnections, loop.closes);
                 ChannelPipe<StreamConnection, StreamConnection> pipe = worker.getIoThread().createFullDuplexPipeConnection();
                 write(pipe.getRightSide(), written);
                 frontend.addClient(pipe.getLeftSide());
--- a/src/test/java/dappleseam/clients/ManualIoLoop.java
+++ b/src/test/java/dappleseam/clients/ManualIoLoop.java
@@ -1,5 +1,8 @@
 package dappleseam.clients;
 
+import dappleseam.diagnostics.CloseReason;
+import dappleseam.diagnostics.ReasonCounter;
+import dappleseam.diagnostics.RefusalReason;
 import dappleseam.query.Command;
 import dappleseam.router.QueryId;
 import dappleseam.wire.BufferPool;
@@ -19,6 +22,7 @@
     public final List<PendingReply> replies = new ArrayList<>();
     public final BufferPool pool = new BufferPool(64);
     public double now = 1000;
+    public final ReasonCounter<CloseReason> closes = new ReasonCounter<>(CloseReason.class);
     public int disconnected;
     public int rejected;
 
@@ -69,7 +73,7 @@
     }
 
     @Override
-    public void reject(Command command, PendingReply reply) {
+    public void reject(Command command, PendingReply reply, RefusalReason reason) {
         rejected++;
         reply.replyBusy(0);
     }
--- a/src/test/java/dappleseam/proxy/ShutdownTest.java
+++ b/src/test/java/dappleseam/proxy/ShutdownTest.java
@@ -28,7 +28,7 @@
         worker.getIoThread().execute(() -> {
             try {
                 ManualIoLoop loop = new ManualIoLoop();
-                ClientFrontend front = new ClientFrontend(loop, loop, 100, 10);
+                ClientFrontend front = new ClientFrontend(loop, loop, 100, 10, loop.closes);
                 front.listen(worker, new InetSocketAddress("127.0.0.1", 0));
                 ChannelPipe<StreamConnection, StreamConnection> pipe = worker.getIoThread().createFullDuplexPipeConnection();
                 pipe.getRightSide().getSinkChannel().write(ByteBuffer.wrap(QUERY.getBytes(StandardCharsets.US_ASCII)));
