--- a/src/test/java/dappleseam/proxy/ServeFixture.java
+++ b/src/test/java/dappleseam/proxy/ServeFixture.java
@@ -4,6 +4,7 @@
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -23,6 +24,8 @@
 /** Starts the program in a process of its own, with stubs for its peers and clients that connect to it. */
 final class ServeFixture {
     static final long TIMEOUT_S = 20;
+    /** Time in ms between two reads of a peer that reads slowly. */
+    private static final long PACE_MS = 20;
 
     final StubPeer cache = new StubPeer();
     final StubPeer origin = new StubPeer();
@@ -50,6 +53,8 @@
         volatile String constantAnswer;
         /** Whether bodies of HTTP requests are read. */
         volatile boolean readsBodies = true;
+        /** Rate in bytes a second at which connections are read; 0 for as fast as possible. */
+        volatile int bodyBytesPerSecond;
 
         StubPeer() throws IOException {
             Thread accept = new Thread(() -> {
@@ -70,7 +75,7 @@
 
         private void read(Socket socket) {
             try {
-                InputStream in = new BufferedInputStream(socket.getInputStream());
+                InputStream in = new BufferedInputStream(paced(socket.getInputStream()));
                 while (true) {
                     Received next = new Received(readMessage(in, readsBodies), socket);
                     String answer = firstAnswer;
@@ -88,6 +93,22 @@
             }
         }
 
+        /** The stream, read at the rate that holds now. */
+        private InputStream paced(InputStream in) {
+            int rate = bodyBytesPerSecond;
+            return rate == 0 ? in : new FilterInputStream(in) {
+                @Override
+                public int read(byte[] bytes, int from, int count) throws IOException {
+                    try {
+                        Thread.sleep(PACE_MS);
+                    } catch (InterruptedException e) {
+                        throw new IOException(e);
+                    }
+                    return super.read(bytes, from, (int) Math.max(1, Math.min(count, rate * PACE_MS / 1000)));
+                }
+            };
+        }
+
         /** Waits for the next message, skipping closed connections. */
         Received next() throws InterruptedException {
             Received next = received.poll(TIMEOUT_S, TimeUnit.SECONDS);
