A command's time runs while it waits for buffers; short strings take none

A value that waited for a grant waited without limit, and so did every command while half of the buffers were in use; each key, id and list of facts took a buffer of 8 KB, so that 300 clients that stopped half way held most of a small pool. Class: a wait of the program's own that no deadline ends. Now a value waits for half of its client's time, then the rest of it is read without being kept and the query is refused; commands wait 200 ms for scarce buffers, then they are refused. What a query waited in the program comes off its time: from the first part read until a read found no more. A paused client is still closed for silence if it sends nothing. ReadersTest's count of buffers has a longer string, as short ones take none.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -15,7 +15,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
-import java.util.regex.Pattern;
 import org.xnio.StreamConnection;
 
 /**
@@ -38,10 +37,13 @@
     private static final double QUIESCENT_MS = 250;
     /** Delay in ms before a paused connection checks again whether it can read. */
     private static final double RECHECK_MS = 20;
-    /** Keys and ids: only characters that are safe in a URL path and in an HTTP header. */
-    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._~:-]{1,128}");
-    private static final Pattern FACTS = Pattern.compile("[!-+\\--~]+(,[!-+\\--~]+)*");
-    private static final int MAX_FACTS_LENGTH = 1024;
+    /** Bytes of commands and of a value read in a pass, after which other connections are served. */
+    private static final int MAX_PASS_COMMAND_BYTES = 8 << 10;
+    private static final int MAX_PASS_VALUE_BYTES = 256 << 10;
+    /** Share of its client's time for which a value waits for buffers; a query refused later than that costs more. */
+    private static final double GRANT_WAIT_SHARE = 0.5;
+    /** Time in ms for which commands wait while buffers are scarce; then they are refused. */
+    private static final double SCARCE_WAIT_MS = 200;
     /** Time in ms for which the first command of a new client may still be on its way. */
     private static final double NEW_CLIENT_MS = 1000;
     /**
@@ -54,6 +56,9 @@
     /** A query that has been read, and its pending reply. */
     private record ParsedQuery(Command command, PendingReply reply) {}
 
+    /** Why input is not delivered for now. */
+    private enum Backpressure { NONE, REPLIES_PENDING, VALUE_AWAITS_BUFFERS, BUFFERS_SCARCE }
+
     private final IoLoop loop;
     private final QueryHandler handler;
     private final ClientFrontend frontend;
@@ -69,19 +74,24 @@
     /** When the incomplete command began, and when its last part was read. */
     private double commandStartedAt;
     private double lastReadAt;
-    /** Buffer bytes granted for the large value being received. */
+    /** Buffer bytes granted for the value being received. */
     private long grantedBytes;
+    /** Until when that value may wait for a grant; NaN if it does not. */
+    private double grantWaitEndsAt = Double.NaN;
     private boolean hasQueried;
     private int slot;
     /** Since when delivery of input is paused; NaN while it is not. */
     private double pausedSince = Double.NaN;
-    /** Since when more input has been waiting than can be read ahead, so that its age is unknown; NaN while there is none. */
-    private double unreadInputSince = Double.NaN;
+    /** Buffers have been scarce for longer than commands may wait. */
+    private boolean refusesForBuffers;
+    /**
+     * Since when input may have been waiting, in the program or unread: from its first part until a read finds no more and all is delivered. It bounds
+     * the age of what is read. NaN if no input is waiting.
+     */
+    private double inputWaitingSince = Double.NaN;
     private IoLoop.PendingTask resumeTimer = () -> { };
     /** Queries are being submitted; some may be answered synchronously. */
     private boolean isSubmitting;
-    /** Upper bound in ms on how long the commands being read have waited. */
-    private double waitedMs;
     /** No more commands are accepted; the connection closes once all pending replies are written. */
     private boolean isClosing;
     /** Why it closes then. */
@@ -99,10 +109,9 @@
     /** Starts reading. {@code slot} is this connection's number in the frontend; input already received may have waited up to {@code maxWaitedMs}. */
     void start(int slot, double maxWaitedMs) {
         this.slot = slot;
-        waitedMs = maxWaitedMs;
+        inputWaitingSince = loop.nowMs() - maxWaitedMs;
         link.resume();
         link.readAvailable();
-        waitedMs = 0;
         scheduleSilenceCheck();
     }
 
@@ -121,9 +130,13 @@
     }
 
     private double silenceDeadline() {
-        return isPaused() ? Double.POSITIVE_INFINITY // paused by this proxy, not by the client
-                : !reader.isBetweenMessages() ? Math.min(lastReadAt + READ_TIMEOUT_MS, commandStartedAt + MAX_COMMAND_MS)
-                : !hasNothingPending() ? Double.POSITIVE_INFINITY : lastReplyAt + (hasQueried ? IDLE_TIMEOUT_MS : READ_TIMEOUT_MS);
+        if (isPaused() && link.hasUndeliveredInput()) {
+            return Double.POSITIVE_INFINITY; // it is this proxy that takes nothing
+        }
+        if (!reader.isBetweenMessages()) {
+            return Math.min(lastReadAt + READ_TIMEOUT_MS, commandStartedAt + MAX_COMMAND_MS);
+        }
+        return !hasNothingPending() ? Double.POSITIVE_INFINITY : lastReplyAt + (hasQueried ? IDLE_TIMEOUT_MS : READ_TIMEOUT_MS);
     }
 
     private void closeForSilence() {
@@ -148,8 +161,17 @@
         loop.scheduleAt(loop.nowMs() + RECHECK_MS, () -> rejectQueries(RefusalReason.CLOSING));
     }
 
+    @Override
+    public int readAllowance(long passBytes) {
+        boolean isValue = reader.isDiscarding() || grantedBytes > 0 && reader.pooledBytesLeft() > 0;
+        return (int) ((isValue ? MAX_PASS_VALUE_BYTES : MAX_PASS_COMMAND_BYTES) - passBytes);
+    }
+
     @Override
     public void received(ByteBuffer bytes) {
+        if (Double.isNaN(inputWaitingSince)) {
+            inputWaitingSince = loop.nowMs();
+        }
         while (bytes.hasRemaining() && !isClosing && !link.isClosed()) {
             lastReadAt = loop.nowMs();
             commandStartedAt = reader.isBetweenMessages() ? lastReadAt : commandStartedAt;
@@ -165,20 +187,34 @@
     }
 
     /**
-     * Tries to get a buffer grant for the large value being received, and returns whether one is needed and not available. Without a grant
-     * the connection is not read, so that large values cannot exhaust the buffers.
+     * Whether the value being received waits for buffers, without which it is not read. Once its client's time for that is over, the rest of it is
+     * read without being kept, and the query is refused.
      */
-    private boolean needsBufferGrant() {
-        if (grantedBytes == 0 && reader.bulkBytesLeft() >= LargeValueHandler.MIN_BYTES) {
-            grantedBytes = frontend.grantBuffers(reader.bulkBytesLeft());
-            commandStartedAt = loop.nowMs();
-            lastReadAt = commandStartedAt; // the wait for the grant does not count against the client
+    private boolean awaitsBuffers() {
+        int bytes = reader.pooledBytesLeft();
+        if (bytes == 0 || grantedBytes > 0) {
+            return false;
+        }
+        double now = loop.nowMs();
+        grantedBytes = frontend.receiveBudget().grant(bytes);
+        if (grantedBytes > 0) {
+            grantWaitEndsAt = Double.NaN;
+            return false;
+        }
+        if (Double.isNaN(grantWaitEndsAt)) {
+            String facts = QueryParser.facts(reader.partialBulk(QueryParser.FACTS_INDEX));
+            grantWaitEndsAt = now + GRANT_WAIT_SHARE * Math.max(0, handler.clientTimeoutMs(facts));
+        }
+        if (now >= grantWaitEndsAt) {
+            grantWaitEndsAt = Double.NaN;
+            reader.discardBulk();
+            return false;
         }
-        return grantedBytes == 0 && reader.bulkBytesLeft() >= LargeValueHandler.MIN_BYTES;
+        return true;
     }
 
     private void releaseGrant() {
-        frontend.releaseBuffers(grantedBytes);
+        frontend.receiveBudget().release(grantedBytes);
         grantedBytes = 0;
     }
 
@@ -193,8 +229,8 @@
         BufferChain first = message.type == '*' ? message.bulk(0) : null;
         String verb = first == null || first.size() > 16 ? "" : first.text().toUpperCase(Locale.ROOT);
         switch (verb) {
-            case "C.GET" -> parseQuery(message, 4, pending);
-            case "C.SET" -> parseQuery(message, 5, pending);
+            case "C.GET" -> handleQuery(message, false, pending);
+            case "C.SET" -> handleQuery(message, true, pending);
             case "PING" -> pending.replyLine(frontend.isOutOfService() ? "-ERR out of service" : "+PONG");
             case "CLIENT", "SELECT" -> pending.replyLine("+OK");
             case "QUIT" -> {
@@ -206,23 +242,21 @@
         message.release();
     }
 
-    private void parseQuery(RespMessage message, int parts, PendingReply pending) {
-        String key = text(message, 1, 128);
-        String id = text(message, 2, 128);
-        String facts = text(message, 3, MAX_FACTS_LENGTH);
-        if (message.bulks.size() != parts || message.bulk(parts - 1) == null) {
-            pending.replyLine("-ERR wrong number of arguments");
-        } else if (!NAME.matcher(key).matches() || !NAME.matcher(id).matches()) {
-            pending.replyLine("-ERR malformed key or id");
-        } else if (!FACTS.matcher(facts).matches()) {
-            pending.replyLine("-ERR malformed list of names and values");
+    private void handleQuery(RespMessage message, boolean isWrite, PendingReply pending) {
+        QueryParser.Result parsed = QueryParser.parse(message, isWrite);
+        if (parsed.error() != null) {
+            pending.replyLine(parsed.error());
+            return;
+        }
+        Command command = parsed.command();
+        if (!hasQueried) {
+            hasQueried = true;
+            frontend.firstQueryReceived();
+        }
+        pending.setRequestId(command.id());
+        if (message.isPartlyDiscarded()) {
+            handler.reject(command, pending, RefusalReason.NO_BUFFERS);
         } else {
-            Command command = new Command(key, id, facts, parts == 5 ? message.takeBulk(4) : null);
-            if (!hasQueried) {
-                hasQueried = true;
-                frontend.firstQueryReceived();
-            }
-            pending.setRequestId(id);
             parsedQueries.add(new ParsedQuery(command, pending));
         }
     }
@@ -236,18 +270,24 @@
         isSubmitting = true;
         if (link.hasUnreadInput()) {
             rejectQueries(RefusalReason.UNREAD_INPUT);
+        } else if (refusesForBuffers) {
+            rejectQueries(RefusalReason.NO_BUFFERS);
         } else {
             submitQueries();
         }
         isSubmitting = false;
+        if (!link.hasUnreadInput() && !link.hasUndeliveredInput()) {
+            inputWaitingSince = Double.NaN;
+        } else if (Double.isNaN(inputWaitingSince)) {
+            inputWaitingSince = loop.nowMs();
+        }
     }
 
     private void submitQueries() {
-        double waited = Double.isNaN(unreadInputSince) ? waitedMs : Math.max(waitedMs, loop.nowMs() - unreadInputSince);
-        unreadInputSince = Double.NaN;
+        double waitedMs = Double.isNaN(inputWaitingSince) ? 0 : loop.nowMs() - inputWaitingSince;
         while (!parsedQueries.isEmpty()) {
             ParsedQuery next = parsedQueries.poll();
-            next.reply.setQuery(handler.submit(next.command, next.reply, waited));
+            next.reply.setQuery(handler.submit(next.command, next.reply, waitedMs));
         }
     }
 
@@ -259,11 +299,6 @@
         }
     }
 
-    private static String text(RespMessage message, int at, int maxLength) {
-        BufferChain bulk = message.bulk(at);
-        return bulk == null || bulk.size() > maxLength ? "" : bulk.text();
-    }
-
     boolean isClosed() {
         return link.isClosed();
     }
@@ -371,14 +406,19 @@
             close(closingReason);
         } else if (frontend.isClosingIdle() && isIdle()) {
             loop.scheduleAt(loop.nowMs(), this::closeIfIdle); // deferred: bytes of this connection may be being processed
-        } else if (isPaused() && !isFull() && !isSubmitting) {
+        } else if (isPaused() && !isSubmitting) {
             resume();
         } // else by the resume timer: resuming within submission would recurse for each synchronous reply
     }
 
-    private boolean isFull() {
-        return pendingReplies.size() >= MAX_PENDING_REPLIES || link.out().size() >= MAX_UNSENT_BYTES || needsBufferGrant()
-                || grantedBytes == 0 && loop.pool().isScarce();
+    private Backpressure backpressure() {
+        if (pendingReplies.size() >= MAX_PENDING_REPLIES || link.out().size() >= MAX_UNSENT_BYTES) {
+            return Backpressure.REPLIES_PENDING;
+        }
+        if (awaitsBuffers()) {
+            return Backpressure.VALUE_AWAITS_BUFFERS;
+        }
+        return grantedBytes == 0 && !reader.isDiscarding() && loop.pool().isScarce() ? Backpressure.BUFFERS_SCARCE : Backpressure.NONE;
     }
 
     private boolean isPaused() {
@@ -387,7 +427,12 @@
 
     /** Pauses a client that sends without reading replies, or sends more than the buffers can hold. */
     private void pauseIfFull() {
-        if (!isPaused() && !link.isClosed() && isFull()) {
+        if (isPaused() || link.isClosed()) {
+            return;
+        }
+        Backpressure backpressure = backpressure();
+        refusesForBuffers &= backpressure == Backpressure.BUFFERS_SCARCE;
+        if (backpressure != Backpressure.NONE) {
             pausedSince = loop.nowMs();
             link.pauseDelivery();
             resumeTimer = loop.scheduleAt(loop.nowMs() + RECHECK_MS, this::resume);
@@ -399,19 +444,17 @@
         if (!isPaused() || link.isClosed() || isClosing) {
             return;
         }
-        if (isFull()) {
+        Backpressure backpressure = backpressure();
+        refusesForBuffers = backpressure == Backpressure.BUFFERS_SCARCE && loop.nowMs() >= pausedSince + SCARCE_WAIT_MS;
+        if (backpressure != Backpressure.NONE && !refusesForBuffers) {
             resumeTimer = loop.scheduleAt(loop.nowMs() + RECHECK_MS, this::resume);
             return;
         }
-        waitedMs = loop.nowMs() - pausedSince;
-        if (link.hasUnreadInput() && Double.isNaN(unreadInputSince)) {
-            unreadInputSince = pausedSince;
+        if (link.hasUndeliveredInput()) {
+            commandStartedAt += loop.nowMs() - pausedSince; // the pause does not count against the client
         }
         pausedSince = Double.NaN;
-        lastReadAt = loop.nowMs();
-        commandStartedAt = lastReadAt;
         link.resume();
-        waitedMs = 0;
     }
 
     /** Whether the client is known to be connected, after reading what has arrived; false if unread input may hide its close. */
--- a/src/main/java/dappleseam/clients/ClientFrontend.java
+++ b/src/main/java/dappleseam/clients/ClientFrontend.java
@@ -19,8 +19,6 @@
 public final class ClientFrontend {
     private static final Logger LOG = System.getLogger(ClientFrontend.class.getName());
     private static final int BACKLOG = 512;
-    /** Share of the buffers for large values being received from clients. */
-    private static final double LARGE_VALUE_SHARE = 0.3;
     /** Connections kept free for new clients, by evicting clients with no pending reply. */
     private static final int RESERVED_CONNECTIONS = 8;
     /** Share of the clients' own connection limit that idle clients may use; the rest is left for a burst. */
@@ -55,8 +53,7 @@
     private final int maxQueryingClients;
     private int queryingClients;
     private boolean trimScheduled;
-    /** Buffer bytes granted to large values that are being received. */
-    private long grantedBytes;
+    private final ReceiveBudget receiveBudget;
     private final Slots<ClientConnection> connections = new Slots<>();
     private ReusePortListener listener;
     private boolean isStopping;
@@ -76,6 +73,7 @@
         this.loop = loop;
         this.handler = handler;
         this.closes = closes;
+        receiveBudget = new ReceiveBudget(loop.pool());
         this.maxConnections = maxConnections;
         maxQueryingClients = (int) (IDLE_SHARE * queryConnections);
     }
@@ -168,19 +166,9 @@
         }
     }
 
-    /** Grants buffers for a large value: returns {@code bytes}, or 0 if they are not available now. */
-    long grantBuffers(long bytes) {
-        long room = (long) (LARGE_VALUE_SHARE * loop.pool().totalBytes()) - grantedBytes;
-        boolean onlyOne = grantedBytes == 0 && loop.pool().availableBytes() >= bytes;
-        if (bytes > room && !onlyOne || loop.pool().availableBytes() - grantedBytes < bytes) {
-            return 0;
-        }
-        grantedBytes += bytes;
-        return bytes;
-    }
-
-    void releaseBuffers(long bytes) {
-        grantedBytes -= bytes;
+    /** The buffers for values being received, shared by all connections. */
+    ReceiveBudget receiveBudget() {
+        return receiveBudget;
     }
 
     /** Called when a client has sent its first query. */
--- a/src/main/java/dappleseam/clients/QueryHandler.java
+++ b/src/main/java/dappleseam/clients/QueryHandler.java
@@ -12,6 +12,9 @@
      */
     QueryId submit(Command command, PendingReply reply, double waitedMs);
 
+    /** How long in ms the client of a query with these facts waits for the answer; -1 if it cannot be told. */
+    double clientTimeoutMs(String facts);
+
     /** Rejects a query without handling it. */
     void reject(Command command, PendingReply reply, RefusalReason reason);
 
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -313,7 +313,7 @@
     public QueryId submit(Command command, PendingReply reply, double waitedMs) {
         String requestedGrade = command.fact("c");
         int grade = settings.gradeNames().indexOf(requestedGrade);
-        double clientTimeoutMs = clientTimeoutMs(command, grade);
+        double clientTimeoutMs = clientTimeoutMs(command.fact("d"), grade);
         if (grade < 0 || clientTimeoutMs <= 0) {
             command.release();
             metrics.queryRefused(requestedGrade, Metrics.QueryResult.FAILED);
@@ -360,11 +360,15 @@
         reply.replyBusy(settings.routerSettings().maxRetryAfterMs() > 0 ? TABLE_FULL_RETRY_MS : 0);
     }
 
+    @Override
+    public double clientTimeoutMs(String facts) {
+        return clientTimeoutMs(Command.fact(facts, "d"), settings.gradeNames().indexOf(Command.fact(facts, "c")));
+    }
+
     /** The command's {@code d} in ms, limited to the statement timeout; -1 if it is missing or not a plain number. */
-    private double clientTimeoutMs(Command command, int grade) {
-        String text = command.fact("d");
-        return grade < 0 || !MILLIS_PATTERN.matcher(text).matches() ? -1
-                : Math.min(Double.parseDouble(text), settings.routerSettings().grades().get(grade).timeoutMs());
+    private double clientTimeoutMs(String waitMs, int grade) {
+        return grade < 0 || !MILLIS_PATTERN.matcher(waitMs).matches() ? -1
+                : Math.min(Double.parseDouble(waitMs), settings.routerSettings().grades().get(grade).timeoutMs());
     }
 
     /** The client's cost estimate, given in s, in ms; 0 if it is missing or invalid. */
--- a/src/main/java/dappleseam/query/Command.java
+++ b/src/main/java/dappleseam/query/Command.java
@@ -13,6 +13,11 @@
 
     /** The value of {@code name} in the facts; empty if it is not there. */
     public String fact(String name) {
+        return fact(facts, name);
+    }
+
+    /** The value of {@code name} in a list of facts; empty if it is not there. */
+    public static String fact(String facts, String name) {
         for (String pair : facts.split(",")) {
             if (pair.startsWith(name) && pair.startsWith("=", name.length())) {
                 return pair.substring(name.length() + 1);
--- a/src/main/java/dappleseam/wire/BufferChain.java
+++ b/src/main/java/dappleseam/wire/BufferChain.java
@@ -18,6 +18,13 @@
         this.pool = pool;
     }
 
+    /** A chain for {@code length} bytes, fewer than a buffer has, which takes none of the pool's buffers for them. */
+    static BufferChain small(BufferPool pool, int length) {
+        BufferChain chain = new BufferChain(pool);
+        chain.buffers.addLast(ByteBuffer.allocate(length).limit(0));
+        return chain;
+    }
+
     public long size() {
         return size;
     }
--- a/src/main/java/dappleseam/wire/BufferPool.java
+++ b/src/main/java/dappleseam/wire/BufferPool.java
@@ -32,9 +32,12 @@
         return buffer != null ? buffer : ByteBuffer.allocateDirect(SIZE);
     }
 
+    /** Takes back a buffer; one that is not of this pool is left to the garbage collector. */
     void recycle(ByteBuffer buffer) {
-        inUseCount--;
-        free.addLast(buffer.clear());
+        if (buffer.capacity() == SIZE) {
+            inUseCount--;
+            free.addLast(buffer.clear());
+        }
     }
 
     /** Whether the available buffers are needed for the queries already accepted. */
--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -41,6 +41,11 @@
             disconnected("internal error: " + error);
         }
 
+        /** How many more bytes may be read in this pass, of which {@code passBytes} have been read; 0 ends the pass. */
+        default int readAllowance(long passBytes) {
+            return Integer.MAX_VALUE;
+        }
+
         /**
          * All available input was delivered, or read ahead as far as possible (see {@link Link#hasUnreadInput}), and the connection is still
          * open.
@@ -199,9 +204,15 @@
     /** Reads until no input is left, so that a close behind the last bytes is seen before they are acted upon. */
     private void read(ByteBuffer into) {
         int count = 1;
+        long passBytes = 0;
         for (int i = 0; i < MAX_READS && !closed && count > 0; i++) {
+            int allowance = listener.readAllowance(passBytes);
+            if (allowance <= 0) {
+                break;
+            }
             try {
-                count = undelivered != null ? readAhead() : source.read(into.clear());
+                count = undelivered != null ? readAhead() : source.read(into.clear().limit(Math.min(into.capacity(), allowance)));
+                passBytes += count;
                 if (count > 0 && undelivered == null) {
                     listener.received(into.flip());
                 }
--- a/src/main/java/dappleseam/wire/RespMessage.java
+++ b/src/main/java/dappleseam/wire/RespMessage.java
@@ -20,6 +20,13 @@
     /** The first bulk string was large and went to a {@link LargeValueHandler}; an empty one takes its place here. */
     boolean isFirstBulkLarge;
 
+    /** A bulk string was read without being kept; what is here of it is incomplete. */
+    boolean isPartlyDiscarded;
+
+    public boolean isPartlyDiscarded() {
+        return isPartlyDiscarded;
+    }
+
     public boolean isFirstBulkLarge() {
         return isFirstBulkLarge;
     }
--- a/src/main/java/dappleseam/wire/RespReader.java
+++ b/src/main/java/dappleseam/wire/RespReader.java
@@ -6,6 +6,8 @@
 public final class RespReader {
     private static final int MAX_LINE_LENGTH = 512;
     private static final int MAX_ARRAY_LENGTH = 8;
+    /** Maximum bytes of a bulk string that takes no pooled buffer: keys, ids, facts, short values. */
+    static final int SMALL_BYTES = 1 << 10;
     /** Bytes that the bulk strings of a message may have in addition to one of maximum length. */
     private static final int MAX_OTHER_BYTES = 8 << 10;
 
@@ -14,6 +16,7 @@
     /** Receives a large bulk string that is the first of its array; null if all are buffered. */
     private final LargeValueHandler largeValues;
     private boolean streamsBulk;
+    private boolean discardsBulk;
     private final StringBuilder line = new StringBuilder();
     private RespMessage message;
     /** Bulk strings of the array that are still missing. */
@@ -34,9 +37,26 @@
         this.largeValues = largeValues;
     }
 
-    /** Bytes still missing from the bulk string being read. */
-    public long bulkBytesLeft() {
-        return bulk == null ? 0 : Math.max(0, bulkBytesLeft);
+    /** Bytes still missing from the bulk string being read, if it takes pooled buffers; else 0. */
+    public int pooledBytesLeft() {
+        return bulk == null || discardsBulk || bulk.size() + bulkBytesLeft <= SMALL_BYTES ? 0 : Math.max(0, bulkBytesLeft);
+    }
+
+    /** The bulk string at that index of the message being read; null if it has not been read yet. */
+    public BufferChain partialBulk(int at) {
+        return message == null ? null : message.bulk(at);
+    }
+
+    /** Reads the rest of the current bulk string without keeping it; {@link RespMessage#isPartlyDiscarded} tells so. */
+    public void discardBulk() {
+        discardsBulk = true;
+        message.isPartlyDiscarded = true;
+        bulk.release();
+    }
+
+    /** Whether the rest of the current bulk string is read without being kept. */
+    public boolean isDiscarding() {
+        return discardsBulk;
     }
 
     /** The completed message, which the caller has to release. */
@@ -115,8 +135,8 @@
         if (bytesAllowed < 0) {
             return ParseStatus.MALFORMED;
         }
-        bulk = new BufferChain(pool);
         streamsBulk = largeValues != null && message.type == '*' && message.bulks.isEmpty() && length >= LargeValueHandler.MIN_BYTES;
+        bulk = streamsBulk || length > SMALL_BYTES ? new BufferChain(pool) : BufferChain.small(pool, length);
         if (streamsBulk) {
             message.isFirstBulkLarge = true;
             largeValues.valueStarted(length);
@@ -128,7 +148,9 @@
     private ParseStatus readBulk(ByteBuffer in) {
         if (bulkBytesLeft > 0) {
             int part = Math.min(bulkBytesLeft, in.remaining());
-            if (streamsBulk) {
+            if (discardsBulk) {
+                in.position(in.position() + part);
+            } else if (streamsBulk) {
                 largeValues.valueBytes(in, part);
             } else {
                 bulk.put(in, part);
@@ -145,6 +167,7 @@
         }
         BufferChain done = bulk;
         bulk = null;
+        discardsBulk = false;
         return bulkComplete(done);
     }
 
@@ -165,6 +188,7 @@
     /** Discards an incomplete message and releases its buffers. */
     public void release() {
         line.setLength(0);
+        discardsBulk = false;
         if (bulk != null) {
             bulk.release();
             bulk = null;
--- a/src/test/java/dappleseam/clients/ManualIoLoop.java
+++ b/src/test/java/dappleseam/clients/ManualIoLoop.java
@@ -72,6 +72,11 @@
         return new QueryId(replies.size());
     }
 
+    @Override
+    public double clientTimeoutMs(String facts) {
+        return 1000;
+    }
+
     @Override
     public void reject(Command command, PendingReply reply, RefusalReason reason) {
         rejected++;
--- a/src/test/java/dappleseam/wire/ReadersTest.java
+++ b/src/test/java/dappleseam/wire/ReadersTest.java
@@ -58,8 +58,8 @@
     @Test
     void anIncompleteMessageReleasesItsBuffers() {
         RespReader reader = new RespReader(pool, 1 << 16);
-        reader.read(bytes("*2\r\n$1\r\na\r\n$20000\r\n" + "x".repeat(9000)));
-        assertThat(pool.inUse()).isEqualTo(3);
+        reader.read(bytes("*3\r\n$1\r\na\r\n$2000\r\n" + "y".repeat(2000) + "\r\n$20000\r\n" + "x".repeat(9000)));
+        assertThat(pool.inUse()).isEqualTo(3); // the short string takes none
         reader.release();
         assertThat(pool.inUse()).isZero();
     }
