A long value that breaks off costs only itself, and whole answers leave before a close

Class: the failure of one request ends others that share its connection. Now a value that broke off before its first byte is an error like any other. While one is passed on as it arrives, no further command is read, so that none can be lost with it. If it still breaks, what is queued leaves first. The log line names the queries. Evidence: 'BROKEN_VALUE, with no whole answer to 2 queries: long, three' on the code before.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -3,6 +3,7 @@
 import dappleseam.diagnostics.CloseReason;
 import dappleseam.diagnostics.RefusalReason;
 import dappleseam.query.Command;
+import dappleseam.query.Transfer;
 import dappleseam.wire.BufferChain;
 import dappleseam.wire.IoLoop;
 import dappleseam.wire.LargeValueHandler;
@@ -65,6 +66,8 @@
     private final RespReader reader;
     private final Link link;
     private final ArrayDeque<PendingReply> pendingReplies = new ArrayDeque<>();
+    /** Holds back the large value whose turn it is. */
+    private final WholeValueHold hold;
     /** Queries read but not submitted yet: the client's close may directly follow them. */
     private final ArrayDeque<ParsedQuery> parsedQueries = new ArrayDeque<>();
     private IoLoop.PendingTask stallTimer;
@@ -92,6 +95,9 @@
     private IoLoop.PendingTask resumeTimer = () -> { };
     /** Queries are being submitted; some may be answered synchronously. */
     private boolean isSubmitting;
+    /** A large value is being passed on as it arrives, and nothing is read meanwhile. */
+    private boolean isPassingOn;
+    private double passingOnSince;
     /** No more commands are accepted; the connection closes once all pending replies are written. */
     private boolean isClosing;
     /** Why it closes then. */
@@ -103,6 +109,7 @@
         this.frontend = frontend;
         reader = new RespReader(loop.pool(), LargeValueHandler.MAX_BYTES);
         link = loop.createLink(connection, this);
+        hold = new WholeValueHold(loop, frontend, this::flushReplies);
         lastReplyAt = loop.nowMs();
     }
 
@@ -130,7 +137,7 @@
     }
 
     private double silenceDeadline() {
-        if (isPaused() && link.hasUndeliveredInput()) {
+        if (isPassingOn || isPaused() && link.hasUndeliveredInput()) {
             return Double.POSITIVE_INFINITY; // it is this proxy that takes nothing
         }
         if (!reader.isBetweenMessages()) {
@@ -347,35 +354,76 @@
         boolean wroteAny = false;
         long before = link.out().size();
         try {
-            while (!pendingReplies.isEmpty() && pendingReplies.peekFirst().isAnswered()) {
-                if (pendingReplies.peekFirst().isFailed()) { // closing is the only way to tell the client that the value is incomplete
-                    close(CloseReason.BROKEN_VALUE);
+            while (hasWritableReply()) {
+                PendingReply.Progress progress = pendingReplies.peekFirst().writeTo(link.out());
+                if (progress == PendingReply.Progress.BROKEN) {
+                    closeAfterOutput(CloseReason.BROKEN_VALUE); // the only way to tell the client that the value is incomplete
                     return;
                 }
-                if (!pendingReplies.peekFirst().writeTo(link.out())) {
+                if (progress == PendingReply.Progress.PARTIAL) {
                     break;
                 }
                 pendingReplies.pollFirst();
+                hold.release();
                 wroteAny = true;
             }
         } catch (RuntimeException e) { // a partly written reply cannot be followed by another
             close(CloseReason.INTERNAL_ERROR);
             return;
         }
-        if (!wroteAny && link.out().size() > before) {
-            link.flush();
-            scheduleStallCheck();
-        }
+        pauseReadingWhilePassingOn();
         if (wroteAny) {
             lastReplyAt = loop.nowMs();
+        }
+        if (wroteAny || link.out().size() > before) {
             link.flush();
             scheduleStallCheck();
-            if (hasQueriedAndIsIdle()) {
-                frontend.connectionIdle();
+        }
+        if (wroteAny && hasQueriedAndIsIdle()) {
+            frontend.connectionIdle();
+        }
+    }
+
+    /** Whether the reply whose turn it is can be written, in part at least. */
+    private boolean hasWritableReply() {
+        PendingReply first = pendingReplies.peekFirst();
+        if (first == null || !first.isAnswered()) {
+            return false;
+        }
+        Transfer unstarted = first.unstartedTransfer();
+        boolean costsOnlyItself = unstarted == null || pendingReplies.size() == 1 && !link.hasUndeliveredInput();
+        return costsOnlyItself || !hold.holds(unstarted, first.leftMs());
+    }
+
+    /**
+     * While a large value is passed on that may break off, no further command is read: it would be lost with the connection. A command that the
+     * connection's end finds unread is sent again elsewhere.
+     */
+    private void pauseReadingWhilePassingOn() {
+        boolean passesOn = !pendingReplies.isEmpty() && pendingReplies.peekFirst().isPassingOn();
+        if (passesOn && pendingReplies.size() == 1 && !link.hasUndeliveredInput() && !isPassingOn) {
+            isPassingOn = true;
+            passingOnSince = loop.nowMs();
+            link.pauseReading();
+        } else if (isPassingOn && !passesOn) {
+            isPassingOn = false;
+            if (!isClosing && !isPaused()) { // a paused connection goes on by its timer
+                lastReadAt = loop.nowMs();
+                inputWaitingSince = passingOnSince;
+                link.resume();
             }
         }
     }
 
+    /** Gives up all pending replies, and closes once what is queued has been sent. */
+    private void closeAfterOutput(CloseReason reason) {
+        isClosing = true;
+        closingReason = reason;
+        frontend.logUnanswered(reason, dropPendingReplies());
+        link.flush();
+        scheduleStallCheck();
+    }
+
     /** Closes a client that has stopped reading its replies, to release their buffers. */
     private void scheduleStallCheck() {
         if (link.out().size() > 0 && stallTimer == null) {
@@ -444,7 +492,7 @@
         if (!isPaused() || link.isClosed() || isClosing) {
             return;
         }
-        Backpressure backpressure = backpressure();
+        Backpressure backpressure = isPassingOn ? Backpressure.REPLIES_PENDING : backpressure();
         refusesForBuffers = backpressure == Backpressure.BUFFERS_SCARCE && loop.nowMs() >= pausedSince + SCARCE_WAIT_MS;
         if (backpressure != Backpressure.NONE && !refusesForBuffers) {
             resumeTimer = loop.scheduleAt(loop.nowMs() + RECHECK_MS, this::resume);
@@ -517,19 +565,26 @@
     }
 
     private void cleanUp(CloseReason reason) {
-        List<String> unanswered = pendingReplies.stream().map(PendingReply::requestId).filter(id -> !id.isEmpty()).toList();
         silenceTimer.cancelTask();
+        hold.release();
         reader.release();
         releaseGrant();
+        frontend.logUnanswered(reason, dropPendingReplies());
+        frontend.connectionClosed(slot, hasQueried, reason);
+    }
+
+    /** Gives up all queries that have no whole reply, and returns their ids. */
+    private List<String> dropPendingReplies() {
+        List<String> ids = pendingReplies.stream().map(PendingReply::requestId).filter(id -> !id.isEmpty()).toList();
         parsedQueries.forEach(one -> one.command.release());
         parsedQueries.clear();
-        for (PendingReply one : pendingReplies) {
+        for (PendingReply one : List.copyOf(pendingReplies)) {
             one.release();
             if (!one.isAnswered() && one.query() != null) {
                 handler.clientLeft(one.query());
             }
         }
         pendingReplies.clear();
-        frontend.connectionClosed(slot, hasQueried, reason, unanswered);
+        return ids;
     }
 }
--- a/src/main/java/dappleseam/clients/ClientFrontend.java
+++ b/src/main/java/dappleseam/clients/ClientFrontend.java
@@ -54,6 +54,8 @@
     private int queryingClients;
     private boolean trimScheduled;
     private final ReceiveBudget receiveBudget;
+    /** Buffer bytes for large values that are held back. */
+    private long heldBytes;
     private final Slots<ClientConnection> connections = new Slots<>();
     private ReusePortListener listener;
     private boolean isStopping;
@@ -171,6 +173,19 @@
         return receiveBudget;
     }
 
+    /** Grants room to hold back a large value: returns {@code bytes}, or 0 if there is none. */
+    long grantHold(long bytes) {
+        if (heldBytes + bytes > WholeValueHold.SHARE * loop.pool().totalBytes() || loop.pool().isScarce()) {
+            return 0;
+        }
+        heldBytes += bytes;
+        return bytes;
+    }
+
+    void releaseHold(long bytes) {
+        heldBytes -= bytes;
+    }
+
     /** Called when a client has sent its first query. */
     void firstQueryReceived() {
         queryingClients++;
@@ -181,19 +196,21 @@
         lossLog.warn(loop.nowMs(), "client connection closed: " + reason + ", with " + bytes + " reply bytes not sent");
     }
 
-    /** {@code unanswered} are the ids of its queries that got no whole answer. */
-    void connectionClosed(int slot, boolean hadQueried, CloseReason reason, List<String> unanswered) {
-        if (connections.get(slot) == null) {
-            return;
-        }
-        closes.count(reason);
+    /** Called with the ids of the queries that got no whole answer when their connection ended. */
+    void logUnanswered(CloseReason reason, List<String> ids) {
         boolean byProxy = reason != CloseReason.CLIENT_LEFT && reason != CloseReason.CONNECTION_FAILED;
-        if (byProxy && !unanswered.isEmpty()) {
-            lossLog.warn(loop.nowMs(), "client connection closed: " + reason + ", with no whole answer to " + unanswered.size() + " queries: "
-                    + String.join(", ", unanswered.subList(0, Math.min(MAX_LOGGED_IDS, unanswered.size()))));
+        if (byProxy && !ids.isEmpty()) {
+            lossLog.warn(loop.nowMs(), "client connection closed: " + reason + ", with no whole answer to " + ids.size() + " queries: "
+                    + String.join(", ", ids.subList(0, Math.min(MAX_LOGGED_IDS, ids.size()))));
+        }
+    }
+
+    void connectionClosed(int slot, boolean hadQueried, CloseReason reason) {
+        if (connections.get(slot) != null) {
+            closes.count(reason);
+            queryingClients -= hadQueried ? 1 : 0;
+            connections.free(slot);
         }
-        queryingClients -= hadQueried ? 1 : 0;
-        connections.free(slot);
     }
 
     /**
--- a/src/main/java/dappleseam/clients/PendingReply.java
+++ b/src/main/java/dappleseam/clients/PendingReply.java
@@ -7,14 +7,20 @@
 
 /** The pending reply to one command. It is written once all earlier replies on the connection have been written. */
 public final class PendingReply {
+    /** How far a reply has been written. */
+    enum Progress { COMPLETE, PARTIAL, BROKEN }
+
     /** Maximum bytes of a large value in the output queue; more is added when the client has taken them. */
     private static final int MAX_QUEUED_BYTES = 64 << 10;
+    private static final String BROKEN_REPLY = "-ERR failed";
 
     private final ClientConnection connection;
     /** Exactly one of these three is set once the reply is available. */
     private BufferChain replyValue;
     private String replyLine;
     private Transfer transfer;
+    /** Time in ms that was left to the client when the large value began. */
+    private double leftMs;
     private boolean headerWritten;
     /** Null for a command other than a query. */
     private QueryId query;
@@ -55,13 +61,14 @@
         connection.flushReplies();
     }
 
-    /** Replies with a large value that is still being received; it is streamed to the client. */
-    public void replyTransfer(Transfer arriving) {
+    /** Replies with a large value that is still being received; it is streamed to the client, who waits for its first bytes for another {@code leftMs}. */
+    public void replyTransfer(Transfer arriving, double leftMs) {
         if (isAnswered() || connection.isClosed()) {
             arriving.abandon();
             return;
         }
         transfer = arriving;
+        this.leftMs = leftMs;
         connection.flushReplies();
     }
 
@@ -90,8 +97,27 @@
         }
     }
 
-    /** Writes what is available, up to the queue limit; returns whether the reply is complete. */
-    boolean writeTo(BufferChain out) {
+    /** The large value of which nothing has been written, and which is still arriving; null if there is none. */
+    Transfer unstartedTransfer() {
+        return transfer != null && !headerWritten && transfer.isArriving() ? transfer : null;
+    }
+
+    /** Whether a part of a large value has been written that is still arriving, and may break off. */
+    boolean isPassingOn() {
+        return headerWritten && transfer.isArriving();
+    }
+
+    double leftMs() {
+        return leftMs;
+    }
+
+    /** Writes what is available, up to the queue limit. A value that broke off before any of it was written becomes an error. */
+    Progress writeTo(BufferChain out) {
+        if (transfer != null && transfer.isFailed() && !headerWritten) {
+            transfer.abandon();
+            transfer = null;
+            replyLine = BROKEN_REPLY;
+        }
         if (transfer != null) {
             return writeTransferTo(out);
         }
@@ -100,26 +126,24 @@
         } else {
             RespWriter.bulkMoved(out, replyValue);
         }
-        return true;
+        return Progress.COMPLETE;
     }
 
-    private boolean writeTransferTo(BufferChain out) {
+    private Progress writeTransferTo(BufferChain out) {
+        if (transfer.isFailed()) {
+            return Progress.BROKEN;
+        }
         if (!headerWritten) {
             headerWritten = true;
             out.put("$" + transfer.length + "\r\n");
         }
         transfer.moveTo(out, Math.max(0, MAX_QUEUED_BYTES - out.size()));
         if (!transfer.isDone()) {
-            return false;
+            return Progress.PARTIAL;
         }
         out.put("\r\n");
         transfer.delivered();
-        return true;
-    }
-
-    /** Whether a streamed value failed part-way, so that the rest cannot follow. */
-    boolean isFailed() {
-        return transfer != null && transfer.isFailed();
+        return Progress.COMPLETE;
     }
 
     void release() {
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -514,7 +514,7 @@
                 Transfer transfer = executionResult.transfer();
                 transfer.connect(pendingQuery.reply::transferAdvanced, () -> metrics.queryEnded(pendingQuery.gradeName,
                         transfer.isDone() ? Metrics.QueryResult.COMPLETED : Metrics.QueryResult.FAILED));
-                pendingQuery.reply.replyTransfer(transfer);
+                pendingQuery.reply.replyTransfer(transfer, pendingQuery.clientDeadlineMs - loop.nowMs());
             }
         } else if (executionResult.outcome() == Outcome.ERRED && loop.nowMs() > errorLoggedAt + ERROR_LOG_INTERVAL_MS) {
             errorLoggedAt = loop.nowMs();
--- a/src/main/java/dappleseam/query/Transfer.java
+++ b/src/main/java/dappleseam/query/Transfer.java
@@ -44,6 +44,8 @@
     private Runnable finishedCallback = () -> { };
     private State state = State.IN_PROGRESS;
     private boolean paused;
+    /** All of the value is taken at once, so that it can be passed on whole. */
+    private boolean holdsWhole;
     private boolean isFinished;
     private boolean isWanted = true;
 
@@ -70,7 +72,7 @@
             return;
         }
         held.put(in, count);
-        if (!paused && held.size() >= (pool.isScarce() ? PAUSE_BYTES_SCARCE : PAUSE_BYTES)) {
+        if (!paused && !holdsWhole && held.size() >= (pool.isScarce() ? PAUSE_BYTES_SCARCE : PAUSE_BYTES)) {
             paused = true;
             source.pause();
         }
@@ -107,6 +109,20 @@
         }
     }
 
+    /** Takes all of the value before any of it is moved out; the client's side has room for it. */
+    public void holdWhole() {
+        holdsWhole = true;
+        if (paused && state == State.IN_PROGRESS) {
+            paused = false;
+            source.resume();
+        }
+    }
+
+    /** Whether more of the value is to come. */
+    public boolean isArriving() {
+        return state == State.IN_PROGRESS;
+    }
+
     /** All bytes were moved out, and the node's answer ended correctly. */
     public boolean isDone() {
         return state == State.COMPLETE && held.size() == 0;
--- a/src/test/java/dappleseam/proxy/LostAnswersTest.java
+++ b/src/test/java/dappleseam/proxy/LostAnswersTest.java
@@ -208,6 +208,60 @@
         assertThat(client.answer()).isEqualTo("third");
     }
 
+    private static void sendRest(ServeFixture.Received request, int bytes) throws IOException {
+        request.answer("v".repeat(bytes) + "\r\n$3\r\nhit\r\n$-1\r\n");
+    }
+
+    /** Guards against a long value that is held back from its client for as long as its server takes. */
+    @Test
+    void aLongValueBeforeOtherCommandsIsNotHeldBackForLong() throws Exception {
+        ServeFixture.Client client = pipeline();
+        atCache("one").answer(ServeFixture.hit("first"));
+        ServeFixture.Received slow = atCache("long");
+        atCache("three").answer(ServeFixture.hit("third"));
+        assertThat(client.answer()).isEqualTo("first");
+        sendPart(slow, 900_000, 200_000);
+        long startedAt = System.nanoTime();
+        assertThat(new String(client.bytes(9), StandardCharsets.ISO_8859_1)).isEqualTo("$900000\r\n");
+        assertThat((System.nanoTime() - startedAt) / NANOS_PER_MS).isLessThan(2000);
+        sendRest(slow, 700_000);
+        assertThat(client.bytes(900_002)).endsWith("v\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        assertThat(client.answer()).isEqualTo("third");
+    }
+
+    /** Guards against commands that are forgotten while a long value before them is passed on. */
+    @Test
+    void commandsSentWhileALongValueIsPassedOnAreAnsweredBehindIt() throws Exception {
+        fixture.start(folder, "");
+        ServeFixture.Client client = fixture.client();
+        client.raw(command("long", "00000000000000a2"));
+        ServeFixture.Received slow = atCache("long");
+        sendPart(slow, 900_000, 200_000);
+        assertThat(new String(client.bytes(9), StandardCharsets.ISO_8859_1)).isEqualTo("$900000\r\n");
+        client.raw(command("behind", "00000000000000a3") + command("last", "00000000000000a4"));
+        sendRest(slow, 700_000);
+        assertThat(client.bytes(900_002)).endsWith("v\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        atCache("behind").answer(ServeFixture.hit("second"));
+        atCache("last").answer(ServeFixture.hit("third"));
+        assertThat(List.of(client.answer(), client.answer())).containsExactly("second", "third");
+    }
+
+    /** Guards against whole answers thrown away with a long value that breaks off behind them, after a part of it was passed on. */
+    @Test
+    void wholeAnswersLeaveBeforeALongValueThatBreaksOff() throws Exception {
+        fixture.start(folder, "");
+        ServeFixture.Client client = fixture.client();
+        client.raw(command("one", "00000000000000a1") + command("long", "00000000000000a2"));
+        ServeFixture.Received broken = atCache("long");
+        sendPart(broken, 900_000, 40_000);
+        Thread.sleep(50);
+        String first = "first" + "x".repeat(50_000);
+        atCache("one").answer(ServeFixture.hit(first));
+        broken.connection().close();
+        assertThat(client.answer()).isEqualTo(first);
+        assertThat(client.rest().length).isLessThan(900_000);
+    }
+
     /** Guards against commands that were read ahead and dropped when the proxy goes out of service. */
     @Test
     void commandsReadAheadAreAnsweredWhenOutOfService() throws Exception {
