Commands that were read ahead are answered when the proxy stops reading

Now reading ends for good, what was read ahead is handled as replies make room, and the close comes when all is answered; as the process ends it is rejected at once. Where reading has ended a client's close would not be seen: no further attempt begins.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -283,6 +283,7 @@
             submitQueries();
         }
         isSubmitting = false;
+        closeIfAllIsRead();
         if (!link.hasUnreadInput() && !link.hasUndeliveredInput()) {
             inputWaitingSince = Double.NaN;
         } else if (Double.isNaN(inputWaitingSince)) {
@@ -505,10 +506,10 @@
         link.resume();
     }
 
-    /** Whether the client is known to be connected, after reading what has arrived; false if unread input may hide its close. */
+    /** Whether the client is known to be connected, after reading what has arrived; false if its close might not be seen. */
     boolean isClientConnected() {
         link.readAvailableNested();
-        return !link.isClosed() && !link.hasUnreadInput();
+        return !link.isClosed() && !link.hasUnreadInput() && !link.hasEndedReading();
     }
 
     @Override
@@ -537,22 +538,45 @@
         }
     }
 
-    /** Reads and answers what has arrived, then stops reading. Unread input is reset on close, so that the client retries elsewhere. */
+    /**
+     * Reads what has arrived, then stops reading. What was read ahead is still handled, as replies make room. Unread input is reset on close, so that the
+     * client retries elsewhere.
+     */
     void stopReading() {
-        if (isClosing) {
+        if (isClosing || link.isClosed() || link.hasEndedReading()) {
             return;
         }
-        if (!link.isClosed()) {
-            link.readAvailable();
+        link.readAvailable();
+        link.endReading();
+        closeIfAllIsRead();
+    }
+
+    /** As {@link #stopReading}, and answers at once what was read ahead: the process ends. */
+    void stopReadingAtOnce() {
+        if (isClosing || link.isClosed()) {
+            return;
         }
-        if (!link.isClosed()) {
-            isClosing = true;
-            link.pauseReading();
-            rejectQueries(RefusalReason.CLOSING);
-            if (!link.isClosed() && hasNothingPending()) { // an incomplete command is dropped
-                link.closeImmediately();
-                cleanUp(CloseReason.DRAINED);
-            }
+        link.readAvailable();
+        link.endReading();
+        isPassingOn = false;
+        for (boolean isLeft = link.hasUndeliveredInput(); isLeft && !link.isClosed(); isLeft = link.hasUndeliveredInput()) {
+            pausedSince = Double.NaN;
+            link.resume();
+        }
+        rejectQueries(RefusalReason.CLOSING);
+        closeIfAllIsRead();
+    }
+
+    /** Once reading has ended and nothing that was read ahead is left, takes no more commands and closes when all is answered. */
+    private void closeIfAllIsRead() {
+        if (link.isClosed() || !link.hasEndedReading() || link.hasUndeliveredInput()) {
+            return;
+        }
+        isClosing = true;
+        rejectQueries(RefusalReason.CLOSING);
+        if (!link.isClosed() && hasNothingPending()) { // an incomplete command is dropped
+            link.closeImmediately();
+            cleanUp(CloseReason.DRAINED);
         }
     }
 
--- a/src/main/java/dappleseam/clients/ClientFrontend.java
+++ b/src/main/java/dappleseam/clients/ClientFrontend.java
@@ -287,9 +287,9 @@
         connections.all().forEach(ClientConnection::closeIfIdle);
     }
 
-    /** Stops reading from all clients; pending replies are still written. */
+    /** Stops reading from all clients, as the process ends; pending replies are still written. */
     public void stopReading() {
-        connections.all().forEach(ClientConnection::stopReading);
+        connections.all().forEach(ClientConnection::stopReadingAtOnce);
     }
 
     public boolean hasClients() {
--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -66,6 +66,8 @@
     private long bytesWritten;
     private boolean closed;
     private boolean paused;
+    /** The socket is not read any more; input read ahead before is still delivered. */
+    private boolean readingEnded;
     /** The last pass ended before a read found no input: there may be more, or none that anything else would tell of. */
     private boolean hasMore;
     private boolean isNextPassScheduled;
@@ -90,7 +92,7 @@
 
     /** Ends {@link #pauseReading} and {@link #pauseDelivery}: delivers input that was read ahead, and reads on. */
     public void resume() {
-        if (!closed) {
+        if (!closed && !readingEnded) {
             paused = false;
             source.resumeReads();
             scheduleNextPass();
@@ -129,6 +131,20 @@
         }
     }
 
+    /** Stops reading for good. Input that was read ahead is still delivered by {@link #resume}; a close is not seen any more. */
+    public void endReading() {
+        if (!closed) {
+            pauseReading();
+            readingEnded = true;
+            hasMore = false;
+        }
+    }
+
+    /** Whether the socket is not read any more. */
+    public boolean hasEndedReading() {
+        return readingEnded;
+    }
+
     /** The output queue; {@link #flush} sends it. */
     public BufferChain out() {
         return out;
@@ -262,7 +278,9 @@
         } catch (RuntimeException e) { // see read
             handleError(e);
         }
-        if (!closed) { // a close may follow input that could not be read ahead
+        if (!closed && readingEnded) {
+            listener.readComplete();
+        } else if (!closed) { // a close may follow input that could not be read ahead
             read(ByteBuffer.allocate(NESTED_READ_BYTES));
         }
     }
