Turns of the I/O thread are bounded: accepts, bytes of commands, and one write for many replies

Class: a loop on the I/O thread that ends only when its input does. Now 16 connections are accepted in a turn, 8 KB of commands are read of a connection, and the replies to one read are written together; each reply had its own system call. Replies wait for free buffers instead of ending the connection.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -5,6 +5,7 @@
 import dappleseam.query.Command;
 import dappleseam.query.Transfer;
 import dappleseam.wire.BufferChain;
+import dappleseam.wire.BufferPool;
 import dappleseam.wire.IoLoop;
 import dappleseam.wire.LargeValueHandler;
 import dappleseam.wire.Link;
@@ -41,6 +42,8 @@
     /** Bytes of commands and of a value read in a pass, after which other connections are served. */
     private static final int MAX_PASS_COMMAND_BYTES = 8 << 10;
     private static final int MAX_PASS_VALUE_BYTES = 256 << 10;
+    /** Free buffer bytes without which no reply is begun, as a part of one could not be followed by another. */
+    private static final long MIN_REPLY_ROOM_BYTES = 4L * BufferPool.SIZE;
     /** Share of its client's time for which a value waits for buffers; a query refused later than that costs more. */
     private static final double GRANT_WAIT_SHARE = 0.5;
     /** Time in ms for which commands wait while buffers are scarce; then they are refused. */
@@ -71,6 +74,8 @@
     /** Queries read but not submitted yet: the client's close may directly follow them. */
     private final ArrayDeque<ParsedQuery> parsedQueries = new ArrayDeque<>();
     private IoLoop.PendingTask stallTimer;
+    /** Tries again to send replies for which no buffers were free. */
+    private IoLoop.PendingTask flushTimer = () -> { };
     private IoLoop.PendingTask silenceTimer = () -> { };
     /** When the last reply was written; initially when the connection was accepted. */
     private double lastReplyAt;
@@ -93,6 +98,8 @@
      */
     private double inputWaitingSince = Double.NaN;
     private IoLoop.PendingTask resumeTimer = () -> { };
+    /** Commands of one read are being handled; their replies follow together. */
+    private boolean isReceiving;
     /** Queries are being submitted; some may be answered synchronously. */
     private boolean isSubmitting;
     /** A large value is being passed on as it arrives, and nothing is read meanwhile. */
@@ -179,6 +186,7 @@
         if (Double.isNaN(inputWaitingSince)) {
             inputWaitingSince = loop.nowMs();
         }
+        isReceiving = true;
         while (bytes.hasRemaining() && !isClosing && !link.isClosed()) {
             lastReadAt = loop.nowMs();
             commandStartedAt = reader.isBetweenMessages() ? lastReadAt : commandStartedAt;
@@ -190,6 +198,8 @@
                 releaseGrant();
             }
         }
+        isReceiving = false;
+        flushReplies();
         pauseIfFull();
     }
 
@@ -283,6 +293,7 @@
             submitQueries();
         }
         isSubmitting = false;
+        flushReplies();
         closeIfAllIsRead();
         if (!link.hasUnreadInput() && !link.hasUndeliveredInput()) {
             inputWaitingSince = Double.NaN;
@@ -349,7 +360,12 @@
 
     /** Writes the replies at the head of the queue that are available. */
     void flushReplies() {
-        if (link.isClosed()) {
+        if (link.isClosed() || isReceiving || isSubmitting) { // replies to the commands of one read are sent together
+            return;
+        }
+        if (loop.pool().availableBytes() < MIN_REPLY_ROOM_BYTES) {
+            flushTimer.cancelTask();
+            flushTimer = loop.scheduleAt(loop.nowMs() + RECHECK_MS, this::flushReplies);
             return;
         }
         boolean wroteAny = false;
--- a/src/main/java/dappleseam/clients/ClientFrontend.java
+++ b/src/main/java/dappleseam/clients/ClientFrontend.java
@@ -19,6 +19,8 @@
 public final class ClientFrontend {
     private static final Logger LOG = System.getLogger(ClientFrontend.class.getName());
     private static final int BACKLOG = 512;
+    /** Connections accepted in a turn; others are served before the next ones. */
+    private static final int MAX_ACCEPTS = 16;
     /** Connections kept free for new clients, by evicting clients with no pending reply. */
     private static final int RESERVED_CONNECTIONS = 8;
     /** Share of the clients' own connection limit that idle clients may use; the rest is left for a burst. */
@@ -59,6 +61,9 @@
     private final Slots<ClientConnection> connections = new Slots<>();
     private ReusePortListener listener;
     private boolean isStopping;
+    /** Connections still accepted while stopping: as many as can have been waiting. */
+    private int acceptsLeft = Integer.MAX_VALUE;
+    private boolean isAcceptScheduled;
     /** Since when connections may be waiting in the accept backlog; NaN if there are none. */
     private double backlogSince = Double.NaN;
     private double acceptBackoffMs = ACCEPT_BACKOFF_MS;
@@ -96,16 +101,42 @@
         listener = ReusePortListener.open(worker, address, BACKLOG, maxConnections, this::acceptPending);
     }
 
-    /** Accepts all waiting connections. If accept fails, which is transient, they stay in the backlog and it is retried soon. */
+    /**
+     * Accepts the waiting connections, a bounded number in a turn: clients that connect as fast as they are served must not keep this thread. If accept
+     * fails, which is transient, they stay in the backlog and it is retried soon.
+     */
     private void acceptPending() {
         try {
-            for (StreamConnection next = listener.accept(); next != null; next = listener.accept()) {
+            for (int i = 0; i < MAX_ACCEPTS; i++) {
+                StreamConnection next = acceptsLeft > 0 ? listener.accept() : null;
+                if (next == null) {
+                    allAccepted();
+                    return;
+                }
+                acceptsLeft -= isStopping ? 1 : 0;
                 addClient(next, backlogAgeMs());
             }
+            markBacklog();
+            acceptNextTurn();
         } catch (IOException e) {
             retryAccept(e);
-            return;
         }
+    }
+
+    /** Goes on in the next turn: the selector tells of connections that are waiting, but not that the last one has been accepted. */
+    private void acceptNextTurn() {
+        if (!isAcceptScheduled) {
+            isAcceptScheduled = true;
+            loop.executeNextTurn(() -> {
+                isAcceptScheduled = false;
+                if (listener.isOpen()) {
+                    acceptPending();
+                }
+            });
+        }
+    }
+
+    private void allAccepted() {
         acceptBackoffMs = ACCEPT_BACKOFF_MS;
         if (listener.isAtLimit()) {
             markBacklog();
@@ -241,9 +272,10 @@
         closeIdleFrom = loop.nowMs();
     }
 
-    /** Stops listening after accepting what is already in the backlog, which closing the listener would reset. */
+    /** Stops listening after accepting what is already in the backlog, which closing the listener would reset; that may take a few turns. */
     public void stopListening() {
         isStopping = true;
+        acceptsLeft = BACKLOG;
         listener.setMaxConnections(Integer.MAX_VALUE);
         acceptPending();
     }
--- a/src/main/java/dappleseam/proxy/EventLoop.java
+++ b/src/main/java/dappleseam/proxy/EventLoop.java
@@ -80,10 +80,13 @@
     }
 
     /**
-     * Runs the task after a select. XNIO runs all tasks that are due, also those that come due meanwhile, before it selects: tasks that each read for
+     * {@inheritDoc}
+     *
+     * <p>That is after a select. XNIO runs all tasks that are due, also those that come due meanwhile, before it selects: tasks that each read for
      * longer than the delay would keep it from that. Of two delays in a row the first ends with next to no work, so that a select follows.
      */
-    private void executeNextTurn(Runnable task) {
+    @Override
+    public void executeNextTurn(Runnable task) {
         thread.executeAfter(() -> thread.executeAfter(task, SELECT_FIRST_DELAY_MS, TimeUnit.MILLISECONDS), SELECT_FIRST_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/src/main/java/dappleseam/proxy/WarmUp.java
+++ b/src/main/java/dappleseam/proxy/WarmUp.java
@@ -216,6 +216,11 @@
         return true;
     }
 
+    @Override
+    public void executeNextTurn(Runnable task) {
+        loop.executeNextTurn(task);
+    }
+
     @Override
     public Link createLink(StreamConnection connection, Link.Listener events) {
         Link link = loop.createLink(connection, events);
--- a/src/main/java/dappleseam/wire/IoLoop.java
+++ b/src/main/java/dappleseam/wire/IoLoop.java
@@ -15,6 +15,9 @@
     /** Runs {@code task} at that time or soon after. */
     PendingTask scheduleAt(double whenMs, Runnable task);
 
+    /** Runs {@code task} after the connections that are ready have been served. */
+    void executeNextTurn(Runnable task);
+
     /** Opens a connection. Calls exactly one of {@code onConnected} and {@code onFailure}, unless the returned task is cancelled before. */
     PendingTask connect(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> onConnected, Consumer<String> onFailure);
 
--- a/src/test/java/dappleseam/clients/ManualIoLoop.java
+++ b/src/test/java/dappleseam/clients/ManualIoLoop.java
@@ -45,6 +45,11 @@
         }
     }
 
+    @Override
+    public void executeNextTurn(Runnable task) {
+        scheduleAt(now, task);
+    }
+
     @Override
     public PendingTask connect(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> onConnected,
                          Consumer<String> onFailure) {
@@ -58,7 +63,7 @@
 
     @Override
     public Link createLink(StreamConnection connection, Link.Listener listener) {
-        return new Link(connection, pool, ByteBuffer.allocate(1024), task -> scheduleAt(now, task), listener);
+        return new Link(connection, pool, ByteBuffer.allocate(1024), this::executeNextTurn, listener);
     }
 
     @Override
--- a/src/test/java/dappleseam/list/ListWatchTest.java
+++ b/src/test/java/dappleseam/list/ListWatchTest.java
@@ -41,6 +41,11 @@
             return time.scheduleAt(whenMs, task);
         }
 
+        @Override
+        public void executeNextTurn(Runnable task) {
+            time.executeNextTurn(task);
+        }
+
         @Override
         public PendingTask connect(InetSocketAddress to, double timeoutMs, Consumer<StreamConnection> onConnected, Consumer<String> onFailure) {
             connectedAtMs.add(nowMs());
