Least memory: heap and direct memory that the program needs, long values bounded while buffers are scarce

With 32 MB in its settings the launcher gave 8 MB of heap and 8 MB of direct memory for 8 MB of buffers: under 320 bad clients tasks of the I/O thread ended by OutOfMemoryError, and connections in the middle of answers by 'all 1024 buffers are in use' (a trial; the log line is new). Now 16 MB of heap and 12 MB of direct memory at least; a paused client costs heap only for what it has sent; of a long value 8 KB are taken while buffers are scarce, and no more than its client takes while they are nearly used up, so that short messages find room.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -204,8 +204,8 @@
     }
 
     /**
-     * Whether the value being received waits for buffers, without which it is not read. Once its client's time for that is over, the rest of it is
-     * read without being kept, and the query is refused.
+     * Whether the value being received waits for buffers, without which it is not read. Once its client's time for that is over, or if buffers are
+     * nearly used up, the rest of it is read without being kept, and the query is refused.
      */
     private boolean awaitsBuffers() {
         int bytes = reader.pooledBytesLeft();
@@ -222,7 +222,7 @@
             String facts = QueryParser.facts(reader.partialBulk(QueryParser.FACTS_INDEX));
             grantWaitEndsAt = now + GRANT_WAIT_SHARE * Math.max(0, handler.clientTimeoutMs(facts));
         }
-        if (now >= grantWaitEndsAt) {
+        if (now >= grantWaitEndsAt || loop.pool().isNearlyUsedUp()) { // what has come of it would hold buffers meanwhile
             grantWaitEndsAt = Double.NaN;
             reader.discardBulk();
             return false;
@@ -318,6 +318,10 @@
         }
     }
 
+    boolean areBuffersScarce() {
+        return loop.pool().isScarce();
+    }
+
     boolean isClosed() {
         return link.isClosed();
     }
--- a/src/main/java/dappleseam/clients/PendingReply.java
+++ b/src/main/java/dappleseam/clients/PendingReply.java
@@ -12,6 +12,8 @@
 
     /** Maximum bytes of a large value in the output queue; more is added when the client has taken them. */
     private static final int MAX_QUEUED_BYTES = 64 << 10;
+    /** The same while buffers are scarce. */
+    private static final int MAX_QUEUED_BYTES_SCARCE = 8 << 10;
     private static final String BROKEN_REPLY = "-ERR failed";
 
     private final ClientConnection connection;
@@ -137,7 +139,8 @@
             headerWritten = true;
             out.put("$" + transfer.length + "\r\n");
         }
-        transfer.moveTo(out, Math.max(0, MAX_QUEUED_BYTES - out.size()));
+        int most = connection.areBuffersScarce() ? MAX_QUEUED_BYTES_SCARCE : MAX_QUEUED_BYTES;
+        transfer.moveTo(out, Math.max(0, most - out.size()));
         if (!transfer.isDone()) {
             return Progress.PARTIAL;
         }
--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -202,6 +202,11 @@
             }
         }
 
+        @Override
+        public int readAllowance(long passBytes) {
+            return largeValues.readAllowance(passBytes);
+        }
+
         @Override
         public Execution answeringExecution() {
             return current;
--- a/src/main/java/dappleseam/query/LargeValueReceiver.java
+++ b/src/main/java/dappleseam/query/LargeValueReceiver.java
@@ -7,6 +7,9 @@
 
 /** Receives the large values that arrive on one connection to a node; passes each to its execution, or discards it. */
 public final class LargeValueReceiver implements LargeValueHandler, Transfer.Source {
+    /** Bytes read in a pass while buffers are scarce: many values that arrive at once must not take the last ones. */
+    private static final int SCARCE_PASS_BYTES = 8 << 10;
+
     /** The connection on which the values arrive. */
     public interface Connection extends Link.Listener {
         /** The execution whose answer starts with a large value; null if no answer is expected. */
@@ -29,6 +32,11 @@
         this.connection = connection;
     }
 
+    /** How many more bytes may be read in a pass. */
+    public int readAllowance(long passBytes) {
+        return loop.pool().isScarce() ? (int) (SCARCE_PASS_BYTES - passBytes) : Integer.MAX_VALUE;
+    }
+
     public boolean isReceiving() {
         return transfer != null;
     }
--- a/src/main/java/dappleseam/query/Transfer.java
+++ b/src/main/java/dappleseam/query/Transfer.java
@@ -13,7 +13,9 @@
     private static final int PAUSE_BYTES = 64 << 10;
     private static final int RESUME_BYTES = 8 << 10;
     /** Buffered bytes from which reading pauses while buffers are scarce. */
-    private static final int PAUSE_BYTES_SCARCE = 16 << 10;
+    private static final int PAUSE_BYTES_SCARCE = 8 << 10;
+    /** The same while they are nearly used up. */
+    private static final int PAUSE_BYTES_NEARLY_USED_UP = 1;
     /** Time in ms without a byte after which a large value counts as stalled; peers may take seconds. */
     public static final double STALL_TIMEOUT_MS = 10_000;
 
@@ -72,13 +74,20 @@
             return;
         }
         held.put(in, count);
-        if (!paused && !holdsWhole && held.size() >= (pool.isScarce() ? PAUSE_BYTES_SCARCE : PAUSE_BYTES)) {
+        if (!paused && !holdsWhole && held.size() >= pauseBytes()) {
             paused = true;
             source.pause();
         }
         sink.dataAvailable();
     }
 
+    private int pauseBytes() {
+        if (pool.isNearlyUsedUp()) {
+            return PAUSE_BYTES_NEARLY_USED_UP;
+        }
+        return pool.isScarce() ? PAUSE_BYTES_SCARCE : PAUSE_BYTES;
+    }
+
     /** The node's answer has ended correctly. */
     public void complete() {
         end(State.COMPLETE);
@@ -103,7 +112,7 @@
     /** Moves up to {@code most} buffered bytes to {@code out}. */
     public void moveTo(BufferChain out, long most) {
         out.moveUpTo(held, most);
-        if (paused && held.size() <= RESUME_BYTES && state == State.IN_PROGRESS) {
+        if (paused && held.size() <= RESUME_BYTES && (held.size() == 0 || !pool.isScarce()) && state == State.IN_PROGRESS) {
             paused = false;
             source.resume();
         }
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -328,6 +328,11 @@
             }
         }
 
+        @Override
+        public int readAllowance(long passBytes) {
+            return largeValues.readAllowance(passBytes);
+        }
+
         @Override
         public Execution answeringExecution() {
             isReplyUnexpected = sent.isEmpty() || hasHadLargeReply;
--- a/src/main/java/dappleseam/wire/BufferPool.java
+++ b/src/main/java/dappleseam/wire/BufferPool.java
@@ -9,6 +9,8 @@
     public static final int SIZE = 8 << 10;
     /** Share of the buffers reserved for replies: when less is available, clients are not read. */
     private static final double RESERVED_FOR_REPLIES = 0.5;
+    /** Share of the buffers reserved for short messages: when less is available, no more is taken of a long value than its peer takes. */
+    private static final double RESERVED_FOR_SHORT = 0.125;
 
     private final ArrayDeque<ByteBuffer> free = new ArrayDeque<>();
     private int maxBuffers;
@@ -45,6 +47,11 @@
         return maxBuffers - inUseCount < RESERVED_FOR_REPLIES * maxBuffers;
     }
 
+    /** Whether the available buffers are needed for short messages. */
+    public boolean isNearlyUsedUp() {
+        return maxBuffers - inUseCount < RESERVED_FOR_SHORT * maxBuffers;
+    }
+
     /** Bytes still available. */
     public long availableBytes() {
         return (long) (maxBuffers - inUseCount) * SIZE;
--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -1,5 +1,6 @@
 package dappleseam.wire;
 
+import dappleseam.diagnostics.RateLimitedLog;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.Executor;
@@ -13,12 +14,18 @@
  * accepts it. Only for the I/O thread.
  */
 public final class Link {
+    private static final double LOG_INTERVAL_MS = 1000;
+    private static final double NANOS_PER_MS = 1e6;
+    private static final RateLimitedLog ERROR_LOG = new RateLimitedLog(System.getLogger(Link.class.getName()), LOG_INTERVAL_MS);
     /** Maximum reads in a pass, after which other connections are served. */
     private static final int MAX_READS = 8;
     /** Read buffer size of a nested read: usually nothing has arrived, at most some hundred commands. */
     private static final int NESTED_READ_BYTES = 8 << 10;
     /** Maximum bytes read ahead while delivery is paused, more than a hundred commands; a close behind more input than that is not seen. */
     private static final int READ_AHEAD_BYTES = 16 << 10;
+    /** Bytes of the first buffer for input read ahead; most paused connections need none. */
+    private static final int MIN_READ_AHEAD_BYTES = 512;
+    private static final ByteBuffer NO_INPUT = ByteBuffer.allocate(0);
 
     /** Callbacks for the events of a connection. */
     public interface Listener {
@@ -109,13 +116,13 @@
     /** Delivers no input until {@link #resume}, but reads ahead in order to see a close: backpressure must not hide one. */
     public void pauseDelivery() {
         if (!closed && undelivered == null) {
-            undelivered = ByteBuffer.allocate(READ_AHEAD_BYTES);
+            undelivered = NO_INPUT;
         }
     }
 
     /** Whether there may be input that was not read, or could not be read ahead, so that a close behind it would not be seen. */
     public boolean hasUnreadInput() {
-        return hasMore || undelivered != null && !undelivered.hasRemaining();
+        return hasMore || undelivered != null && undelivered.position() == READ_AHEAD_BYTES;
     }
 
     /** Whether input was read ahead and is not delivered yet. */
@@ -227,7 +234,7 @@
                 break;
             }
             try {
-                count = undelivered != null ? readAhead() : source.read(into.clear().limit(Math.min(into.capacity(), allowance)));
+                count = undelivered != null ? readAhead(into) : source.read(into.clear().limit(Math.min(into.capacity(), allowance)));
                 passBytes += count;
                 if (count > 0 && undelivered == null) {
                     listener.received(into.flip());
@@ -285,12 +292,30 @@
         }
     }
 
-    private int readAhead() throws IOException {
-        int count = undelivered.hasRemaining() ? source.read(undelivered) : 0;
-        if (!undelivered.hasRemaining()) {
+    private int readAhead(ByteBuffer into) throws IOException {
+        int room = READ_AHEAD_BYTES - undelivered.position();
+        int total = 0;
+        int count = 1;
+        while (count > 0 && total < room) {
+            count = source.read(into.clear().limit(Math.min(into.capacity(), room - total)));
+            if (count > 0) {
+                appendUndelivered(into.flip());
+                total += count;
+            }
+        }
+        if (total == room) {
             source.suspendReads();
         }
-        return count;
+        return total > 0 || room == 0 ? total : count;
+    }
+
+    private void appendUndelivered(ByteBuffer input) {
+        int needed = undelivered.position() + input.remaining();
+        if (needed > undelivered.capacity()) {
+            int capacity = Math.max(MIN_READ_AHEAD_BYTES, Math.min(READ_AHEAD_BYTES, 2 * needed));
+            undelivered = ByteBuffer.allocate(capacity).put(undelivered.flip());
+        }
+        undelivered.put(input);
     }
 
     private void handleEndOfStream() {
@@ -308,6 +333,7 @@
     }
 
     private void handleError(RuntimeException error) {
+        ERROR_LOG.warn(System.nanoTime() / NANOS_PER_MS, "a connection is closed after an internal error: " + error);
         if (!closed) {
             close();
             listener.failed(error);
--- a/src/test/java/dappleseam/proxy/LostAnswersTest.java
+++ b/src/test/java/dappleseam/proxy/LostAnswersTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -15,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -93,6 +95,26 @@
         thread.start();
     }
 
+    /** Answers each read in a thread of its own, by its key. */
+    private static void answerEach(ServeFixture.StubPeer peer, UnaryOperator<String> answer) {
+        Thread thread = new Thread(() -> {
+            try {
+                while (true) {
+                    ServeFixture.Received next = peer.next();
+                    start(newBreaches(), () -> {
+                        synchronized (next.connection()) {
+                            next.answer(answer.apply(next.elements().get(1)));
+                        }
+                    });
+                }
+            } catch (InterruptedException | AssertionError e) {
+                return; // the test is over
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     /** Sends one write and waits for its answer; returns how long that took, in ms from the last byte. */
     private static double write(ServeFixture.Client client, String id, int bytes, long timeMs) throws IOException {
         client.send("C.SET", "00000000000000aa", id, "c=pay,k=" + id + ",d=" + timeMs, "x".repeat(bytes));
@@ -350,6 +372,43 @@
         assertThat(breaches).isEmpty();
     }
 
+    /** Guards against buffers that are all held by answers which some clients don't read. */
+    @Test
+    void clientsThatDoNotReadTheirAnswersHoldUpNobody() throws Exception {
+        fixture.memoryMb = 64;
+        fixture.start(folder, "").client();
+        String longValue = "x".repeat(300_000);
+        answerEach(fixture.cache, key -> key.startsWith("f") ? ServeFixture.hit(key + longValue) : ServeFixture.hit("value-of-" + key));
+        List<Socket> deaf = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            Socket one = new Socket();
+            one.setReceiveBufferSize(4 << 10);
+            one.connect(new InetSocketAddress("127.0.0.1", fixture.port));
+            StringBuilder all = new StringBuilder();
+            for (int j = 0; j < 100; j++) {
+                all.append(command("d" + i + "-" + j, String.format("f%015x", 1000 * i + j)));
+            }
+            one.getOutputStream().write(all.toString().getBytes(StandardCharsets.ISO_8859_1));
+            deaf.add(one);
+        }
+        Thread.sleep(1000);
+        ServeFixture.Client client = fixture.client();
+        List<String> breaches = newBreaches();
+        for (int i = 0; i < 30; i++) {
+            long sentAt = System.nanoTime();
+            client.send("C.GET", String.format("%016x", i), "u" + i, "c=read,d=" + TIME_MS);
+            String answer = client.answer();
+            double tookMs = (System.nanoTime() - sentAt) / NANOS_PER_MS;
+            if (tookMs > TIME_MS || !answer.startsWith("value")) {
+                breaches.add("u" + i + " was answered " + answer.substring(0, Math.min(20, answer.length())) + " after " + Math.round(tookMs) + " ms");
+            }
+        }
+        for (Socket one : deaf) {
+            one.close();
+        }
+        assertThat(breaches).isEmpty();
+    }
+
     /** Guards against one turn of the I/O thread that lasts as long as bad clients keep coming back. */
     @Test
     void clientsThatConnectAtFullSpeedHoldUpNobody() throws Exception {
--- a/src/test/java/dappleseam/proxy/ServeFixture.java
+++ b/src/test/java/dappleseam/proxy/ServeFixture.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** Starts the program in a process of its own, with stubs for its peers and clients that connect to it. */
 final class ServeFixture {
@@ -37,6 +38,8 @@
     String command = "serve";
     /** Environment of the program, in addition to that of the test. */
     final Map<String, String> environment = new HashMap<>();
+    /** Further flags of the JVM. */
+    List<String> jvmFlags = List.of();
     /** Port of the control server; 0 for none. */
     int controlPort;
     String grades = """
@@ -243,6 +246,7 @@
     Process launch(Path folder, Path config) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "dappleseam.Main");
+        builder.command().addAll(1, jvmFlags);
         builder.command().addAll(List.of(command.split(" ")));
         builder.command().addAll(List.of("--config", config.toString()));
         builder.environment().put("TMPDIR", folder.toString());
@@ -251,6 +255,27 @@
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile())).start();
     }
 
+    /** The memory flags that the launcher gives java for the memory limit. */
+    List<String> launcherMemoryFlags(Path folder) throws IOException {
+        Path tools = Files.createDirectory(folder.resolve("launcher"));
+        Path java = Files.writeString(tools.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
+        assertThat(java.toFile().setExecutable(true)).isTrue();
+        Path limits = Files.writeString(tools.resolve("limits.json"), "{\"limits\":{\"memory_mb\":" + memoryMb + "}}");
+        ProcessBuilder launcher = new ProcessBuilder("/bin/sh", "deploy/serve.sh");
+        launcher.environment().put("NODE_CONFIG", limits.toString());
+        launcher.environment().put("PATH", tools.toString());
+        String flags = new String(launcher.start().getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        return Stream.of(flags.strip().split(" ")).filter(flag -> flag.startsWith("-X") && !flag.contains("SharedArchive") && !flag.contains("-Xlog")).toList();
+    }
+
+    /** The most memory in MB that the program has had resident. */
+    long peakMemoryMb() throws IOException {
+        try (Stream<String> status = Files.lines(Path.of("/proc", Long.toString(program.pid()), "status"))) {
+            String peak = status.filter(line -> line.startsWith("VmHWM:")).findFirst().orElseThrow();
+            return Long.parseLong(peak.replaceAll("\\D", "")) / 1024;
+        }
+    }
+
     /** Connects to the program, once it accepts connections. */
     ServeFixture.Client client() throws IOException, InterruptedException {
         for (int i = 0; i < TIMEOUT_S * 100 && program.isAlive(); i++) {
--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -504,6 +504,13 @@
         assertThat(launcherFlags(text)).contains("-Xms16m -Xmx16m").contains("-XX:MaxDirectMemorySize=32m").endsWith("Serve\n");
     }
 
+    /** With the least memory that operators name, 8 MB of heap and no room for the last buffers ended connections in the middle of answers. */
+    @Test
+    void launcherLeavesRoomForTheProgramHoweverLowTheLimit() throws Exception {
+        assertThat(launcherFlags("{\"limits\":{\"memory_mb\":32}}")).contains("-Xms16m -Xmx16m").contains("-XX:MaxDirectMemorySize=12m");
+        assertThat(BufferMemory.buffers(32, 16 << 20, true) * (long) BufferPool.SIZE).isLessThan(12 << 20);
+    }
+
     /** The flags that the launcher gives java. */
     private String launcherFlags(String text) throws Exception {
         Path tools = Files.createDirectory(folder.resolve("tools"));
