An id taken by the old process of an upgrade is not taken by the new one, nor after many others

The test saw the second PUT at the origin before. A process remembered 8,192 ids, however young, so that a client that sends thousands a second had others forgotten.

--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -38,9 +38,7 @@
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
@@ -53,8 +51,6 @@
     private static final Logger LOG = System.getLogger(Proxy.class.getName());
     /** The reply to an aborted query. */
     private static final String ABORT_REPLY = "-ERR failed";
-    /** Number of recent query ids that are remembered: more than there can be open queries, and a busy proxy's queries of some seconds. */
-    private static final int MAX_REMEMBERED_IDS = 8 << 10;
     /** A time in ms in a client's command. */
     private static final Pattern MILLIS_PATTERN = Pattern.compile("\\d{1,7}(\\.\\d{1,6})?");
     /** A time in s in a client's command. */
@@ -83,8 +79,8 @@
     private final StartTimes startTimes = new StartTimes();
     private volatile List<NodeHealth> nodeHealth = List.of();
     private final Slots<PendingQuery> queries = new Slots<>();
-    /** Ids of the latest queries, as given by the clients, oldest first; includes all open ones. */
-    private final Set<String> recentIds = new LinkedHashSet<>();
+    /** Ids of the latest queries, as given by the clients; includes all open ones. */
+    private final RecentIds recentIds;
     /** Events for the router, handled one after the other: its reaction to one may cause the next. */
     private final ArrayDeque<Runnable> pendingEvents = new ArrayDeque<>();
     private boolean isDispatching;
@@ -131,8 +127,9 @@
         }
     }
 
-    Proxy(IoLoop loop, ProxyConfig config, Metrics metrics) throws IOException {
+    Proxy(IoLoop loop, ProxyConfig config, Metrics metrics, RecentIds recentIds) throws IOException {
         this.loop = loop;
+        this.recentIds = recentIds;
         this.metrics = metrics;
         settings = config.settings();
         metrics.setGrades(settings.gradeNames());
@@ -325,16 +322,13 @@
             reject(command, reply, RefusalReason.TABLE_FULL);
             return null;
         }
-        if (!recentIds.add(command.id())) { // nodes identify a query by its id, which another open or recent query uses
+        if (!recentIds.add(command.id(), loop.nowMs())) { // nodes identify a query by its id, which another open or recent query uses
             command.release();
             metrics.queryRefused(requestedGrade, Metrics.QueryResult.FAILED);
             metrics.refusals().count(RefusalReason.DUPLICATE_ID);
             reply.replyLine("-ERR this id is in use");
             return null;
         }
-        if (recentIds.size() > MAX_REMEMBERED_IDS) {
-            recentIds.remove(recentIds.iterator().next());
-        }
         if (waitedMs > LOGGED_DELAY_MS) {
             delayLog.warn(loop.nowMs(), "query " + command.id() + " waited up to " + Math.round(waitedMs) + " ms before it was submitted");
         }
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -78,6 +78,7 @@
     private static final String LIST_SUFFIX = "-list";
     private static final String HEALTH_SUFFIX = "-learnt";
     private static final String FLEET_SUFFIX = "-fleet";
+    private static final String IDS_SUFFIX = "-ids";
 
     @Option(names = "--config", defaultValue = "${env:NODE_CONFIG}", required = true,
             description = "This proxy's configuration, as JSON (default: the file that NODE_CONFIG names).")
@@ -182,12 +183,13 @@
         ProxyConfig withList = addressLocks != null && addressLocks.isShared() ? withSavedList(proxyConfig) : proxyConfig;
         ProxyConfig effective = fleet == null ? withList : fleet.withStoredList(withList);
         int buffers = bufferCount(proxyConfig);
+        RecentIds recentIds = openRecentIds(proxyConfig);
         CountDownLatch startDone = new CountDownLatch(1);
         Exception[] failure = new Exception[1];
         worker.getIoThread().execute(() -> {
             loop = new EventLoop(worker.getIoThread(), new BufferPool(buffers), peerLimit(proxyConfig, 1));
             try {
-                proxy = new Proxy(loop, effective, metrics);
+                proxy = new Proxy(loop, effective, metrics, recentIds);
                 proxy.restoreNodeHealth(readHealth(proxyConfig));
                 if (fleet != null) {
                     fleet.attach(proxy, loop, worker.getIoThread());
@@ -361,6 +363,16 @@
         return stateFolder().resolve(AddressLocks.VERSION).resolve(AddressLocks.name(proxyConfig.listen()) + suffix);
     }
 
+    /** The ids of recent queries, shared with another process on the address if there can be one. */
+    private RecentIds openRecentIds(ProxyConfig proxyConfig) {
+        try {
+            return addressLocks == null ? RecentIds.ofProcess() : RecentIds.shared(handoverFile(proxyConfig, IDS_SUFFIX));
+        } catch (IOException | RuntimeException e) {
+            LOG.log(Level.WARNING, "another process on this address would not know the ids taken here: {0}", e.toString());
+            return RecentIds.ofProcess();
+        }
+    }
+
     /** Writes the list for the next process if it has changed. On the control thread. */
     private void saveList(ProxyConfig proxyConfig) {
         Proxy serving = proxy;
--- a/src/test/java/dappleseam/proxy/OperationsTest.java
+++ b/src/test/java/dappleseam/proxy/OperationsTest.java
@@ -251,6 +251,24 @@
         assertThat(second.isAlive()).isTrue();
     }
 
+    /** Guards against an id that runs at the old process, whose client has left, and again at the new one. */
+    @Test
+    void idTakenByTheOldProcessIsNotTakenByTheNewOne() throws Exception {
+        ServeFixture.Client writer = fixture.start(folder, "").client();
+        writer.send("C.SET", "00000000000000aa", "w1", "c=put,d=9000", "v");
+        fixture.origin.next();
+        startSecond();
+        writer.socket.close();
+        fixture.program.destroy(); // SIGTERM
+        fixture.awaitLog(folder, "another process takes the clients");
+        assertThat(fixture.program.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        ServeFixture.Client again = new ServeFixture.Client(new Socket("127.0.0.1", fixture.port));
+        again.send("C.SET", "00000000000000aa", "w1", "c=put,d=9000", "v");
+        assertThat(again.answer()).startsWith("-ERR");
+        assertThat(fixture.origin.received.stream().filter(t -> t.elements().get(0).startsWith("PUT"))).isEmpty();
+        assertThat(second.isAlive()).isTrue();
+    }
+
     /** If the new process of an upgrade dies, the old one serves on, and treats a later SIGTERM as the only process. */
     @Test
     void oldProcessServesOnWhenTheNewOneDies() throws Exception {
