--- a/src/main/java/dappleseam/proxy/NodeTable.java
+++ b/src/main/java/dappleseam/proxy/NodeTable.java
@@ -142,17 +142,17 @@
         return ++loggedChanges <= MAX_LOGGED_CHANGES;
     }
 
-    /** Adds a node, or replaces one whose entry has changed. */
+    /** Adds a node, or replaces one whose entry has changed. A new process at the same address gets connections of its own. */
     private void putNode(ListEntry entry, ListedNode previous) {
         Member m = entry.member();
         if (shouldLog()) {
             LOG.log(Level.INFO, "node {0} is {1} at {2}: {3}", entry.uid(), name(m.node()), entry.endpoint(), m.state());
         }
-        boolean sameEndpoint = previous != null && previous.endpoint().equals(entry.endpoint());
-        if (previous != null && !sameEndpoint) {
+        boolean isSameProcess = previous != null && previous.endpoint().equals(entry.endpoint()) && previous.entry.member().startedAtMs() == m.startedAtMs();
+        if (previous != null && !isSameProcess) {
             previous.backend.retire();
         }
-        Backend backend = sameEndpoint ? previous.backend : backend(m, entry.endpoint());
+        Backend backend = isSameProcess ? previous.backend : backend(m, entry.endpoint());
         nodes.put(m.node(), new ListedNode(entry, backend, listCount));
         if (m.state() == Member.State.DRAINING) {
             backend.failWaiting();
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -491,15 +491,18 @@
                         + (1 - settings.coldFrom()) * Math.max(0, age) / settings.warmAfterMs());
     }
 
-    /** Whether a further execution at the node is allowed by the grade's repeat semantics. */
+    /**
+     * Whether a further execution at the node is allowed by the grade's repeat semantics. Where nodes do not all share their deduplication, a process
+     * that started after the first execution knows nothing of it.
+     */
     private boolean mayRunAt(Query q, Node n) {
         Execution first = q.firstThatMayHaveRun();
         return first == null || q.grade.semantics() == Semantics.IDEMPOTENT
                 || q.grade.semantics() == Semantics.DEDUPLICATED
                 && now < first.sentAt + q.grade.dedupWindowMs() - 2 * q.settings.tickMs() && switch (q.grade.dedupScope()) {
                     case ALL -> true;
-                    case ZONE -> n.zone == first.node.zone;
-                    case CELL -> n.cell == first.node.cell;
+                    case ZONE -> n.zone == first.node.zone && n.startedAt <= first.sentAt;
+                    case CELL -> n.cell == first.node.cell && n.startedAt <= first.sentAt;
                 };
     }
 
--- a/src/test/java/dappleseam/proxy/RaceConditionsTest.java
+++ b/src/test/java/dappleseam/proxy/RaceConditionsTest.java
@@ -18,6 +18,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -126,6 +127,32 @@
         assertNothingGoesToTheCache(fixture.client());
     }
 
+    /** Guards against work sent to a new process on a connection to the one that had its address before. */
+    @Test
+    void aNewProcessAtANodesAddressGetsConnectionsOfItsOwn() throws Exception {
+        fixture.start(folder, "");
+        ServeFixture.Client client = fixture.client();
+        ServeFixture.Received watch = fixture.list.next();
+        Set<Socket> used = new HashSet<>();
+        boolean isReused = false;
+        for (int i = 0; i < 10; i++) {
+            isReused = !used.add(readOnce(client, i).connection());
+        }
+        assertThat(isReused).isTrue();
+        String restarted = ServeFixture.entry("s-1", fixture.cache, "m", "ready").replace("\"boot_ms\":0", "\"boot_ms\":" + (System.currentTimeMillis() - 60_000));
+        watch.answer(ok("{\"rev\":2,\"all\":false,\"targets\":[" + restarted + "]}"));
+        fixture.list.next(); // the next call follows once the list has been applied
+        assertThat(used).doesNotContain(readOnce(client, 10).connection());
+    }
+
+    private ServeFixture.Received readOnce(ServeFixture.Client client, int number) throws Exception {
+        client.send("C.GET", String.format("%016x", number), "id" + number, "c=read,d=9000");
+        ServeFixture.Received read = fixture.cache.next();
+        read.answer(hit("value-" + number));
+        assertThat(client.answer()).isEqualTo("value-" + number);
+        return read;
+    }
+
     /** When watches are reset just before a drain, the back-off after a failed request must not add to the delay. */
     @Test
     void resetWatchIsReopenedWithoutBackOff() throws Exception {
--- a/src/test/java/dappleseam/router/RouterTest.java
+++ b/src/test/java/dappleseam/router/RouterTest.java
@@ -94,6 +94,16 @@
         assertThat(p.sentTo.get(1).value() % 2).isEqualTo(p.sentTo.get(0).value() % 2);
     }
 
+    /** Guards against a repeat that runs a second time, at new processes which know nothing of the first execution. */
+    @Test
+    void aProcessThatStartedAfterTheFirstExecutionGetsNoRepeat() {
+        TestProxy p = new TestProxy(TestProxy.readThrough(grade(Semantics.DEDUPLICATED, DedupScope.ZONE))).withCaches(6);
+        p.ask(1000, 1, 42);
+        p.router.listChanged(1005, IntStream.of(1, 2, 3, 4, 5, 6, 99).mapToObj(node -> TestProxy.member(node, Member.State.READY, 1005)).toList());
+        p.ended(1010, 1, 0, Outcome.RESET, 10);
+        assertThat(p.sentTo).hasSize(1);
+    }
+
     @Test
     void aDeduplicatedQueryIsNotRepeatedPastItsWindow() {
         ServiceGrade brief = new ServiceGrade(Semantics.DEDUPLICATED, DedupScope.ALL, 300, 600, 2000, 1, 0.5, false);
