A query sent after a long value has its whole time

The wait of input was counted from the beginning of the long value, during which nothing is read, until the next input came: a query sent 1.5 s later was refused ('waited up to 1571 ms'). A link whose reading was paused does not know whether input is there, and now has a pass made when it goes on, which finds none.

--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -134,6 +134,7 @@
     public void pauseReading() {
         if (!closed) {
             paused = true;
+            hasMore = true; // what arrives meanwhile is not seen
             source.suspendReads();
         }
     }
--- a/src/test/java/dappleseam/proxy/LostAnswersTest.java
+++ b/src/test/java/dappleseam/proxy/LostAnswersTest.java
@@ -268,6 +268,23 @@
         assertThat(List.of(client.answer(), client.answer())).containsExactly("second", "third");
     }
 
+    /** Guards against the time of a long value counted as the wait of a query that its client sends later. */
+    @Test
+    void aQuerySentAfterALongValueHasItsWholeTime() throws Exception {
+        fixture.start(folder, "");
+        ServeFixture.Client client = fixture.client();
+        client.raw(command("long", "00000000000000a2"));
+        ServeFixture.Received slow = atCache("long");
+        sendPart(slow, 900_000, 200_000);
+        assertThat(client.bytes(9)).startsWith("$900000".getBytes(StandardCharsets.ISO_8859_1));
+        sendRest(slow, 700_000);
+        client.bytes(900_002);
+        Thread.sleep(TIME_MS); // the client is silent
+        client.send("C.GET", "00000000000000a3", "later", "c=read,d=" + TIME_MS);
+        atCache("later").answer(ServeFixture.hit("second"));
+        assertThat(client.answer()).isEqualTo("second");
+    }
+
     /** Guards against whole answers thrown away with a long value that breaks off behind them, after a part of it was passed on. */
     @Test
     void wholeAnswersLeaveBeforeALongValueThatBreaksOff() throws Exception {
