Postponed passes wait for a select, and can't keep the thread from one

Cause: the pass after the eighth read, and the next accepts, ran by two delays of 1 ms in a row. XNIO runs all that is due, also what comes due meanwhile, before it selects. Four clients whose passes take 2.5 ms each had one due at every moment. Measured: 1,867 passes in 4.9 s without a select, all in Link.readNextPass by thread dumps; nothing else was read.

Change: TurnQueue holds postponed tasks until a channel of its own, the writable end of an empty pipe, was selected; tasks added meanwhile wait for the next select. Timers that are late or due at once take the same way. The monitor measures turns, too.

--- a/src/main/java/dappleseam/proxy/EventLoop.java
+++ b/src/main/java/dappleseam/proxy/EventLoop.java
@@ -32,8 +32,6 @@
     private static final double NANOS_PER_MS = 1e6;
     /** Offset of the clock, so that 0 is long ago even just after the machine's start: ten days, more than any time span that is looked back on. */
     private static final double CLOCK_OFFSET_MS = 10 * 86_400_000.0;
-    /** Shortest delay in ms after which the thread selects before it runs postponed tasks: XNIO counts whole ms. */
-    private static final long SELECT_FIRST_DELAY_MS = 1;
 
     private final XnioIoThread thread;
     private final BufferPool pool;
@@ -46,12 +44,20 @@
     /** Number of connections to nodes, open or being opened. Atomic, as connections are closed on other threads, too. */
     private final AtomicInteger openConnections = new AtomicInteger();
     private final EventLoopMonitor monitor = new EventLoopMonitor();
-    private boolean hasReadFirst;
+    private final TurnQueue turns;
+    /** Due tasks run after the next select. */
+    private boolean isRunPostponed;
 
-    EventLoop(XnioIoThread thread, BufferPool pool, int maxConnections) {
+    /**
+     * Can be called on any thread.
+     *
+     * @throws IOException if no descriptors are left
+     */
+    EventLoop(XnioIoThread thread, BufferPool pool, int maxConnections) throws IOException {
         this.thread = thread;
         this.pool = pool;
         this.maxConnections = maxConnections;
+        turns = new TurnQueue(thread, monitor);
     }
 
     /** Sets the maximum number of connections to peers; existing connections beyond it stay open. */
@@ -79,15 +85,9 @@
         return new Link(connection, pool, scratch, this::executeNextTurn, events);
     }
 
-    /**
-     * {@inheritDoc}
-     *
-     * <p>That is after a select. XNIO runs all tasks that are due, also those that come due meanwhile, before it selects: tasks that each read for
-     * longer than the delay would keep it from that. Of two delays in a row the first ends with next to no work, so that a select follows.
-     */
     @Override
     public void executeNextTurn(Runnable task) {
-        thread.executeAfter(() -> thread.executeAfter(task, SELECT_FIRST_DELAY_MS, TimeUnit.MILLISECONDS), SELECT_FIRST_DELAY_MS, TimeUnit.MILLISECONDS);
+        turns.add(task);
     }
 
     /** A scheduled task, ordered by time and then by the order of scheduling. */
@@ -123,29 +123,40 @@
 
     /** Keeps one wake-up of the I/O thread scheduled, for the earliest task. */
     private void scheduleWakeUp() {
-        if (scheduledTasks.isEmpty() || scheduledTasks.first().whenMs >= wakeUpAt) {
+        if (isRunPostponed || scheduledTasks.isEmpty() || scheduledTasks.first().whenMs >= wakeUpAt) {
             return;
         }
         if (wakeUp != null) {
             wakeUp.remove();
         }
         wakeUpAt = scheduledTasks.first().whenMs;
-        long delayMs = (long) Math.max(0, Math.ceil(wakeUpAt - nowMs())); // rounded up: a delay under 1 ms would count as 0 and spin
-        wakeUp = thread.executeAfter(this::runDue, delayMs, TimeUnit.MILLISECONDS);
+        double delayMs = wakeUpAt - nowMs();
+        if (delayMs <= 0) {
+            postponeRun(); // a delay of 0 would end before a select: due tasks that take long could keep the thread from one
+        } else {
+            wakeUp = thread.executeAfter(this::wakeUp, (long) Math.ceil(delayMs), TimeUnit.MILLISECONDS); // XNIO takes a delay under 1 ms for 0
+        }
     }
 
-    private void runDue() {
+    private void wakeUp() {
         double now = nowMs();
-        if (!hasReadFirst) {
-            monitor.wakeUpHandled(wakeUpAt, now);
+        monitor.wakeUpHandled(wakeUpAt, now);
+        if (now > wakeUpAt + LATENESS_THRESHOLD_MS) {
+            postponeRun(); // this thread is late: nodes' answers may have arrived unread and must be read before their timeouts run
+        } else {
+            runDue();
         }
-        if (now > wakeUpAt + LATENESS_THRESHOLD_MS && !hasReadFirst) {
-            // This thread is late: nodes' answers may have arrived unread and must be read before their timeouts run.
-            hasReadFirst = true;
-            wakeUp = thread.executeAfter(this::runDue, SELECT_FIRST_DELAY_MS, TimeUnit.MILLISECONDS);
-            return;
-        }
-        hasReadFirst = false;
+    }
+
+    private void postponeRun() {
+        isRunPostponed = true;
+        wakeUp = null;
+        executeNextTurn(this::runDue);
+    }
+
+    private void runDue() {
+        double now = nowMs();
+        isRunPostponed = false;
         wakeUp = null;
         wakeUpAt = Double.POSITIVE_INFINITY;
         try {
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -175,19 +175,18 @@
     }
 
     /** Starts serving; prints the cause and returns false if that fails. */
-    private boolean start(ProxyConfig proxyConfig) throws InterruptedException {
+    private boolean start(ProxyConfig proxyConfig) throws IOException, InterruptedException {
         awaitSockets();
         if (proxyConfig.control() != null && !openControlServer(proxyConfig)) {
             return false;
         }
         ProxyConfig withList = addressLocks != null && addressLocks.isShared() ? withSavedList(proxyConfig) : proxyConfig;
         ProxyConfig effective = fleet == null ? withList : fleet.withStoredList(withList);
-        int buffers = bufferCount(proxyConfig);
+        loop = openLoop(proxyConfig);
         RecentIds recentIds = openRecentIds(proxyConfig);
         CountDownLatch startDone = new CountDownLatch(1);
         Exception[] failure = new Exception[1];
         worker.getIoThread().execute(() -> {
-            loop = new EventLoop(worker.getIoThread(), new BufferPool(buffers), peerLimit(proxyConfig, 1));
             try {
                 proxy = new Proxy(loop, effective, metrics, recentIds);
                 proxy.restoreNodeHealth(readHealth(proxyConfig));
@@ -282,14 +281,31 @@
         startDone.countDown();
     }
 
-    /** Creates the I/O worker; retries while no selector can be opened, as descriptors may be short for a moment. */
+    /** Something that takes descriptors to open. */
+    private interface Opening<T> {
+        T open() throws IOException;
+    }
+
+    /** Creates the I/O worker. */
     private XnioWorker openWorker() throws IOException, InterruptedException {
         OptionMap oneThread = OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.THREAD_DAEMON, true).getMap();
+        return retryOpening(() -> {
+            Selector.open().close(); // XNIO probes for a selector only once, and is unusable if that fails
+            return Xnio.getInstance().createWorker(oneThread);
+        });
+    }
+
+    private EventLoop openLoop(ProxyConfig proxyConfig) throws IOException, InterruptedException {
+        BufferPool pool = new BufferPool(bufferCount(proxyConfig));
+        return retryOpening(() -> new EventLoop(worker.getIoThread(), pool, peerLimit(proxyConfig, 1)));
+    }
+
+    /** Retries until the time limit: descriptors may be short for a moment. */
+    private <T> T retryOpening(Opening<T> opening) throws IOException, InterruptedException {
         while (true) {
             try {
-                Selector.open().close(); // XNIO probes for a selector only once, and is unusable if that fails
-                return Xnio.getInstance().createWorker(oneThread);
+                return opening.open();
             } catch (IOException e) {
                 if (EventLoop.monotonicMs() > socketWaitEndsAt) {
                     throw e;
--- a/src/test/c/failing_calls.c
+++ b/src/test/c/failing_calls.c
@@ -17,7 +17,7 @@
 #include <sys/uio.h>
 #include <unistd.h>
 
-enum kind { ACCEPT, SOCKET, CONNECT, READ, WRITE, EPOLL_WAIT, FILE_OPEN, FILE_WRITE, FILE_SYNC, FILE_RENAME, EPOLL_CREATE, EVENTFD, KINDS };
+enum kind { ACCEPT, SOCKET, CONNECT, READ, WRITE, EPOLL_WAIT, FILE_OPEN, FILE_WRITE, FILE_SYNC, FILE_RENAME, EPOLL_CREATE, EVENTFD, PIPE, KINDS };
 
 /* error: errno, or SHORT to transfer only one byte; every: fail every nth call; left: failures to come, negative for unlimited. */
 struct rule { int error; int every; int left; int calls; int failed; };
@@ -167,3 +167,13 @@
     }
     return REAL(rename)(from, to);
 }
+
+int pipe(int ends[2]) {
+    FAIL(PIPE);
+    return REAL(pipe)(ends);
+}
+
+int pipe2(int ends[2], int flags) {
+    FAIL(PIPE);
+    return REAL(pipe2)(ends, flags);
+}
--- a/src/test/java/dappleseam/proxy/FailingCalls.java
+++ b/src/test/java/dappleseam/proxy/FailingCalls.java
@@ -16,7 +16,7 @@
 /** Makes system calls of a started program fail: builds the LD_PRELOAD library from src/test/c and writes its rules file. */
 final class FailingCalls {
     /** The kinds of calls, in the order of the library's enum. */
-    enum Call { ACCEPT, SOCKET, CONNECT, READ, WRITE, EPOLL_WAIT, FILE_OPEN, FILE_WRITE, FILE_SYNC, FILE_RENAME, EPOLL_CREATE, EVENTFD }
+    enum Call { ACCEPT, SOCKET, CONNECT, READ, WRITE, EPOLL_WAIT, FILE_OPEN, FILE_WRITE, FILE_SYNC, FILE_RENAME, EPOLL_CREATE, EVENTFD, PIPE }
 
     /** Linux error numbers, the same on x86 and ARM. {@code SHORT} is not an error: only one byte is read or written. */
     static final int SHORT = -1;
--- a/src/test/java/dappleseam/proxy/SystemCallsTest.java
+++ b/src/test/java/dappleseam/proxy/SystemCallsTest.java
@@ -144,6 +144,17 @@
         assertThat(calls.failedCount(call)).isPositive();
     }
 
+    /** The pipe by which the I/O thread notices its selects. */
+    @ParameterizedTest
+    @CsvSource({"23,1", "24,3"})
+    void aPipeThatCannotBeHadForAMomentIsNoReasonNotToStart(int error, int times) throws Exception {
+        calls.fail(Call.PIPE, error, 1, times);
+        ServeFixture.Client client = fixture.start(folder, "").client();
+        sendRead(client, "first");
+        assertThat(client.answer()).isEqualTo(VALUE);
+        assertThat(calls.failedCount(Call.PIPE)).isEqualTo(times);
+    }
+
     @ParameterizedTest
     @CsvSource({"CONNECT,99", "CONNECT,101", "CONNECT,113", "CONNECT,105", "SOCKET,23", "SOCKET,105", "READ,110", "READ,113", "WRITE,110"})
     void aCallThatFailsOnceLeavesTheNextQueryUnharmed(Call call, int error) throws Exception {
