The process ends when its I/O thread dies

Callers of a process whose I/O thread had died (OutOfMemoryError in the report) were connected and never answered: the process went on listening, and nothing that supervises it saw a reason to start it anew.

Cause: nobody was told of the thread's end. XNIO catches what tasks and callbacks throw, not what the loop itself throws.

Change: an uncaught error of that thread is logged with its cause, and the process ends with status 70 (an internal error in the terms of sysexits).

--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -51,6 +51,8 @@
     private static final double CLOSED_CONNECTION_SHARE = 0.125;
     /** Descriptors per client connection that may be open for queries: such connections take at most a third of all descriptors. */
     private static final int DESCRIPTORS_PER_CLIENT = 3;
+    /** Exit status after the I/O thread's death: an internal error in the terms of sysexits. */
+    static final int IO_THREAD_DIED_STATUS = 70;
     /** Time in ms from the start for which opening sockets is retried; the system may lack descriptors or buffers for a moment. */
     private static final double SOCKET_WAIT_MS = 5000;
     /** Interval in ms at which the first list is polled for, and opening a socket is retried. */
@@ -137,6 +139,7 @@
         }
         killDelay = new KillDelay(proxyConfig.settings().routerSettings());
         worker = openWorker();
+        worker.getIoThread().setUncaughtExceptionHandler((thread, cause) -> endAfter(cause));
         CountDownLatch started = new CountDownLatch(1);
         Signal.handle(new Signal("HUP"), signal -> { // each signal runs on its own thread; an early one waits
             awaitStart(started);
@@ -281,6 +284,16 @@
         startDone.countDown();
     }
 
+    /** Without its I/O thread the process would listen and answer nobody: whoever supervises it starts it anew. */
+    private static void endAfter(Throwable cause) {
+        try {
+            LOG.log(Level.ERROR, "the I/O thread has died, the process ends", cause);
+            AsyncLogHandler.awaitWritten(LOG_FLUSH_MS);
+        } finally { // memory for the line may be lacking
+            Runtime.getRuntime().halt(IO_THREAD_DIED_STATUS);
+        }
+    }
+
     /** Something that takes descriptors to open. */
     private interface Opening<T> {
         T open() throws IOException;
--- a/src/test/java/dappleseam/proxy/ServeFixture.java
+++ b/src/test/java/dappleseam/proxy/ServeFixture.java
@@ -36,6 +36,7 @@
     int descriptorLimit = 1024;
     int memoryMb = 192;
     String command = "serve";
+    String mainClass = "dappleseam.Main";
     /** Environment of the program, in addition to that of the test. */
     final Map<String, String> environment = new HashMap<>();
     /** Further flags of the JVM. */
@@ -245,7 +246,7 @@
 
     Process launch(Path folder, Path config) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "dappleseam.Main");
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), mainClass);
         builder.command().addAll(1, jvmFlags);
         builder.command().addAll(List.of(command.split(" ")));
         builder.command().addAll(List.of("--config", config.toString()));
--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -110,6 +110,20 @@
         assertThat(client.answer()).startsWith("-BUSY");
     }
 
+    /** A process whose I/O thread had died went on listening and answered nobody. */
+    @Test
+    void theProcessEndsWhenItsIoThreadDies() throws Exception {
+        fixture.mainClass = "org.xnio.nio.DyingIoThread";
+        ServeFixture.Client client = fixture.start(folder, "").client();
+        client.send("PING");
+        assertThat(client.answer()).isEqualTo("+PONG");
+        fixture.program.getOutputStream().write('\n');
+        fixture.program.getOutputStream().flush();
+        assertThat(fixture.program.waitFor(ServeFixture.TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(fixture.program.exitValue()).isEqualTo(Serve.IO_THREAD_DIED_STATUS);
+        fixture.awaitLog(folder, "ClosedSelectorException");
+    }
+
     /** Pipelined commands must be answered in order, whatever the order of the nodes' answers. */
     @Test
     void answersComeInTheOrderOfTheCommands() throws Exception {
