One place each for the aborted reply, rate-limited logs, holds and launcher flags

The budget of values that are held back leaves ClientFrontend for a class beside ReceiveBudget. stopReadingAtOnce rejected what closeIfAllIsRead rejects again.

Visible: lines about failed executions and failed accepts tell how many were left out.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -116,7 +116,7 @@
         this.frontend = frontend;
         reader = new RespReader(loop.pool(), LargeValueHandler.MAX_BYTES);
         link = loop.createLink(connection, this);
-        hold = new WholeValueHold(loop, frontend, this::flushReplies);
+        hold = new WholeValueHold(loop, frontend.holdBudget(), this::flushReplies);
         lastReplyAt = loop.nowMs();
     }
 
@@ -604,7 +604,6 @@
             pausedSince = Double.NaN;
             link.resume();
         }
-        rejectQueries(RefusalReason.CLOSING);
         closeIfAllIsRead();
     }
 
--- a/src/main/java/dappleseam/clients/ClientFrontend.java
+++ b/src/main/java/dappleseam/clients/ClientFrontend.java
@@ -7,7 +7,6 @@
 import dappleseam.wire.IoLoop;
 import java.io.IOException;
 import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.xnio.IoUtils;
@@ -51,14 +50,14 @@
     private final QueryHandler handler;
     private final ReasonCounter<CloseReason> closes;
     private final RateLimitedLog lossLog = new RateLimitedLog(LOG, LOG_INTERVAL_MS);
+    private final RateLimitedLog acceptLog = new RateLimitedLog(LOG, LOG_INTERVAL_MS);
     private int maxConnections;
     private final int maxQueryingClients;
     private int queryingClients;
     private boolean trimScheduled;
     private final ReceiveBudget receiveBudget;
     private final ReadShare readShare;
-    /** Buffer bytes for large values that are held back. */
-    private long heldBytes;
+    private final HoldBudget holdBudget;
     private final Slots<ClientConnection> connections = new Slots<>();
     private ReusePortListener listener;
     private boolean isStopping;
@@ -68,7 +67,6 @@
     /** Since when connections may be waiting in the accept backlog; NaN if there are none. */
     private double backlogSince = Double.NaN;
     private double acceptBackoffMs = ACCEPT_BACKOFF_MS;
-    private double acceptLoggedAt = Double.NEGATIVE_INFINITY;
     private boolean isOutOfService;
     /** From when clients are closed as soon as they are idle. */
     private double closeIdleFrom = Double.POSITIVE_INFINITY;
@@ -82,6 +80,7 @@
         this.handler = handler;
         this.closes = closes;
         receiveBudget = new ReceiveBudget(loop.pool());
+        holdBudget = new HoldBudget(loop.pool());
         readShare = new ReadShare(loop);
         this.maxConnections = maxConnections;
         maxQueryingClients = (int) (IDLE_SHARE * queryConnections);
@@ -152,10 +151,7 @@
 
     private void retryAccept(IOException cause) {
         markBacklog();
-        if (loop.nowMs() >= acceptLoggedAt + LOG_INTERVAL_MS) {
-            acceptLoggedAt = loop.nowMs();
-            LOG.log(Level.WARNING, "accepting a client failed: {0}", cause.getMessage());
-        }
+        acceptLog.warn(loop.nowMs(), "accepting a client failed: " + cause.getMessage());
         listener.suspendAccepts(); // otherwise the thread would spin on it
         loop.scheduleAt(loop.nowMs() + acceptBackoffMs, () -> {
             if (listener.isOpen()) {
@@ -211,17 +207,9 @@
         return readShare;
     }
 
-    /** Grants room to hold back a large value: returns {@code bytes}, or 0 if there is none. */
-    long grantHold(long bytes) {
-        if (heldBytes + bytes > WholeValueHold.SHARE * loop.pool().totalBytes() || loop.pool().isScarce()) {
-            return 0;
-        }
-        heldBytes += bytes;
-        return bytes;
-    }
-
-    void releaseHold(long bytes) {
-        heldBytes -= bytes;
+    /** The buffers for large values that are held back, shared by all connections. */
+    HoldBudget holdBudget() {
+        return holdBudget;
     }
 
     /** Called when a client has sent its first query. */
--- a/src/main/java/dappleseam/clients/PendingReply.java
+++ b/src/main/java/dappleseam/clients/PendingReply.java
@@ -14,7 +14,7 @@
     private static final int MAX_QUEUED_BYTES = 64 << 10;
     /** The same while buffers are scarce. */
     private static final int MAX_QUEUED_BYTES_SCARCE = 8 << 10;
-    private static final String BROKEN_REPLY = "-ERR failed";
+    private static final String ABORTED_REPLY = "-ERR failed";
 
     private final ClientConnection connection;
     /** Exactly one of these three is set once the reply is available. */
@@ -91,6 +91,11 @@
         replyLine(retryAfterMs > 0 ? "-BUSY " + (long) Math.ceil(retryAfterMs) : "-BUSY");
     }
 
+    /** Replies that the query has failed and may have run. */
+    public void replyAborted() {
+        replyLine(ABORTED_REPLY);
+    }
+
     /** Replies with a single line that starts with its RESP type character. */
     public void replyLine(String typedLine) {
         if (!isAnswered() && !connection.isClosed()) {
@@ -118,7 +123,7 @@
         if (transfer != null && transfer.isFailed() && !headerWritten) {
             transfer.abandon();
             transfer = null;
-            replyLine = BROKEN_REPLY;
+            replyLine = ABORTED_REPLY;
         }
         if (transfer != null) {
             return writeTransferTo(out);
--- a/src/main/java/dappleseam/clients/WholeValueHold.java
+++ b/src/main/java/dappleseam/clients/WholeValueHold.java
@@ -11,20 +11,18 @@
 final class WholeValueHold {
     /** Time in ms for which a value is held back at most: a server may write for seconds. */
     private static final double MAX_HOLD_MS = 1500;
-    /** Share of the buffers for values that are held back, of all connections together. */
-    static final double SHARE = 0.2;
 
     private final IoLoop loop;
-    private final ClientFrontend frontend;
+    private final HoldBudget budget;
     private final Runnable onTimeout;
     private Transfer held;
     private long grantedBytes;
     private double endsAt;
     private IoLoop.PendingTask timer = () -> { };
 
-    WholeValueHold(IoLoop loop, ClientFrontend frontend, Runnable onTimeout) {
+    WholeValueHold(IoLoop loop, HoldBudget budget, Runnable onTimeout) {
         this.loop = loop;
-        this.frontend = frontend;
+        this.budget = budget;
         this.onTimeout = onTimeout;
     }
 
@@ -34,7 +32,7 @@
             release();
             held = value;
             endsAt = loop.nowMs() + Math.min(leftMs, MAX_HOLD_MS);
-            grantedBytes = frontend.grantHold(value.length);
+            grantedBytes = budget.grant(value.length);
             if (grantedBytes > 0) {
                 timer = loop.scheduleAt(endsAt, onTimeout);
                 value.holdWhole();
@@ -46,7 +44,7 @@
     /** Ends the hold, once the value has been passed on or given up. */
     void release() {
         timer.cancelTask();
-        frontend.releaseHold(grantedBytes);
+        budget.release(grantedBytes);
         grantedBytes = 0;
         held = null;
     }
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -49,8 +49,6 @@
  */
 final class Proxy implements Host, QueryHandler, Execution.Listener, FleetObserver.ProxyCallbacks {
     private static final Logger LOG = System.getLogger(Proxy.class.getName());
-    /** The reply to an aborted query. */
-    private static final String ABORT_REPLY = "-ERR failed";
     /** A time in ms in a client's command. */
     private static final Pattern MILLIS_PATTERN = Pattern.compile("\\d{1,7}(\\.\\d{1,6})?");
     /** A time in s in a client's command. */
@@ -90,7 +88,7 @@
     private FleetObserver fleetObserver;
     /** The proxy count assigned by the fleet (total over this proxy's share); NaN if the settings' count applies. */
     private double fleetProxyCount = Double.NaN;
-    private double errorLoggedAt;
+    private final RateLimitedLog errorLog = new RateLimitedLog(LOG, ERROR_LOG_INTERVAL_MS);
     private final RateLimitedLog delayLog = new RateLimitedLog(LOG, ERROR_LOG_INTERVAL_MS);
 
     /** An accepted query, until it is answered and its last execution has ended. */
@@ -245,7 +243,7 @@
         for (PendingQuery pendingQuery : queries.all()) {
             if (!pendingQuery.answered) {
                 markAnswered(pendingQuery, Metrics.QueryResult.FAILED);
-                pendingQuery.reply.replyLine(ABORT_REPLY);
+                pendingQuery.reply.replyAborted();
             }
         }
     }
@@ -383,7 +381,7 @@
         PendingQuery pendingQuery = queries.get(id.value());
         if (pendingQuery != null && !pendingQuery.answered) {
             LOG.log(Level.ERROR, "query {0} had no answer at its statement timeout", pendingQuery.command.id());
-            pendingQuery.reply.replyLine(ABORT_REPLY);
+            pendingQuery.reply.replyAborted();
             clientLeft(id);
         }
     }
@@ -510,9 +508,8 @@
                         transfer.isDone() ? Metrics.QueryResult.COMPLETED : Metrics.QueryResult.FAILED));
                 pendingQuery.reply.replyTransfer(transfer, pendingQuery.clientDeadlineMs - loop.nowMs());
             }
-        } else if (executionResult.outcome() == Outcome.ERRED && loop.nowMs() > errorLoggedAt + ERROR_LOG_INTERVAL_MS) {
-            errorLoggedAt = loop.nowMs();
-            LOG.log(Level.WARNING, "execution ended ERRED: {0}", executionResult.cause());
+        } else if (executionResult.outcome() == Outcome.ERRED) {
+            errorLog.warn(loop.nowMs(), "execution ended ERRED: " + executionResult.cause());
         }
         dispatch(() -> {
             router.executionEnded(loop.nowMs(), execution.query, execution.number, executionResult.outcome(), tookMs,
@@ -539,7 +536,7 @@
 
     @Override
     public void abort(QueryId id) {
-        finish(id, Metrics.QueryResult.FAILED, reply -> reply.replyLine(ABORT_REPLY));
+        finish(id, Metrics.QueryResult.FAILED, PendingReply::replyAborted);
     }
 
     private void finish(QueryId id, Metrics.QueryResult result, Consumer<PendingReply> send) {
--- a/src/test/java/dappleseam/proxy/ServeFixture.java
+++ b/src/test/java/dappleseam/proxy/ServeFixture.java
@@ -258,15 +258,21 @@
 
     /** The memory flags that the launcher gives java for the memory limit. */
     List<String> launcherMemoryFlags(Path folder) throws IOException {
+        String flags = launcherCommand(folder, "{\"limits\":{\"memory_mb\":" + memoryMb + "}}");
+        return Stream.of(flags.strip().split(" ")).filter(flag -> flag.startsWith("-X") && !flag.contains("SharedArchive") && !flag.contains("-Xlog")).toList();
+    }
+
+    /** The arguments that the launcher gives java for a configuration. */
+    String launcherCommand(Path folder, String configuration) throws IOException {
         Path tools = Files.createDirectory(folder.resolve("launcher"));
         Path java = Files.writeString(tools.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
         assertThat(java.toFile().setExecutable(true)).isTrue();
-        Path limits = Files.writeString(tools.resolve("limits.json"), "{\"limits\":{\"memory_mb\":" + memoryMb + "}}");
+        Path config = Files.writeString(tools.resolve("config"), configuration);
         ProcessBuilder launcher = new ProcessBuilder("/bin/sh", "deploy/serve.sh");
-        launcher.environment().put("NODE_CONFIG", limits.toString());
+        launcher.environment().put("NODE_CONFIG", config.toString());
         launcher.environment().put("PATH", tools.toString());
-        String flags = new String(launcher.start().getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        return Stream.of(flags.strip().split(" ")).filter(flag -> flag.startsWith("-X") && !flag.contains("SharedArchive") && !flag.contains("-Xlog")).toList();
+        program = launcher.start();
+        return new String(program.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     }
 
     /** The most memory in MB that the program has had resident. */
--- a/src/test/java/dappleseam/proxy/ServeTest.java
+++ b/src/test/java/dappleseam/proxy/ServeTest.java
@@ -526,16 +526,8 @@
     }
 
     /** The flags that the launcher gives java. */
-    private String launcherFlags(String text) throws Exception {
-        Path tools = Files.createDirectory(folder.resolve("tools"));
-        Path java = Files.writeString(tools.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
-        assertThat(java.toFile().setExecutable(true)).isTrue();
-        Path config = Files.writeString(folder.resolve("config"), text);
-        ProcessBuilder launcher = new ProcessBuilder("/bin/sh", "deploy/serve.sh");
-        launcher.environment().put("NODE_CONFIG", config.toString());
-        launcher.environment().put("PATH", tools.toString());
-        fixture.program = launcher.start();
-        return new String(fixture.program.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    private String launcherFlags(String text) throws IOException {
+        return fixture.launcherCommand(folder, text);
     }
 
     /** With long values both processes of an upgrade took 203 to 242 MB of 192: each had buffers of a fifth of the whole limit. */
