The stub of the list answers a reopened watch itself: the test was late by a second

Cause: the test's own thread wrote the answer to the reopened call. A call with no response for 1 s (ListWatch.RESPONSE_GRACE_MS) is given up, its answer with it; the next request passed for the one after the answer, and the drain was never told.

Change: the stub answers in the thread that reads the request, and the test wants the next request to ask from=2, which it did not look at before; the other checks are unchanged. The product is right to give up such a call.

--- a/src/test/java/dappleseam/proxy/RaceConditionsTest.java
+++ b/src/test/java/dappleseam/proxy/RaceConditionsTest.java
@@ -157,9 +157,10 @@
     @Test
     void resetWatchIsReopenedWithoutBackOff() throws Exception {
         fixture.start(folder, "");
-        reset(fixture.list.next().connection());
-        fixture.list.next().answer(ok(drainingList(2)));
-        fixture.list.next();
+        ServeFixture.Received watch = fixture.list.next();
+        fixture.list.firstAnswer = ok(drainingList(2)); // by the stub itself: a response that is late by a second is dropped
+        reset(watch.connection());
+        assertThat(fixture.list.next().elements().get(0)).startsWith("GET /registry/instances?from=2&hold_ms=");
         assertNothingGoesToTheCache(fixture.client());
         assertThat(Files.readString(folder.resolve("log"))).contains("the watch is opened anew")
                 .doesNotContain("list: a call failed");
