Tests draw ports that systems give to nobody, and tell the log of a program that ended

Suspected, not shown: ports were drawn by binding port 0, and a peer of another suite got the same one before the program, a second later, bound it. Played: a socket bound meanwhile ends the program with 'Address already in use' at the same time. Ports are now drawn below the range that systems give out, and the failed wait tells port, exit status and log.

--- a/src/test/java/dappleseam/proxy/ServeFixture.java
+++ b/src/test/java/dappleseam/proxy/ServeFixture.java
@@ -7,6 +7,7 @@
 import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -19,12 +20,16 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 /** Starts the program in a process of its own, with stubs for its peers and clients that connect to it. */
 final class ServeFixture {
     static final long TIMEOUT_S = 20;
+    /** Ports below those that Linux and others give out by themselves. */
+    private static final int MIN_PORT = 12_000;
+    private static final int MAX_PORT = 32_000;
     /** Time in ms between two reads of a peer that reads slowly. */
     private static final long PACE_MS = 20;
 
@@ -32,6 +37,8 @@
     final StubPeer origin = new StubPeer();
     final StubPeer list = new StubPeer();
     Process program;
+    /** What the program, or the last of several, has written. */
+    private Path log;
     int port;
     int descriptorLimit = 1024;
     int memoryMb = 192;
@@ -220,9 +227,15 @@
         return this;
     }
 
+    /** A port that systems give to nobody who asks for any: another test's peer or connection can't take it before the program has bound it. */
     static int freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return free.getLocalPort();
+        while (true) {
+            int drawn = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            try (ServerSocket free = new ServerSocket(drawn, 1, InetAddress.getByName("127.0.0.1"))) {
+                return free.getLocalPort();
+            } catch (BindException e) {
+                continue; // in use
+            }
         }
     }
 
@@ -252,8 +265,8 @@
         builder.command().addAll(List.of("--config", config.toString()));
         builder.environment().put("TMPDIR", folder.toString());
         builder.environment().putAll(environment);
-        return builder.redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile())).start();
+        log = folder.resolve("log");
+        return builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
     }
 
     /** The memory flags that the launcher gives java for the memory limit. */
@@ -292,7 +305,8 @@
                 Thread.sleep(10);
             }
         }
-        throw new AssertionError("the program does not accept connections");
+        String state = program.isAlive() ? "is alive" : "has ended with status " + program.exitValue();
+        throw new AssertionError("the program does not accept connections at port " + port + " and " + state + "; its log: " + Files.readString(log));
     }
 
     /** Sends one request to the control server; returns the status line, the head and the body. */
