--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -494,13 +494,25 @@
         final Path config;
         private final Path folder;
         private final String text;
+        private final String discovery;
+        private final String known;
+        private final String settings;
+        private final int memoryMb;
+        private final int sockets;
         Process process;
+        /** Options behind the run command, such as {@code --fleet FILE}. */
+        String options = "";
 
         ProxyProcess(Path folder, String name, String discovery, String known, String settings, int memoryMb, int sockets) throws IOException {
             this(folder, name, freePort(), freePort(), discovery, known, settings, memoryMb, sockets);
         }
 
         ProxyProcess(Path folder, String name, int port, int control, String discovery, String known, String settings, int memoryMb, int sockets) throws IOException {
+            this.discovery = discovery;
+            this.known = known;
+            this.settings = settings;
+            this.memoryMb = memoryMb;
+            this.sockets = sockets;
             this.folder = folder;
             this.name = name;
             this.port = port;
@@ -511,6 +523,11 @@
             configure(discovery);
         }
 
+        /** The next version of this proxy: the same addresses but for the second one. */
+        ProxyProcess successor() throws IOException {
+            return new ProxyProcess(folder, name, port, freePort(), discovery, known, settings, memoryMb, sockets);
+        }
+
         void configure(String discovery) throws IOException {
             Files.writeString(config, text.replace("DISCOVERY", discovery));
         }
@@ -520,7 +537,7 @@
             for (String line : Files.readAllLines(Path.of("deploy/balancer.toml"))) {
                 run = line.startsWith("run = ") ? line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')) : run;
             }
-            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run);
+            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run + options);
             builder.environment().put("NODE_CONFIG", config.toString());
             builder.environment().put("NODE_NAME", name);
             builder.environment().put("TMPDIR", Files.createDirectories(folder.resolve("tmp-" + name)).toString());
@@ -579,6 +596,21 @@
             }
         }
 
+        /** The figure of that name; -1 if it is missing. */
+        double figure(String name) throws IOException {
+            try (Socket socket = new Socket()) {
+                socket.connect(new InetSocketAddress("127.0.0.1", control), 1000);
+                socket.setSoTimeout(2000);
+                socket.getOutputStream().write(bytes("GET /control/counters HTTP/1.1\r\nHost: proxy\r\n\r\n"));
+                for (String line : new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8).split("\n")) {
+                    if (line.startsWith(name + " ")) {
+                        return Double.parseDouble(line.substring(name.length() + 1));
+                    }
+                }
+                return -1;
+            }
+        }
+
         /** One call at the operators' door; the status. */
         int call(String method, String path) throws IOException {
             try (Socket socket = new Socket()) {
@@ -612,6 +644,19 @@
                 + "\"serviceType\":\"cache\",\"stage\":0,\"tickS\":0.005,\"tiers\":[\"cache-cuentas\"],\"weightSource\":\"nominal\",\"zone\":0}";
     }
 
+    /** The settings of pallet-cache-north at its first size. */
+    static String pallet(int proxies) {
+        return "{\"balancers\":" + proxies + ",\"ceilings\":{\"connectTimeoutS\":0.25,\"idleCloseS\":30.0,\"mayCancel\":true,\"mostExecutions\":3,\"mostHeld\":33333,"
+                + "\"parallelTries\":true,\"peers\":true,\"probing\":true,\"retryAfter\":true,\"maxRetryAfterS\":1.0,\"streamsPerConn\":128},"
+                + "\"clients\":{\"marksRetry\":false},\"dcs\":[\"taoyuan-dc\",\"hsinchu-dc\",\"taichung-dc\"],\"extra\":{\"mode\":\"through\",\"originKind\":-1},"
+                + "\"flavors\":[\"std-4c\",\"lite-3c\"],\"me\":0,\"membershipMode\":\"pushed\","
+                + "\"penalties\":{\"connection\":0.0,\"crossZone\":0.02,\"handshake\":0.02,\"lateFail\":0.08,\"peer\":0.01,\"probe\":0.01,\"waste\":0.029},"
+                + "\"report\":{\"fields\":[],\"how\":\"off\"},"
+                + "\"rules\":{\"askEveryS\":0.0,\"coldFrom\":0.17,\"drainGraceS\":1.5,\"fallMultiple\":4.0,\"fallS\":2.0,\"graceToAnswerS\":0.005,\"warmAfterS\":22.0},"
+                + "\"serviceGrades\":[" + grade("balance-check", "read_like", "all", 0.6, 2, 5, 1, 0) + "," + grade("transfer-post", "read_like", "all", 0.75, 3, 5, 2, 0) + "],"
+                + "\"serviceType\":\"cache\",\"stage\":0,\"tickS\":0.005,\"weightSource\":\"nominal\",\"zone\":0}";
+    }
+
     /** A small deployment of litoral-homebanking: discovery, cache nodes in its four data centres, the origin, and one of its three proxies, not yet started. */
     static ProxyProcess litoral(List<? extends Cache> caches, int sockets) throws IOException {
         String[] zones = {"parana", "santa-fe", "rosario", "concordia"};
