--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,4 +5,4 @@
   echo "run the build of deploy/balancer.toml and review/build-2.sh first"
   exit 2
 fi
-exec java -cp review/target/standins-2 EarlyDrain review/9
+exec java -cp review/target/standins-2 DrainCut review/9
--- a/review/standins-2/BrokenValue.java
+++ b/review/standins-2/BrokenValue.java
@@ -7,7 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Case 7: a client sends several commands at once; the cache node of the first one gives a long value and dies in the middle of it. */
+/** Case 8: a client sends several commands at once; the cache node of the first one gives a long value and dies in the middle of it. */
 final class BrokenValue {
     private static final int LENGTH = 3 << 20;
     private static final int PIECES = 60;
--- a/review/standins-2/DrainCut.java
+++ b/review/standins-2/DrainCut.java
@@ -6,7 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Case 8: the proxy is drained while a client, which has sent its next command already, receives a long value. */
+/** Case 9: the proxy is drained while a client, which has sent its next command already, receives a long value. */
 final class DrainCut {
     private static final int LENGTH = 4 << 20;
     private static final int PIECES = 44;
--- a/review/standins-2/EarlyDrain.java
+++ b/review/standins-2/EarlyDrain.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Case 9: a proxy is drained as soon as its second address answers, before it is ready. */
+/** Case 10: a proxy is drained as soon as its second address answers, before it is ready. */
 final class EarlyDrain {
     private static final double LIMIT_MS = 4000;
 
--- a/review/standins-2/TwoHolders.java
+++ b/review/standins-2/TwoHolders.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 
 /**
- * Case 10: a fleet of four with leases, of which the member that is no voter holds the one for the last list. The operators shorten lease_ms by the steps
+ * Case 7: a fleet of four with leases, of which the member that is no voter holds the one for the last list. The operators shorten lease_ms by the steps
  * of docs/fleet.md. Without the disruption they take the same steps and leave lease_ms as it is.
  */
 final class TwoHolders {
