--- a/review/standins-2/TwoHolders.java
+++ b/review/standins-2/TwoHolders.java
@@ -18,9 +18,9 @@
     private static final String HELD = "app_fleet_lease_held{lease=\"last-list\"}";
     private static final int OLD_LEASE_MS = 15_000;
     private static final int NEW_LEASE_MS = 1000;
-    /** A figure may be so old, and a write on its way for so long. */
-    private static final double FIGURE_AGE_MS = 500;
-    private static final double WRITE_MS = 300;
+    /** A figure may be so old, as it is published every 250 ms; and a write on its way for so long, over loopback. */
+    private static final double FIGURE_AGE_MS = 300;
+    private static final double WRITE_MS = 50;
 
     /** The store of the last list: one object, replaced in one step with the look at token and number. */
     private static final class Store extends Kit.Server {
