--- a/src/main/java/dappleseam/query/Transfer.java
+++ b/src/main/java/dappleseam/query/Transfer.java
@@ -50,6 +50,7 @@
     private boolean holdsWhole;
     private boolean isFinished;
     private boolean isWanted = true;
+    private long arrivedBytes;
 
     /** {@code length} is the length of the whole value. */
     public Transfer(long length, BufferPool pool, Source source) {
@@ -73,6 +74,7 @@
             in.position(in.position() + count);
             return;
         }
+        arrivedBytes += count;
         held.put(in, count);
         if (!paused && !holdsWhole && held.size() >= pauseBytes()) {
             paused = true;
@@ -127,6 +129,11 @@
         }
     }
 
+    /** Bytes of the value that have arrived so far. */
+    public long arrivedBytes() {
+        return arrivedBytes;
+    }
+
     /** Whether more of the value is to come. */
     public boolean isArriving() {
         return state == State.IN_PROGRESS;
--- a/src/test/java/dappleseam/proxy/LostAnswersTest.java
+++ b/src/test/java/dappleseam/proxy/LostAnswersTest.java
@@ -230,6 +230,48 @@
         assertThat(client.answer()).isEqualTo("third");
     }
 
+    /** Guards against commands that go down with a long value before them, which breaks off after its server has written it for seconds. */
+    @Test
+    void aLongValueThatBreaksOffAfterSecondsCostsOnlyItself() throws Exception {
+        ServeFixture.Client client = pipeline();
+        atCache("one").answer(ServeFixture.hit("first"));
+        ServeFixture.Received broken = atCache("long");
+        atCache("three").answer(ServeFixture.hit("third"));
+        sendPart(broken, 900_000, 200_000);
+        for (int i = 0; i < 9; i++) {
+            Thread.sleep(250);
+            broken.answer("v".repeat(50_000));
+        }
+        broken.connection().close();
+        assertThat(client.answer()).isEqualTo("first");
+        assertThat(client.answer()).startsWith("-");
+        assertThat(client.answer()).isEqualTo("third");
+    }
+
+    /** Guards against a long value that is held back past its client's time, when its server writes it for longer. */
+    @Test
+    void aLongValueBeforeOtherCommandsBeginsInItsClientsTime() throws Exception {
+        fixture.start(folder, "");
+        ServeFixture.Client client = fixture.client();
+        long startedAt = System.nanoTime();
+        client.raw(command("long", "00000000000000a2").replace("$14\r\nc=read,d=20000", "$13\r\nc=read,d=3000") + command("three", "00000000000000a3"));
+        ServeFixture.Received slow = atCache("long");
+        atCache("three").answer(ServeFixture.hit("third"));
+        sendPart(slow, 900_000, 200_000);
+        Thread writer = start(newBreaches(), () -> {
+            for (int i = 0; i < 14; i++) {
+                Thread.sleep(250);
+                slow.answer("v".repeat(50_000));
+            }
+            sendRest(slow, 0);
+        });
+        assertThat(new String(client.bytes(9), StandardCharsets.ISO_8859_1)).isEqualTo("$900000\r\n");
+        assertThat((System.nanoTime() - startedAt) / NANOS_PER_MS).isLessThan(3000);
+        assertThat(client.bytes(900_002)).endsWith("v\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        assertThat(client.answer()).isEqualTo("third");
+        writer.join();
+    }
+
     private static void sendRest(ServeFixture.Received request, int bytes) throws IOException {
         request.answer("v".repeat(bytes) + "\r\n$3\r\nhit\r\n$-1\r\n");
     }
