Ends of client connections linger, so that sent answers reach slow clients whole

Cause: the socket was closed as soon as the system had taken the last byte. A socket closed over unread input, or one that receives input after its close, sends a reset, and the system drops what it has not sent. Each end that the program decides had this: out of service, idle, QUIT, malformed input, half a command, SIGTERM, hand-over.

Evidence: ConnectionEndTest plays these seven, a command sent in the middle of a value, and one that crosses the end.

Change: ClientConnection.close alone decides how a connection ends, by CloseReason.lingers. The output is ended, and the socket stays until the client closes, within bounds. Input that crosses the end is not read beyond its first byte, since a request that was read has to be answered. A drain does not end reading while a value is passed on. A process that ends waits for clients that may still receive a long value, until the kill.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -50,8 +50,8 @@
     /** Time in ms for which the first command of a new client may still be on its way. */
     private static final double NEW_CLIENT_MS = 1000;
     /**
-     * Eviction order, first to be evicted first: clients that never sent a query, idle ones, those in the middle of a command, new ones;
-     * within each group the one quiet for the longest time.
+     * Eviction order, first to be evicted first: clients that never sent a query, idle ones, those in the middle of a command, new ones, those that
+     * may still be receiving a large value; within each group the one quiet for the longest time.
      */
     static final Comparator<ClientConnection> BY_EVICTION_ORDER =
             Comparator.comparingInt(ClientConnection::evictionRank).thenComparingDouble(c -> c.lastReplyAt);
@@ -78,6 +78,8 @@
     private IoLoop.PendingTask silenceTimer = () -> { };
     /** When the last reply was written; initially when the connection was accepted. */
     private double lastReplyAt;
+    /** When bytes of a large value were last written. */
+    private double lastLargeReplyAt = Double.NEGATIVE_INFINITY;
     /** When the incomplete command began, and when its last part was read. */
     private double commandStartedAt;
     private double lastReadAt;
@@ -355,8 +357,16 @@
         return hasQueriedAndIsIdle() && loop.nowMs() - lastReplyAt > QUIESCENT_MS;
     }
 
+    /** Whether the client may still be receiving a large value, all of which the system has taken. */
+    private boolean isReceivingLargeReply() {
+        return loop.nowMs() - lastLargeReplyAt < WRITE_STALL_MS;
+    }
+
     /** Groups of {@link #BY_EVICTION_ORDER}: 0 is evicted first. */
     private int evictionRank() {
+        if (isReceivingLargeReply()) {
+            return 4;
+        }
         boolean isNew = !hasQueried && loop.nowMs() - lastReplyAt < NEW_CLIENT_MS;
         return isNew ? 3 : !isIdle() ? 2 : hasQueried ? 1 : 0;
     }
@@ -383,7 +393,9 @@
         long before = link.out().size();
         try {
             while (hasWritableReply()) {
-                PendingReply.Progress progress = pendingReplies.peekFirst().writeTo(link.out());
+                PendingReply first = pendingReplies.peekFirst();
+                lastLargeReplyAt = first.isLarge() ? loop.nowMs() : lastLargeReplyAt;
+                PendingReply.Progress progress = first.writeTo(link.out());
                 if (progress == PendingReply.Progress.BROKEN) {
                     closeAfterOutput(CloseReason.BROKEN_VALUE); // the only way to tell the client that the value is incomplete
                     return;
@@ -574,17 +586,16 @@
             link.readAvailable(); // input read now is answered; closing with it unread would lose it
         }
         if (!link.isClosed() && isIdle()) {
-            link.closeImmediately();
-            cleanUp(CloseReason.DRAINED);
+            close(CloseReason.DRAINED);
         }
     }
 
     /**
-     * Reads what has arrived, then stops reading. What was read ahead is still handled, as replies make room. Unread input is reset on close, so that the
-     * client retries elsewhere.
+     * Reads what has arrived, then stops reading. What was read ahead is still handled, as replies make room. What the client sends later stays unread, so
+     * that it sends it again elsewhere. While a large value is passed on nothing can be read, so this has to be called again.
      */
     void stopReading() {
-        if (isClosing || link.isClosed() || link.hasEndedReading()) {
+        if (isClosing || isPassingOn || link.isClosed() || link.hasEndedReading()) {
             return;
         }
         link.readAvailable();
@@ -615,16 +626,20 @@
         isClosing = true;
         rejectQueries(RefusalReason.CLOSING);
         if (!link.isClosed() && hasNothingPending()) { // an incomplete command is dropped
-            link.closeImmediately();
-            cleanUp(CloseReason.DRAINED);
+            close(CloseReason.DRAINED);
         }
     }
 
+    /** Ends the connection: the one place that decides how. A client that may still be receiving replies gets them whole. */
     private void close(CloseReason reason) {
         if (link.out().size() > 0) {
             frontend.logUnsentReplies(reason, link.out().size());
         }
-        link.close();
+        if (reason.lingers && link.bytesWritten() > 0) {
+            frontend.linger(link, isReceivingLargeReply());
+        } else {
+            link.close();
+        }
         cleanUp(reason);
     }
 
--- a/src/main/java/dappleseam/clients/ClientFrontend.java
+++ b/src/main/java/dappleseam/clients/ClientFrontend.java
@@ -5,6 +5,7 @@
 import dappleseam.diagnostics.ReasonCounter;
 import dappleseam.query.Slots;
 import dappleseam.wire.IoLoop;
+import dappleseam.wire.Link;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.net.InetSocketAddress;
@@ -24,6 +25,8 @@
     private static final int RESERVED_CONNECTIONS = 8;
     /** Share of the clients' own connection limit that idle clients may use; the rest is left for a burst. */
     private static final double IDLE_SHARE = 0.75;
+    /** Share of all connections that may linger after their end. */
+    private static final double LINGERING_SHARE = 0.125;
     /** Interval in ms of the checks for idle clients while they exceed that share; only a few clients connect in that time. */
     private static final double RECHECK_MS = 50;
     /**
@@ -59,6 +62,7 @@
     private final ReadShare readShare;
     private final HoldBudget holdBudget;
     private final Slots<ClientConnection> connections = new Slots<>();
+    private final LingeringConnections lingering;
     private ReusePortListener listener;
     private boolean isStopping;
     /** Connections still accepted while stopping: as many as can have been waiting. */
@@ -82,6 +86,7 @@
         receiveBudget = new ReceiveBudget(loop.pool());
         holdBudget = new HoldBudget(loop.pool());
         readShare = new ReadShare(loop);
+        lingering = new LingeringConnections(loop);
         this.maxConnections = maxConnections;
         maxQueryingClients = (int) (IDLE_SHARE * queryConnections);
     }
@@ -189,11 +194,11 @@
         client.start(connections.put(client), waitedMs);
     }
 
-    /** Evicts a client when nearly all connections are in use, so that hundreds of silent clients do not lock out the others. */
+    /** Frees a descriptor when nearly all are in use, so that hundreds of silent clients do not lock out the others. */
     private void evictIfNearlyFull() {
-        if (connections.used() >= maxConnections - RESERVED_CONNECTIONS) {
+        if (connections.used() + lingering.count() >= maxConnections - RESERVED_CONNECTIONS && !lingering.closeOne(false)) {
             connections.all().stream().filter(ClientConnection::hasNothingPending).min(ClientConnection.BY_EVICTION_ORDER)
-                    .ifPresent(ClientConnection::closeToFreeSlot);
+                    .ifPresentOrElse(ClientConnection::closeToFreeSlot, () -> lingering.closeOne(true));
         }
     }
 
@@ -217,6 +222,11 @@
         queryingClients++;
     }
 
+    /** Lets a connection that has ended linger until its client has received what was sent, or for a limited time. */
+    void linger(Link link, boolean hasLargeReply) {
+        lingering.add(link, hasLargeReply, (int) (LINGERING_SHARE * maxConnections));
+    }
+
     /** Called when a connection is closed over replies that have not been sent. */
     void logUnsentReplies(CloseReason reason, long bytes) {
         lossLog.warn(loop.nowMs(), "client connection closed: " + reason + ", with " + bytes + " reply bytes not sent");
@@ -322,4 +332,9 @@
     public boolean hasClients() {
         return connections.used() > 0;
     }
+
+    /** Whether a client may still be receiving a large value, on a connection that has ended otherwise. */
+    public boolean isDeliveringLargeReply() {
+        return lingering.hasLargeReply();
+    }
 }
--- a/src/main/java/dappleseam/clients/PendingReply.java
+++ b/src/main/java/dappleseam/clients/PendingReply.java
@@ -109,6 +109,10 @@
         return transfer != null && !headerWritten && transfer.isArriving() ? transfer : null;
     }
 
+    boolean isLarge() {
+        return transfer != null;
+    }
+
     /** Whether a part of a large value has been written that is still arriving, and may break off. */
     boolean isPassingOn() {
         return headerWritten && transfer.isArriving();
--- a/src/main/java/dappleseam/proxy/Shutdown.java
+++ b/src/main/java/dappleseam/proxy/Shutdown.java
@@ -82,7 +82,8 @@
             case ABORTING -> abortAndClose();
             default -> { }
         }
-        if (state == State.ENDED || state != State.ACCEPTING && !front.hasClients() && !front.isListening()) {
+        boolean isLeft = front.hasClients() || front.isDeliveringLargeReply() || front.isListening();
+        if (state == State.ENDED || state != State.ACCEPTING && !isLeft) {
             end();
         } else {
             loop.scheduleAt(loop.nowMs() + POLL_INTERVAL_MS, this::step);
--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -348,13 +348,14 @@
         }
     }
 
-    /** Closes at once on the I/O thread, so that no input can arrive between a last read and the close. */
-    public void closeImmediately() {
-        if (!closed) {
-            closed = true;
-            out.release();
-            IoUtils.safeClose(connection);
-        }
+    /**
+     * Closes the connection in order: all output written so far reaches the peer. What is still queued is dropped. No listener is called any more;
+     * {@code onClosed} runs once the socket is closed.
+     */
+    public LingeringClose closeLingering(Runnable onClosed) {
+        closed = true;
+        out.release();
+        return LingeringClose.begin(connection, onClosed);
     }
 
     /** Closes the connection; the socket itself is closed by a worker thread. */
