A value that breaks off before other commands goes on from another node

Cause: once a part of a value was passed on there was no other execution, so a break could only end the connection, also with time, attempts and other nodes left.

Change: a read with commands behind it is open again until its deadline. The router chooses the node under the limits of any retry. The client's bytes are skipped and compared by length and two checksums, so that the client has exactly the new node's value, or can tell that the value is not whole. Without commands behind it a value that breaks off ends as before (LongValuesTest#truncatedValueIsNeverCompleted is unchanged).

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -455,6 +455,14 @@
         }
     }
 
+    /**
+     * Whether another node is asked for the rest of a value that broke off. That is done only for the commands behind it, which would be lost with the
+     * connection: they have been read, and the client's end is still seen.
+     */
+    boolean resumesValue(PendingReply reply) {
+        return pendingReplies.peekFirst() == reply && pendingReplies.size() > 1 && handler.resumeValue(reply.query());
+    }
+
     /** Gives up all pending replies, and closes once what is queued has been sent. */
     private void closeAfterOutput(CloseReason reason) {
         isClosing = true;
--- a/src/main/java/dappleseam/clients/PendingReply.java
+++ b/src/main/java/dappleseam/clients/PendingReply.java
@@ -1,6 +1,7 @@
 package dappleseam.clients;
 
 import dappleseam.query.Transfer;
+import dappleseam.query.ValuePrefix;
 import dappleseam.router.QueryId;
 import dappleseam.wire.BufferChain;
 import dappleseam.wire.RespWriter;
@@ -23,7 +24,9 @@
     private Transfer transfer;
     /** Time in ms that was left to the client when the large value began. */
     private double leftMs;
-    private boolean headerWritten;
+    /** The part of the large value that has been written; null until its header is. */
+    private ValuePrefix written;
+    private long writtenLength;
     /** Null for a command other than a query. */
     private QueryId query;
     /** The id that the client gave its query; empty for other commands. */
@@ -71,14 +74,23 @@
         }
         transfer = arriving;
         this.leftMs = leftMs;
+        if (isBegun()) {
+            transfer.continueFrom(written);
+        }
         connection.flushReplies();
     }
 
     /** Called when more of the streamed value is available, or it has ended. */
     public void transferAdvanced() {
-        if (!connection.isClosed()) {
-            connection.flushReplies();
+        if (connection.isClosed()) {
+            return;
         }
+        if (transfer.isFailed() && isBegun() && connection.resumesValue(this)) {
+            Transfer broken = transfer;
+            transfer = null; // until another node gives the value
+            broken.abandon();
+        }
+        connection.flushReplies();
     }
 
     /** Whether the client is still connected; checked just before more work is done for it. */
@@ -106,16 +118,21 @@
 
     /** The large value of which nothing has been written, and which is still arriving; null if there is none. */
     Transfer unstartedTransfer() {
-        return transfer != null && !headerWritten && transfer.isArriving() ? transfer : null;
+        return transfer != null && !isBegun() && transfer.isArriving() ? transfer : null;
+    }
+
+    /** Whether a part of a large value has been written. */
+    private boolean isBegun() {
+        return written != null;
     }
 
     boolean isLarge() {
         return transfer != null;
     }
 
-    /** Whether a part of a large value has been written that is still arriving, and may break off. */
+    /** Whether a part of a large value has been written whose rest is still to arrive, and may break off. */
     boolean isPassingOn() {
-        return headerWritten && transfer.isArriving();
+        return isBegun() && (transfer == null || transfer.isArriving());
     }
 
     double leftMs() {
@@ -124,7 +141,7 @@
 
     /** Writes what is available, up to the queue limit. A value that broke off before any of it was written becomes an error. */
     Progress writeTo(BufferChain out) {
-        if (transfer != null && transfer.isFailed() && !headerWritten) {
+        if (transfer != null && transfer.isFailed() && !isBegun()) {
             transfer.abandon();
             transfer = null;
             replyLine = ABORTED_REPLY;
@@ -132,6 +149,9 @@
         if (transfer != null) {
             return writeTransferTo(out);
         }
+        if (isBegun()) { // no other reply can follow a part of a value
+            return Progress.BROKEN;
+        }
         if (replyLine != null) {
             RespWriter.line(out, replyLine);
         } else {
@@ -144,12 +164,17 @@
         if (transfer.isFailed()) {
             return Progress.BROKEN;
         }
-        if (!headerWritten) {
-            headerWritten = true;
+        if (!isBegun()) {
+            written = new ValuePrefix();
+            writtenLength = transfer.length;
             out.put("$" + transfer.length + "\r\n");
         }
+        transfer.skipKnown();
+        if (transfer.length != writtenLength || transfer.differs()) {
+            return Progress.BROKEN;
+        }
         int most = connection.areBuffersScarce() ? MAX_QUEUED_BYTES_SCARCE : MAX_QUEUED_BYTES;
-        transfer.moveTo(out, Math.max(0, most - out.size()));
+        transfer.moveTo(out, Math.max(0, most - out.size()), written);
         if (!transfer.isDone()) {
             return Progress.PARTIAL;
         }
--- a/src/main/java/dappleseam/clients/QueryHandler.java
+++ b/src/main/java/dappleseam/clients/QueryHandler.java
@@ -18,6 +18,12 @@
     /** Rejects a query without handling it. */
     void reject(Command command, PendingReply reply, RefusalReason reason);
 
+    /**
+     * Has another node give the value of a query whose large value broke off after a part of it was passed on. Returns whether the query is open again, so
+     * that its reply follows; its deadline stays.
+     */
+    boolean resumeValue(QueryId id);
+
     /** Called when the client of an unanswered query has disconnected. */
     void clientLeft(QueryId id);
 }
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -104,6 +104,9 @@
         IoLoop.PendingTask abortTimer;
         boolean answered;
         int openExecutions;
+        /** The large value being passed on, and the number of its execution; null if there is none. */
+        Transfer transfer;
+        int transferExecution;
 
         PendingQuery(Command command, PendingReply reply, String gradeName, ServiceGrade serviceGrade, int mostExecutions, double clientDeadlineMs) {
             this.command = command;
@@ -413,7 +416,7 @@
     }
 
     private void releaseIfDone(QueryId id, PendingQuery pendingQuery) {
-        if (pendingQuery.answered && pendingQuery.openExecutions == 0 && queries.get(id.value()) == pendingQuery) {
+        if (pendingQuery.answered && pendingQuery.openExecutions == 0 && pendingQuery.transfer == null && queries.get(id.value()) == pendingQuery) {
             queries.free(id.value());
             pendingQuery.command.release();
         }
@@ -503,10 +506,7 @@
                 pendingQuery.reply.replyValue(executionResult.value());
             } else { // the reply starts with the first bytes; the query ends once the client has the last
                 markAnswered(pendingQuery);
-                Transfer transfer = executionResult.transfer();
-                transfer.connect(pendingQuery.reply::transferAdvanced, () -> metrics.queryEnded(pendingQuery.gradeName,
-                        transfer.isDone() ? Metrics.QueryResult.COMPLETED : Metrics.QueryResult.FAILED));
-                pendingQuery.reply.replyTransfer(transfer, pendingQuery.clientDeadlineMs - loop.nowMs());
+                passOn(execution, pendingQuery, executionResult.transfer());
             }
         } else if (executionResult.outcome() == Outcome.ERRED) {
             errorLog.warn(loop.nowMs(), "execution ended ERRED: " + executionResult.cause());
@@ -519,6 +519,45 @@
         });
     }
 
+    private void passOn(Execution execution, PendingQuery pendingQuery, Transfer transfer) {
+        pendingQuery.transfer = transfer;
+        pendingQuery.transferExecution = execution.number;
+        dispatch(() -> router.valueBegun(execution.query));
+        transfer.connect(pendingQuery.reply::transferAdvanced, () -> transferFinished(execution.query, pendingQuery, transfer));
+        pendingQuery.reply.replyTransfer(transfer, pendingQuery.clientDeadlineMs - loop.nowMs());
+    }
+
+    private void transferFinished(QueryId id, PendingQuery pendingQuery, Transfer transfer) {
+        if (pendingQuery.transfer != transfer) { // it broke off, and the query is open again
+            return;
+        }
+        pendingQuery.transfer = null;
+        metrics.queryEnded(pendingQuery.gradeName, transfer.isDone() ? Metrics.QueryResult.COMPLETED : Metrics.QueryResult.FAILED);
+        dispatch(() -> {
+            router.valueEnded(id);
+            releaseIfDone(id, pendingQuery);
+        });
+    }
+
+    @Override
+    public boolean resumeValue(QueryId id) {
+        PendingQuery pendingQuery = queries.get(id.value());
+        boolean isRepeatable = pendingQuery != null && pendingQuery.transfer != null && !pendingQuery.command.isWrite()
+                && pendingQuery.serviceGrade.semantics() == ServiceGrade.Semantics.IDEMPOTENT;
+        if (!isRepeatable || loop.nowMs() >= pendingQuery.clientDeadlineMs) {
+            return false;
+        }
+        pendingQuery.transfer = null;
+        pendingQuery.answered = false;
+        pendingQuery.abortTimer = loop.scheduleAt(pendingQuery.clientDeadlineMs + ABORT_GRACE_MS, () -> abortOverdue(id));
+        loop.executeNextTurn(() -> { // the connections of both sides are still being handled
+            if (!pendingQuery.answered) {
+                dispatch(() -> router.valueBroke(loop.nowMs(), id, pendingQuery.transferExecution));
+            }
+        });
+        return true;
+    }
+
     private void reportOutcome(NodeId node, double sentAt, double tookMs, Outcome outcome) {
         switch (outcome) {
             case COMPLETED, MISS, FULL -> fleetObserver.cacheAnswered(node, loop.nowMs(), tookMs);
--- a/src/main/java/dappleseam/query/Transfer.java
+++ b/src/main/java/dappleseam/query/Transfer.java
@@ -6,7 +6,7 @@
 
 /**
  * A large value being transferred from a node to a client, of which a bounded part is buffered here. Either side may be slow or
- * disconnect. Once the transfer has started there is no other execution, and an incomplete value is never presented as complete.
+ * disconnect. An incomplete value is never presented as complete; one that broke off may be continued by another transfer, of the same value from another node.
  */
 public final class Transfer {
     /** Buffered bytes from which reading from the node pauses, and down to which it resumes. */
@@ -51,6 +51,10 @@
     private boolean isFinished;
     private boolean isWanted = true;
     private long arrivedBytes;
+    /** What the client has already from an earlier transfer; null if this is the first one. */
+    private ValuePrefix known;
+    /** How much of that has been skipped here. */
+    private ValuePrefix skipped;
 
     /** {@code length} is the length of the whole value. */
     public Transfer(long length, BufferPool pool, Source source) {
@@ -111,9 +115,43 @@
 
     // the client's side
 
-    /** Moves up to {@code most} buffered bytes to {@code out}. */
-    public void moveTo(BufferChain out, long most) {
-        out.moveUpTo(held, most);
+    /** Skips the bytes that the client has from an earlier transfer of the same value; {@link #differs} tells if it is not the same. */
+    public void continueFrom(ValuePrefix prefix) {
+        known = prefix;
+        skipped = new ValuePrefix();
+    }
+
+    /** Whether the value does not begin with the bytes that the client has. */
+    public boolean differs() {
+        return skipped != null && skipped.size() == known.size() && !skipped.isSameAs(known);
+    }
+
+    /** Skips what has arrived of the known bytes; once that is done, the prefix may grow. */
+    public void skipKnown() {
+        if (skipped == null) {
+            return;
+        }
+        long count = Math.min(known.size() - skipped.size(), held.size());
+        skipped.append(held, count);
+        held.discard(count);
+        if (skipped.size() == known.size() && !differs()) {
+            skipped = null;
+        }
+        resumeIfDrained();
+    }
+
+    /** Moves up to {@code most} buffered bytes to {@code out}, and appends them to the prefix. Nothing is moved before all known bytes are skipped. */
+    public void moveTo(BufferChain out, long most, ValuePrefix prefix) {
+        if (skipped != null) {
+            return;
+        }
+        long count = Math.min(most, held.size());
+        prefix.append(held, count);
+        out.moveUpTo(held, count);
+        resumeIfDrained();
+    }
+
+    private void resumeIfDrained() {
         if (paused && held.size() <= RESUME_BYTES && (held.size() == 0 || !pool.isScarce()) && state == State.IN_PROGRESS) {
             paused = false;
             source.resume();
@@ -141,7 +179,7 @@
 
     /** All bytes were moved out, and the node's answer ended correctly. */
     public boolean isDone() {
-        return state == State.COMPLETE && held.size() == 0;
+        return state == State.COMPLETE && held.size() == 0 && skipped == null;
     }
 
     public boolean isFailed() {
--- a/src/main/java/dappleseam/router/Query.java
+++ b/src/main/java/dappleseam/router/Query.java
@@ -28,6 +28,8 @@
     int inFlight;
     boolean answered;
     boolean streaming;
+    /** Its large value is being passed on to the client: the query may be opened again. */
+    boolean isValueArriving;
     /** The last walk of the ring visited a cache whose limit was reached. */
     boolean metFullCache;
 
--- a/src/main/java/dappleseam/router/Router.java
+++ b/src/main/java/dappleseam/router/Router.java
@@ -348,6 +348,40 @@
         }
     }
 
+    /** The large value that answers the query is being passed on; it is kept until {@link #valueEnded} or {@link #valueBroke}. */
+    public void valueBegun(QueryId id) {
+        Query q = queries.get(id);
+        if (q != null) {
+            q.isValueArriving = true;
+        }
+    }
+
+    /** The client has the whole value, or never will. */
+    public void valueEnded(QueryId id) {
+        Query q = queries.get(id);
+        if (q != null) {
+            q.isValueArriving = false;
+            removeIfDone(q);
+        }
+    }
+
+    /**
+     * The value broke off, and the client waits for the rest: the query is open again, until its deadline. Another node may execute it, under the limits that
+     * hold for any retry.
+     */
+    public void valueBroke(double nowMs, QueryId id, int execution) {
+        now = nowMs;
+        Query q = queries.get(id);
+        if (q == null || !q.isValueArriving) {
+            return;
+        }
+        q.isValueArriving = false;
+        q.answered = false;
+        q.usefulUntil = q.deadline;
+        recordOutcome(q, q.executions.get(execution), Outcome.RESET, 0);
+        continueAfter(q, Outcome.RESET);
+    }
+
     /** A timer that was started through {@link Host#startTimer} is due. */
     public void timerFired(double nowMs, TimerId timer) {
         now = nowMs;
@@ -589,8 +623,14 @@
             finish(q);
         } else if (!q.answered) {
             continueAfter(q, outcome);
-        } else if (q.inFlight == 0) {
-            queries.remove(id);
+        } else {
+            removeIfDone(q);
+        }
+    }
+
+    private void removeIfDone(Query q) {
+        if (q.answered && q.inFlight == 0 && !q.isValueArriving) {
+            queries.remove(q.id);
         }
     }
 
@@ -804,8 +844,6 @@
                 host.cancel(q.id, i);
             }
         }
-        if (q.inFlight == 0) {
-            queries.remove(q.id);
-        }
+        removeIfDone(q);
     }
 }
--- a/src/main/java/dappleseam/wire/BufferChain.java
+++ b/src/main/java/dappleseam/wire/BufferChain.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.zip.CRC32C;
+import java.util.zip.Checksum;
 
 /** A byte queue made of pooled buffers: bytes are appended at the end and consumed from the front. */
 public final class BufferChain {
@@ -143,6 +144,31 @@
         return checksum.getValue();
     }
 
+    /** Updates a checksum with the first {@code count} bytes. */
+    public void updateChecksum(Checksum checksum, long count) {
+        long left = count;
+        for (ByteBuffer buffer : buffers) {
+            int part = (int) Math.min(left, buffer.remaining());
+            checksum.update(buffer.duplicate().limit(buffer.position() + part));
+            left -= part;
+        }
+    }
+
+    /** Discards the first {@code count} bytes, and returns emptied buffers to the pool. */
+    public void discard(long count) {
+        long left = Math.min(count, size);
+        size -= left;
+        while (left > 0) {
+            ByteBuffer first = buffers.peekFirst();
+            int part = (int) Math.min(left, first.remaining());
+            first.position(first.position() + part);
+            left -= part;
+            if (!first.hasRemaining()) {
+                pool.recycle(buffers.pollFirst());
+            }
+        }
+    }
+
     /** The content as text, one character per byte. */
     public String text() {
         return new String(bytes(), StandardCharsets.ISO_8859_1);
--- a/src/test/java/dappleseam/clients/ManualIoLoop.java
+++ b/src/test/java/dappleseam/clients/ManualIoLoop.java
@@ -93,6 +93,11 @@
         reply.replyBusy(0);
     }
 
+    @Override
+    public boolean resumeValue(QueryId id) {
+        return false;
+    }
+
     @Override
     public void clientLeft(QueryId id) {
         disconnected++;
