A value that is held back is aborted before the kill, for the commands behind it

What callers saw: after SIGTERM, commands behind a long value that its server writes until the end get no answer before the process ends, though their own servers had answered.

Cause: Proxy.abortAll passed over queries whose value had begun to arrive; one that is held back, with no byte written, can still be answered with an error.

Evidence: ConnectionEndTest#commandsBehindAValueThatIsHeldBackAreAnswered BeforeTheProcessEnds failed before with "IO ended".

Change: abortAll aborts values of which nothing is written.

Result: the test passes; it ends with the error, the value behind it and an orderly close.

--- a/src/main/java/dappleseam/clients/PendingReply.java
+++ b/src/main/java/dappleseam/clients/PendingReply.java
@@ -108,6 +108,16 @@
         replyLine(ABORTED_REPLY);
     }
 
+    /** Gives up a large value that is still arriving and of which nothing has been written; the replies behind it can be written then. */
+    public void abortUnstartedValue() {
+        Transfer unstarted = unstartedTransfer();
+        if (unstarted != null) {
+            transfer = null;
+            unstarted.abandon();
+            replyAborted();
+        }
+    }
+
     /** Replies with a single line that starts with its RESP type character. */
     public void replyLine(String typedLine) {
         if (!isAnswered() && !connection.isClosed()) {
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -241,12 +241,14 @@
         return fleetObserver == null ? defaultMs : fleetObserver.listRetryDelayMs(loop.nowMs(), defaultMs);
     }
 
-    /** Aborts all open queries: the process is about to end. */
+    /** Aborts all open queries: the process is about to end. Values that are held back until they are whole are among them. */
     void abortAll() {
         for (PendingQuery pendingQuery : queries.all()) {
             if (!pendingQuery.answered) {
                 markAnswered(pendingQuery, Metrics.QueryResult.FAILED);
                 pendingQuery.reply.replyAborted();
+            } else if (pendingQuery.transfer != null) {
+                pendingQuery.reply.abortUnstartedValue();
             }
         }
     }
--- a/src/test/java/dappleseam/proxy/ConnectionEndTest.java
+++ b/src/test/java/dappleseam/proxy/ConnectionEndTest.java
@@ -21,6 +21,7 @@
     private static final int CLIENT_BUFFER_BYTES = 32 << 10;
     /** Time in ms after a call to out-of-service from which a connection is not read any more, at the latest. */
     private static final int STOPPED_READING_MS = 2000;
+    private static final int WRITE_INTERVAL_MS = 100;
     private static final String HEAD = "$" + VALUE_BYTES + "\r\n";
     private static final String NEXT = "*4\r\n$5\r\nC.GET\r\n$2\r\na9\r\n$4\r\nnext\r\n$13\r\nc=read,d=9000\r\n";
 
@@ -156,4 +157,34 @@
         assertThat(other.answer()).isEqualTo("value");
         assertThat(fixture.cache.received).noneMatch(one -> one.elements().contains("next"));
     }
+
+    /** Guards against commands that wait behind a value which is held back for them, and get no answer before the process ends. */
+    @Test
+    void commandsBehindAValueThatIsHeldBackAreAnsweredBeforeTheProcessEnds() throws Exception {
+        fixture.start(folder, "");
+        ServeFixture.Client client = fixture.client();
+        client.raw(NEXT.replace("next", "long") + NEXT);
+        ServeFixture.Received first = fixture.cache.next();
+        ServeFixture.Received second = fixture.cache.next();
+        boolean isInOrder = first.elements().contains("long");
+        (isInOrder ? second : first).answer(ServeFixture.hit("value"));
+        ServeFixture.Received held = isInOrder ? first : second;
+        held.answer("*3\r\n" + HEAD + part(1000));
+        fixture.signal("TERM");
+        Thread server = new Thread(() -> {
+            try {
+                while (true) { // the server goes on writing until the connection ends
+                    Thread.sleep(WRITE_INTERVAL_MS);
+                    held.answer(part(1000));
+                }
+            } catch (IOException | InterruptedException e) {
+                return;
+            }
+        });
+        server.setDaemon(true);
+        server.start();
+        assertThat(client.answer()).startsWith("-");
+        assertThat(client.answer()).isEqualTo("value");
+        assertThat(client.isAtEnd()).isTrue();
+    }
 }
