One place for tasks of the next turn, and for tests' I/O threads and commands

"Scheduled for the next turn already" stood as a flag in four classes; it is NextTurnTask now. Three tests set up an I/O thread each, two kept the commands of a stub by id; both stand once. No behaviour and no assertion changes.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -9,6 +9,7 @@
 import dappleseam.wire.IoLoop;
 import dappleseam.wire.LargeValueHandler;
 import dappleseam.wire.Link;
+import dappleseam.wire.NextTurnTask;
 import dappleseam.wire.ParseStatus;
 import dappleseam.wire.RespMessage;
 import dappleseam.wire.RespReader;
@@ -99,7 +100,8 @@
      */
     private double inputWaitingSince = Double.NaN;
     private IoLoop.PendingTask resumeTimer = () -> { };
-    private boolean isResumePostponed;
+    /** Resumes once other connections have been served. */
+    private final NextTurnTask nextResume;
     /** Commands of one read are being handled; their replies follow together. */
     private boolean isReceiving;
     /** Queries are being submitted; some may be answered synchronously. */
@@ -119,6 +121,7 @@
         reader = new RespReader(loop.pool(), LargeValueHandler.MAX_BYTES);
         link = loop.createLink(connection, this);
         hold = new WholeValueHold(loop, frontend.holdBudget(), this::flushReplies);
+        nextResume = new NextTurnTask(loop::executeNextTurn, this::resume);
         lastReplyAt = loop.nowMs();
     }
 
@@ -541,7 +544,7 @@
             return;
         }
         if (link.hasUndeliveredInput() && frontend.readShare().isUsedUp()) {
-            resumeNextTurn();
+            nextResume.queue();
             return;
         }
         Backpressure backpressure = isPassingOn ? Backpressure.REPLIES_PENDING : backpressure();
@@ -557,16 +560,6 @@
         link.resume();
     }
 
-    private void resumeNextTurn() {
-        if (!isResumePostponed) {
-            isResumePostponed = true;
-            loop.executeNextTurn(() -> {
-                isResumePostponed = false;
-                resume();
-            });
-        }
-    }
-
     /** Whether the client is known to be connected, after reading what has arrived; false if its close might not be seen. */
     boolean isClientConnected() {
         link.readAvailableNested();
--- a/src/main/java/dappleseam/clients/ClientFrontend.java
+++ b/src/main/java/dappleseam/clients/ClientFrontend.java
@@ -6,6 +6,7 @@
 import dappleseam.query.Slots;
 import dappleseam.wire.IoLoop;
 import dappleseam.wire.Link;
+import dappleseam.wire.NextTurnTask;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.net.InetSocketAddress;
@@ -67,7 +68,8 @@
     private boolean isStopping;
     /** Connections still accepted while stopping: as many as can have been waiting. */
     private int acceptsLeft = Integer.MAX_VALUE;
-    private boolean isAcceptScheduled;
+    /** Goes on accepting: the selector tells of connections that are waiting, but not that the last one has been accepted. */
+    private final NextTurnTask nextAccepts;
     /** Since when connections may be waiting in the accept backlog; NaN if there are none. */
     private double backlogSince = Double.NaN;
     private double acceptBackoffMs = ACCEPT_BACKOFF_MS;
@@ -87,6 +89,7 @@
         holdBudget = new HoldBudget(loop.pool());
         readShare = new ReadShare(loop);
         lingering = new LingeringConnections(loop);
+        nextAccepts = new NextTurnTask(loop::executeNextTurn, this::acceptIfOpen);
         this.maxConnections = maxConnections;
         maxQueryingClients = (int) (IDLE_SHARE * queryConnections);
     }
@@ -123,22 +126,15 @@
                 addClient(next, backlogAgeMs());
             }
             markBacklog();
-            acceptNextTurn();
+            nextAccepts.queue();
         } catch (IOException e) {
             retryAccept(e);
         }
     }
 
-    /** Goes on in the next turn: the selector tells of connections that are waiting, but not that the last one has been accepted. */
-    private void acceptNextTurn() {
-        if (!isAcceptScheduled) {
-            isAcceptScheduled = true;
-            loop.executeNextTurn(() -> {
-                isAcceptScheduled = false;
-                if (listener.isOpen()) {
-                    acceptPending();
-                }
-            });
+    private void acceptIfOpen() {
+        if (listener.isOpen()) {
+            acceptPending();
         }
     }
 
--- a/src/main/java/dappleseam/clients/ReadShare.java
+++ b/src/main/java/dappleseam/clients/ReadShare.java
@@ -1,6 +1,7 @@
 package dappleseam.clients;
 
 import dappleseam.wire.IoLoop;
+import dappleseam.wire.NextTurnTask;
 
 /**
  * Bounds the command bytes that are taken from all clients together in a turn of the I/O thread, so that a turn stays short however many clients send
@@ -12,23 +13,18 @@
     /** Bytes for each client once the turn's are used up: a few commands, so that a client that sends little is always served. */
     private static final int MIN_PASS_BYTES = 256;
 
-    private final IoLoop loop;
     private int turnBytes;
-    private boolean isResetScheduled;
+    private final NextTurnTask reset;
 
     ReadShare(IoLoop loop) {
-        this.loop = loop;
+        reset = new NextTurnTask(loop::executeNextTurn, () -> turnBytes = 0);
     }
 
     /** Counts command bytes that were taken from a client. */
     void add(int bytes) {
         turnBytes += bytes;
-        if (turnBytes >= MAX_PASS_BYTES && !isResetScheduled) {
-            isResetScheduled = true;
-            loop.executeNextTurn(() -> {
-                isResetScheduled = false;
-                turnBytes = 0;
-            });
+        if (turnBytes >= MAX_PASS_BYTES) {
+            reset.queue();
         }
     }
 
--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -69,7 +69,6 @@
     private final ByteBuffer scratch;
     private final Listener listener;
     private final BufferChain out;
-    private final Executor nextTurn;
     private long bytesWritten;
     private boolean closed;
     private boolean paused;
@@ -77,7 +76,7 @@
     private boolean readingEnded;
     /** The last pass ended before a read found no input: there may be more, or none that anything else would tell of. */
     private boolean hasMore;
-    private boolean isNextPassScheduled;
+    private final NextTurnTask nextPass;
     /** Input read while delivery is paused; null while input is delivered at once. */
     private ByteBuffer undelivered;
 
@@ -88,7 +87,7 @@
     public Link(StreamConnection connection, BufferPool pool, ByteBuffer scratch, Executor nextTurn, Listener listener) {
         this.connection = connection;
         this.scratch = scratch;
-        this.nextTurn = nextTurn;
+        nextPass = new NextTurnTask(nextTurn, this::readNextPass);
         this.listener = listener;
         out = new BufferChain(pool);
         source = connection.getSourceChannel();
@@ -227,7 +226,7 @@
 
     /** A pass that is scheduled follows in this turn: one more would be the connection's second. */
     private void readSelected() {
-        if (!isNextPassScheduled) {
+        if (!nextPass.isQueued()) {
             readAvailable();
         }
     }
@@ -274,14 +273,12 @@
      * input whose last byte was taken by the last read of a pass would never be reported as complete.
      */
     private void scheduleNextPass() {
-        if (hasMore && !paused && !closed && !isNextPassScheduled) {
-            isNextPassScheduled = true;
-            nextTurn.execute(this::readNextPass);
+        if (hasMore && !paused && !closed) {
+            nextPass.queue();
         }
     }
 
     private void readNextPass() {
-        isNextPassScheduled = false;
         if (hasMore && !closed) { // else a pass was made meanwhile
             readAvailable();
         }
--- a/src/test/java/dappleseam/clients/ClientFrontendTest.java
+++ b/src/test/java/dappleseam/clients/ClientFrontendTest.java
@@ -8,15 +8,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.xnio.ChannelPipe;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.StreamConnection;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 class ClientFrontendTest {
     private static final String QUERY = "*4\r\n$5\r\nC.GET\r\n$1\r\na\r\n$1\r\n1\r\n$3\r\nc=r\r\n";
@@ -27,25 +22,14 @@
 
     /** Runs the scenario on the I/O thread, with one client that has already written {@code written}. */
     private static Object runScenario(String written, int queryConnections, Scenario scenario) throws Exception {
-        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        CompletableFuture<Object> result = new CompletableFuture<>();
-        worker.getIoThread().execute(() -> {
-            try {
-                ManualIoLoop loop = new ManualIoLoop();
-                ClientFrontend frontend = new ClientFrontend(loop, loop, 100, queryConnections, loop.closes);
-                ChannelPipe<StreamConnection, StreamConnection> pipe = worker.getIoThread().createFullDuplexPipeConnection();
-                write(pipe.getRightSide(), written);
-                frontend.addClient(pipe.getLeftSide());
-                result.complete(scenario.run(loop, frontend, pipe.getRightSide()));
-            } catch (IOException | RuntimeException e) {
-                result.completeExceptionally(e);
-            }
+        return IoThreadRunner.run((worker, result) -> {
+            ManualIoLoop loop = new ManualIoLoop();
+            ClientFrontend frontend = new ClientFrontend(loop, loop, 100, queryConnections, loop.closes);
+            ChannelPipe<StreamConnection, StreamConnection> pipe = worker.getIoThread().createFullDuplexPipeConnection();
+            write(pipe.getRightSide(), written);
+            frontend.addClient(pipe.getLeftSide());
+            result.complete(scenario.run(loop, frontend, pipe.getRightSide()));
         });
-        try {
-            return result.get();
-        } finally {
-            worker.shutdownNow();
-        }
     }
 
     private static void write(StreamConnection client, String text) throws IOException {
--- a/src/test/java/dappleseam/clients/LingeringConnectionsTest.java
+++ b/src/test/java/dappleseam/clients/LingeringConnectionsTest.java
@@ -7,14 +7,9 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.xnio.ChannelPipe;
-import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.StreamConnection;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 class LingeringConnectionsTest {
     private static final int MAX = 3;
@@ -24,26 +19,15 @@
     }
 
     private static Object runScenario(Scenario scenario) throws Exception {
-        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        CompletableFuture<Object> result = new CompletableFuture<>();
-        worker.getIoThread().execute(() -> {
-            try {
-                ManualIoLoop loop = new ManualIoLoop();
-                List<Link> links = new ArrayList<>();
-                for (int i = 0; i < 2 * MAX; i++) {
-                    ChannelPipe<StreamConnection, StreamConnection> pipe = worker.getIoThread().createFullDuplexPipeConnection();
-                    links.add(loop.createLink(pipe.getLeftSide(), new IgnoringListener()));
-                }
-                result.complete(scenario.run(loop, new LingeringConnections(loop), links));
-            } catch (IOException | RuntimeException e) {
-                result.completeExceptionally(e);
+        return IoThreadRunner.run((worker, result) -> {
+            ManualIoLoop loop = new ManualIoLoop();
+            List<Link> links = new ArrayList<>();
+            for (int i = 0; i < 2 * MAX; i++) {
+                ChannelPipe<StreamConnection, StreamConnection> pipe = worker.getIoThread().createFullDuplexPipeConnection();
+                links.add(loop.createLink(pipe.getLeftSide(), new IgnoringListener()));
             }
+            result.complete(scenario.run(loop, new LingeringConnections(loop), links));
         });
-        try {
-            return result.get();
-        } finally {
-            worker.shutdownNow();
-        }
     }
 
     private static final class IgnoringListener implements Link.Listener {
--- a/src/test/java/dappleseam/proxy/LostAnswersTest.java
+++ b/src/test/java/dappleseam/proxy/LostAnswersTest.java
@@ -12,9 +12,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
@@ -38,7 +36,6 @@
     @TempDir
     Path folder;
     private ServeFixture fixture;
-    private final Map<String, ServeFixture.Received> atCache = new HashMap<>();
 
     @BeforeEach
     void prepare() throws Exception {
@@ -177,17 +174,6 @@
         out.flush();
     }
 
-    /** The command with this id at the cache; commands come on connections of their own, in any order. */
-    private ServeFixture.Received atCache(String id) throws Exception {
-        while (!atCache.containsKey(id)) {
-            ServeFixture.Received next = fixture.cache.next();
-            if (next.elements().size() > 2) {
-                atCache.put(next.elements().get(2), next);
-            }
-        }
-        return atCache.get(id);
-    }
-
     private ServeFixture.Client pipeline() throws Exception {
         fixture.start(folder, "");
         ServeFixture.Client client = fixture.client();
@@ -199,9 +185,9 @@
     @Test
     void aLongValueThatBreaksOffBehindAnotherCommandCostsOnlyItself() throws Exception {
         ServeFixture.Client client = pipeline();
-        ServeFixture.Received one = atCache("one");
-        ServeFixture.Received broken = atCache("long");
-        ServeFixture.Received three = atCache("three");
+        ServeFixture.Received one = fixture.cache.command("one");
+        ServeFixture.Received broken = fixture.cache.command("long");
+        ServeFixture.Received three = fixture.cache.command("three");
         sendPart(broken, 900_000, 200_000);
         Thread.sleep(100); // the part arrives while the first command is still open
         broken.connection().close();
@@ -217,9 +203,9 @@
     @Test
     void aLongValueThatBreaksOffBeforeOtherCommandsCostsOnlyItself() throws Exception {
         ServeFixture.Client client = pipeline();
-        ServeFixture.Received one = atCache("one");
-        ServeFixture.Received broken = atCache("long");
-        ServeFixture.Received three = atCache("three");
+        ServeFixture.Received one = fixture.cache.command("one");
+        ServeFixture.Received broken = fixture.cache.command("long");
+        ServeFixture.Received three = fixture.cache.command("three");
         one.answer(ServeFixture.hit("first"));
         assertThat(client.answer()).isEqualTo("first");
         sendPart(broken, 900_000, 200_000);
@@ -234,9 +220,9 @@
     @Test
     void aLongValueThatBreaksOffAfterSecondsCostsOnlyItself() throws Exception {
         ServeFixture.Client client = pipeline();
-        atCache("one").answer(ServeFixture.hit("first"));
-        ServeFixture.Received broken = atCache("long");
-        atCache("three").answer(ServeFixture.hit("third"));
+        fixture.cache.command("one").answer(ServeFixture.hit("first"));
+        ServeFixture.Received broken = fixture.cache.command("long");
+        fixture.cache.command("three").answer(ServeFixture.hit("third"));
         sendPart(broken, 900_000, 200_000);
         for (int i = 0; i < 9; i++) {
             Thread.sleep(250);
@@ -255,8 +241,8 @@
         ServeFixture.Client client = fixture.client();
         long startedAt = System.nanoTime();
         client.raw(command("long", "00000000000000a2").replace("$14\r\nc=read,d=20000", "$13\r\nc=read,d=3000") + command("three", "00000000000000a3"));
-        ServeFixture.Received slow = atCache("long");
-        atCache("three").answer(ServeFixture.hit("third"));
+        ServeFixture.Received slow = fixture.cache.command("long");
+        fixture.cache.command("three").answer(ServeFixture.hit("third"));
         sendPart(slow, 900_000, 200_000);
         Thread writer = start(newBreaches(), () -> {
             for (int i = 0; i < 14; i++) {
@@ -280,9 +266,9 @@
     @Test
     void aLongValueBeforeOtherCommandsIsNotHeldBackForLong() throws Exception {
         ServeFixture.Client client = pipeline();
-        atCache("one").answer(ServeFixture.hit("first"));
-        ServeFixture.Received slow = atCache("long");
-        atCache("three").answer(ServeFixture.hit("third"));
+        fixture.cache.command("one").answer(ServeFixture.hit("first"));
+        ServeFixture.Received slow = fixture.cache.command("long");
+        fixture.cache.command("three").answer(ServeFixture.hit("third"));
         assertThat(client.answer()).isEqualTo("first");
         sendPart(slow, 900_000, 200_000);
         long startedAt = System.nanoTime();
@@ -299,14 +285,14 @@
         fixture.start(folder, "");
         ServeFixture.Client client = fixture.client();
         client.raw(command("long", "00000000000000a2"));
-        ServeFixture.Received slow = atCache("long");
+        ServeFixture.Received slow = fixture.cache.command("long");
         sendPart(slow, 900_000, 200_000);
         assertThat(new String(client.bytes(9), StandardCharsets.ISO_8859_1)).isEqualTo("$900000\r\n");
         client.raw(command("behind", "00000000000000a3") + command("last", "00000000000000a4"));
         sendRest(slow, 700_000);
         assertThat(client.bytes(900_002)).endsWith("v\r\n".getBytes(StandardCharsets.ISO_8859_1));
-        atCache("behind").answer(ServeFixture.hit("second"));
-        atCache("last").answer(ServeFixture.hit("third"));
+        fixture.cache.command("behind").answer(ServeFixture.hit("second"));
+        fixture.cache.command("last").answer(ServeFixture.hit("third"));
         assertThat(List.of(client.answer(), client.answer())).containsExactly("second", "third");
     }
 
@@ -316,14 +302,14 @@
         fixture.start(folder, "");
         ServeFixture.Client client = fixture.client();
         client.raw(command("long", "00000000000000a2"));
-        ServeFixture.Received slow = atCache("long");
+        ServeFixture.Received slow = fixture.cache.command("long");
         sendPart(slow, 900_000, 200_000);
         assertThat(client.bytes(9)).startsWith("$900000".getBytes(StandardCharsets.ISO_8859_1));
         sendRest(slow, 700_000);
         client.bytes(900_002);
         Thread.sleep(TIME_MS); // the client is silent
         client.send("C.GET", "00000000000000a3", "later", "c=read,d=" + TIME_MS);
-        atCache("later").answer(ServeFixture.hit("second"));
+        fixture.cache.command("later").answer(ServeFixture.hit("second"));
         assertThat(client.answer()).isEqualTo("second");
     }
 
@@ -333,11 +319,11 @@
         fixture.start(folder, "");
         ServeFixture.Client client = fixture.client();
         client.raw(command("one", "00000000000000a1") + command("long", "00000000000000a2"));
-        ServeFixture.Received broken = atCache("long");
+        ServeFixture.Received broken = fixture.cache.command("long");
         sendPart(broken, 900_000, 40_000);
         Thread.sleep(50);
         String first = "first" + "x".repeat(50_000);
-        atCache("one").answer(ServeFixture.hit(first));
+        fixture.cache.command("one").answer(ServeFixture.hit(first));
         broken.connection().close();
         assertThat(client.answer()).isEqualTo(first);
         assertThat(client.rest().length).isLessThan(900_000);
@@ -351,7 +337,7 @@
         fixture.start(folder, "");
         ServeFixture.Client client = fixture.client();
         client.send("C.GET", "00000000000000a2", "long", "c=read,d=" + TIME_MS);
-        ServeFixture.Received slow = atCache("long");
+        ServeFixture.Received slow = fixture.cache.command("long");
         sendPart(slow, 900_000, 100_000);
         for (int i = 0; i < 7; i++) {
             Thread.sleep(500);
--- a/src/test/java/dappleseam/proxy/ResumedValueTest.java
+++ b/src/test/java/dappleseam/proxy/ResumedValueTest.java
@@ -8,8 +8,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Arrays;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -31,7 +29,6 @@
     Path folder;
     private ServeFixture fixture;
     private final byte[] value = new byte[VALUE_BYTES];
-    private final Map<String, ServeFixture.Received> atCache = new HashMap<>();
     private ServeFixture.Client client;
 
     @BeforeEach
@@ -53,22 +50,11 @@
         return "*4\r\n$5\r\nC.GET\r\n$16\r\n00000000000000a1\r\n$" + id.length() + "\r\n" + id + "\r\n$" + facts.length() + "\r\n" + facts + "\r\n";
     }
 
-    /** The command with this id at the cache. */
-    private ServeFixture.Received atCache(String id) throws Exception {
-        while (!atCache.containsKey(id)) {
-            ServeFixture.Received next = fixture.cache.next();
-            if (next.elements().size() > 2) {
-                atCache.put(next.elements().get(2), next);
-            }
-        }
-        return atCache.get(id);
-    }
-
     /** Sends a long read with a short one behind it; the cache answers the short one, and gives the first part of the value. */
     private ServeFixture.Received beginLongValue(long timeMs) throws Exception {
         client.raw(command("long", timeMs) + command("behind", timeMs));
-        ServeFixture.Received broken = atCache("long");
-        atCache("behind").answer(ServeFixture.hit("second"));
+        ServeFixture.Received broken = fixture.cache.command("long");
+        fixture.cache.command("behind").answer(ServeFixture.hit("second"));
         OutputStream out = broken.connection().getOutputStream();
         out.write(("*3\r\n" + HEAD).getBytes(StandardCharsets.ISO_8859_1));
         out.write(value, 0, PART_BYTES);
--- a/src/test/java/dappleseam/proxy/ServeFixture.java
+++ b/src/test/java/dappleseam/proxy/ServeFixture.java
@@ -58,6 +58,7 @@
     static final class StubPeer implements AutoCloseable {
         final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         final BlockingQueue<Received> received = new LinkedBlockingQueue<>();
+        private final Map<String, Received> commands = new HashMap<>();
         /** Sent in answer to the first message, which is not queued; null for none. */
         volatile String firstAnswer;
         /** Sent in answer to every message, none of which is queued; null for none. */
@@ -120,6 +121,17 @@
             };
         }
 
+        /** The command with this id; commands come on connections of their own, in any order. */
+        Received command(String id) throws InterruptedException {
+            while (!commands.containsKey(id)) {
+                Received next = next();
+                if (next.elements.size() > 2) {
+                    commands.put(next.elements.get(2), next);
+                }
+            }
+            return commands.get(id);
+        }
+
         /** Waits for the next message, skipping closed connections. */
         Received next() throws InterruptedException {
             Received next = received.poll(TIMEOUT_S, TimeUnit.SECONDS);
--- a/src/test/java/dappleseam/proxy/ShutdownTest.java
+++ b/src/test/java/dappleseam/proxy/ShutdownTest.java
@@ -2,54 +2,39 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dappleseam.clients.ManualIoLoop;
 import dappleseam.clients.ClientFrontend;
+import dappleseam.clients.IoThreadRunner;
+import dappleseam.clients.ManualIoLoop;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.xnio.ChannelPipe;
-import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.StreamConnection;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 class ShutdownTest {
     private static final String QUERY = "*4\r\n$5\r\nC.GET\r\n$1\r\na\r\n$1\r\n1\r\n$3\r\nc=r\r\n";
 
     /** Runs one shutdown; returns when it first aborted queries and when it ended, in ms after the signal. */
     private static List<Double> runShutdown(double signalledMsAgo, double killAfterMs) throws Exception {
-        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        CompletableFuture<List<Double>> seen = new CompletableFuture<>();
-        worker.getIoThread().execute(() -> {
-            try {
-                ManualIoLoop loop = new ManualIoLoop();
-                ClientFrontend front = new ClientFrontend(loop, loop, 100, 10, loop.closes);
-                front.listen(worker, new InetSocketAddress("127.0.0.1", 0));
-                ChannelPipe<StreamConnection, StreamConnection> pipe = worker.getIoThread().createFullDuplexPipeConnection();
-                pipe.getRightSide().getSinkChannel().write(ByteBuffer.wrap(QUERY.getBytes(StandardCharsets.US_ASCII)));
-                front.addClient(pipe.getLeftSide());
-                double signalledAt = loop.now - signalledMsAgo;
-                List<Double> times = new ArrayList<>();
-                Shutdown shutdown = new Shutdown(loop, front, () -> {
-                    times.add(loop.now - signalledAt);
-                    loop.replies.forEach(one -> one.replyLine("-ERR"));
-                }, () -> seen.complete(List.of(times.get(0), loop.now - signalledAt)));
-                shutdown.begin(false, signalledMsAgo, killAfterMs);
-                loop.advanceTo(loop.now + killAfterMs);
-            } catch (Exception e) {
-                seen.completeExceptionally(e);
-            }
+        return IoThreadRunner.run((worker, seen) -> {
+            ManualIoLoop loop = new ManualIoLoop();
+            ClientFrontend front = new ClientFrontend(loop, loop, 100, 10, loop.closes);
+            front.listen(worker, new InetSocketAddress("127.0.0.1", 0));
+            ChannelPipe<StreamConnection, StreamConnection> pipe = worker.getIoThread().createFullDuplexPipeConnection();
+            pipe.getRightSide().getSinkChannel().write(ByteBuffer.wrap(QUERY.getBytes(StandardCharsets.US_ASCII)));
+            front.addClient(pipe.getLeftSide());
+            double signalledAt = loop.now - signalledMsAgo;
+            List<Double> times = new ArrayList<>();
+            Shutdown shutdown = new Shutdown(loop, front, () -> {
+                times.add(loop.now - signalledAt);
+                loop.replies.forEach(one -> one.replyLine("-ERR"));
+            }, () -> seen.complete(List.of(times.get(0), loop.now - signalledAt)));
+            shutdown.begin(false, signalledMsAgo, killAfterMs);
+            loop.advanceTo(loop.now + killAfterMs);
         });
-        try {
-            return seen.get();
-        } finally {
-            worker.shutdownNow();
-        }
     }
 
     /** The platform counts from the signal, however late the I/O thread reacts: the shutdown has to end before the kill. */
