A query whose client leaves as its value breaks off is forgotten by the router

What would have been seen: memory that grows by one query for each client that leaves between the break of a value and the next turn of the I/O thread.

Cause, by reading: Router keeps a query while its value arrives; in that moment Proxy took it for answered, and told the router neither that the value broke nor that it ended.

Change: the next turn tells one or the other. No test plays that moment.

--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -552,14 +552,18 @@
         pendingQuery.transfer = null;
         pendingQuery.answered = false;
         pendingQuery.abortTimer = loop.scheduleAt(pendingQuery.clientDeadlineMs + ABORT_GRACE_MS, () -> abortOverdue(id));
-        loop.executeNextTurn(() -> { // the connections of both sides are still being handled
-            if (!pendingQuery.answered) {
-                dispatch(() -> router.valueBroke(loop.nowMs(), id, pendingQuery.transferExecution));
-            }
-        });
+        loop.executeNextTurn(() -> dispatch(() -> openAgain(id, pendingQuery))); // the connections of both sides are still being handled
         return true;
     }
 
+    private void openAgain(QueryId id, PendingQuery pendingQuery) {
+        if (pendingQuery.answered) { // its client has left meanwhile
+            router.valueEnded(id);
+        } else {
+            router.valueBroke(loop.nowMs(), id, pendingQuery.transferExecution);
+        }
+    }
+
     private void reportOutcome(NodeId node, double sentAt, double tookMs, Outcome outcome) {
         switch (outcome) {
             case COMPLETED, MISS, FULL -> fleetObserver.cacheAnswered(node, loop.nowMs(), tookMs);
