A call out of service during the start holds; ready and PING tell one state

Cause: whether clients are taken stood in a flag of the control thread, which ready told, and in one of the clients' listener, which PING told. A call was posted to a listener that did not exist yet, and the end of the start set the flag whatever had been called. Beside it: a call while the process waits for its list left ready and PING at odds, in-service was dropped there, and a 200 to in-service came before it held.

Change: ServiceState holds typed phases; calls change it at once, ready and PING read it, and the I/O thread applies what it says at that moment. A check of the start takes the refusal of its own PING for an answer.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -260,7 +260,7 @@
         switch (verb) {
             case "C.GET" -> handleQuery(message, false, pending);
             case "C.SET" -> handleQuery(message, true, pending);
-            case "PING" -> pending.replyLine(frontend.isOutOfService() ? "-ERR out of service" : "+PONG");
+            case "PING" -> pending.replyLine(frontend.takesClients() ? ClientFrontend.PONG : ClientFrontend.OUT_OF_SERVICE);
             case "CLIENT", "SELECT" -> pending.replyLine("+OK");
             case "QUIT" -> {
                 ignoreFurtherInput(CloseReason.QUIT);
--- a/src/main/java/dappleseam/clients/ClientFrontend.java
+++ b/src/main/java/dappleseam/clients/ClientFrontend.java
@@ -11,6 +11,7 @@
 import java.lang.System.Logger;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
@@ -18,6 +19,9 @@
 
 /** Accepts client connections, limits their number and their buffers, and closes them on shutdown or when out of service. */
 public final class ClientFrontend {
+    /** The answers to PING while clients are taken, and while they are not. */
+    public static final String PONG = "+PONG";
+    public static final String OUT_OF_SERVICE = "-ERR out of service";
     private static final Logger LOG = System.getLogger(ClientFrontend.class.getName());
     private static final int BACKLOG = 512;
     /** Connections accepted in a turn; others are served before the next ones. */
@@ -53,6 +57,7 @@
     private final IoLoop loop;
     private final QueryHandler handler;
     private final ReasonCounter<CloseReason> closes;
+    private final BooleanSupplier takesClients;
     private final RateLimitedLog lossLog = new RateLimitedLog(LOG, LOG_INTERVAL_MS);
     private final RateLimitedLog acceptLog = new RateLimitedLog(LOG, LOG_INTERVAL_MS);
     private int maxConnections;
@@ -79,12 +84,14 @@
 
     /**
      * Keeps up to {@code maxConnections} connections open, more wait in the backlog. {@code queryConnections} is the maximum number of
-     * connections that clients open for queries. {@code closes} counts the connections that end.
+     * connections that clients open for queries. {@code closes} counts the connections that end. {@code takesClients} is what PING tells.
      */
-    public ClientFrontend(IoLoop loop, QueryHandler handler, int maxConnections, int queryConnections, ReasonCounter<CloseReason> closes) {
+    public ClientFrontend(IoLoop loop, QueryHandler handler, int maxConnections, int queryConnections, ReasonCounter<CloseReason> closes,
+            BooleanSupplier takesClients) {
         this.loop = loop;
         this.handler = handler;
         this.closes = closes;
+        this.takesClients = takesClients;
         receiveBudget = new ReceiveBudget(loop.pool());
         holdBudget = new HoldBudget(loop.pool());
         readShare = new ReadShare(loop);
@@ -281,7 +288,7 @@
         acceptPending();
     }
 
-    /** Goes out of service: answers PING with an error and, after a grace period, closes connections as they become idle. */
+    /** Goes out of service: after a grace period, closes connections as they become idle. */
     public void takeOutOfService() {
         if (!isOutOfService) {
             isOutOfService = true;
@@ -296,8 +303,9 @@
         closeIdleFrom = Double.POSITIVE_INFINITY;
     }
 
-    public boolean isOutOfService() {
-        return isOutOfService;
+    /** Whether PING is answered with a yes. */
+    boolean takesClients() {
+        return takesClients.getAsBoolean();
     }
 
     /** Whether clients are closed as soon as they are idle. */
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -5,6 +5,7 @@
 import dappleseam.control.ControlServer;
 import dappleseam.control.Metrics;
 import dappleseam.control.ServiceControl;
+import dappleseam.control.ServiceState;
 import dappleseam.list.ListFile;
 import dappleseam.list.NodeList;
 import dappleseam.router.NodeHealth;
@@ -106,7 +107,7 @@
     private final Metrics metrics = new Metrics();
     private AddressLocks addressLocks;
     private final double socketWaitEndsAt = EventLoop.monotonicMs() + SOCKET_WAIT_MS;
-    private volatile boolean ready;
+    private final ServiceState service = new ServiceState();
     private volatile boolean isStarted;
     private KillDelay killDelay;
     private final ConfigReader reader = new ConfigReader();
@@ -207,7 +208,8 @@
                 isWarmedUp = passed;
                 try { // a failure here is not one of the warm-up
                     front = new ClientFrontend(loop, proxy, clientLimit(proxyConfig, 1),
-                            proxyConfig.descriptors() / DESCRIPTORS_PER_CLIENT, metrics.closes());
+                            proxyConfig.descriptors() / DESCRIPTORS_PER_CLIENT, metrics.closes(), service::takesClients);
+                    applyServiceState();
                     shutdown = new Shutdown(loop, front, proxy::abortAll, shutdownDone::countDown);
                     publish();
                     applyLimits(proxyConfig);
@@ -280,7 +282,7 @@
         if (addressLocks != null) {
             addressLocks.markListening();
         }
-        ready = true;
+        service.startedListening();
         startDone.countDown();
     }
 
@@ -460,28 +462,20 @@
         new ControlServer(proxyConfig.control(), new ServiceControl() {
             @Override
             public boolean isReady() {
-                return ready;
+                return service.takesClients();
             }
 
             @Override
             public void takeOutOfService() {
-                ready = false;
-                worker.getIoThread().execute(() -> {
-                    if (front != null) {
-                        front.takeOutOfService();
-                    }
-                });
+                service.takeOutOfService();
+                worker.getIoThread().execute(Serve.this::applyServiceState);
                 LOG.log(Level.INFO, "out of service: clients are sent away");
             }
 
             @Override
             public void returnToService() {
-                worker.getIoThread().execute(() -> {
-                    if (front != null && front.isListening()) {
-                        front.returnToService();
-                        ready = true;
-                    }
-                });
+                service.returnToService();
+                worker.getIoThread().execute(Serve.this::applyServiceState);
                 LOG.log(Level.INFO, "in service: clients are taken");
             }
         }, metrics, fleet, () -> {
@@ -505,6 +499,18 @@
         });
     }
 
+    /** Brings the client connections in line with the state as it is now, however many calls have changed it meanwhile. On the I/O thread. */
+    private void applyServiceState() {
+        if (front == null || service.phase() == ServiceState.Phase.ENDING) { // what starts does so as its start ends; what ends is closed by the shutdown
+            return;
+        }
+        if (service.isOutOfService()) {
+            front.takeOutOfService();
+        } else {
+            front.returnToService();
+        }
+    }
+
     /** Applies the connection limits: two processes on one address share one limit on descriptors. */
     private void applyLimits(ProxyConfig proxyConfig) {
         if (front == null || addressLocks == null) {
@@ -515,7 +521,7 @@
         front.setMaxConnections(clientLimit(proxyConfig, processes));
     }
 
-    /** Whether a PING to its own port is answered; this also loads the socket classes, so that the class archive contains them. */
+    /** Whether a PING to its own port is answered, or refused because an operator has sent clients away; this also loads the socket classes, so that the class archive contains them. */
     private boolean answersOwnPing() {
         CompletableFuture<Boolean> pong = new CompletableFuture<>();
         worker.getIoThread().execute(proxy::followList); // only loads the classes; the result does not matter
@@ -529,12 +535,13 @@
             Link self = loop.createLink(connection, new Link.Listener() {
                 @Override
                 public void received(ByteBuffer bytes) {
-                    pong.complete(StandardCharsets.US_ASCII.decode(bytes).toString().startsWith("+PONG"));
+                    String answer = StandardCharsets.US_ASCII.decode(bytes).toString();
+                    pong.complete(answer.startsWith(ClientFrontend.PONG) || answer.startsWith(ClientFrontend.OUT_OF_SERVICE));
                 }
 
                 @Override
                 public void disconnected(String cause) {
-                    pong.complete(false);
+                    pong.complete(service.isOutOfService());
                 }
             });
             self.resume();
@@ -570,7 +577,7 @@
     /** SIGTERM: answers all open queries and exits with status 0; a process that does not serve yet exits at once. */
     private void shutDown() {
         double signalledAt = EventLoop.monotonicMs(); // the platform's kill delay starts here, however late the I/O thread reacts
-        ready = false;
+        service.end();
         boolean handOver = addressLocks != null && addressLocks.isOtherListening();
         LOG.log(Level.INFO, "told to end: answering what was taken, {0}",
                 handOver ? "another process takes the clients" : "no other process is here");
--- a/src/main/java/dappleseam/proxy/WarmUp.java
+++ b/src/main/java/dappleseam/proxy/WarmUp.java
@@ -77,7 +77,7 @@
     private void start(ProxyConfig config) throws IOException {
         Metrics metrics = new Metrics();
         Proxy proxy = new Proxy(this, withStubNodes(config), metrics, RecentIds.ofProcess());
-        ClientFrontend front = new ClientFrontend(this, proxy, 2 * CONCURRENT_QUERIES, 2 * CONCURRENT_QUERIES, metrics.closes());
+        ClientFrontend front = new ClientFrontend(this, proxy, 2 * CONCURRENT_QUERIES, 2 * CONCURRENT_QUERIES, metrics.closes(), () -> true);
         loop.scheduleAt(loop.nowMs() + MAX_DURATION_MS, this::finish);
         ChannelPipe<StreamConnection, StreamConnection> pipe = thread.createFullDuplexPipeConnection();
         front.addClient(pipe.getRightSide());
