Service calls to an ending process get 503: it is never ready again

What callers saw: after SIGTERM, in-service was answered 200, and ready said yes again for as long as the process still accepted; in a hand-over the call undid the closing of idle connections. Out-of-service was answered 200 with the end of the process deciding all the same.

Cause: nothing in the calls' way knew that the process was ending.

--- a/src/main/java/dappleseam/control/ControlServer.java
+++ b/src/main/java/dappleseam/control/ControlServer.java
@@ -212,9 +212,16 @@
             case "/control/counters" -> {
                 return HttpRequestReader.response(200, fleet == null ? metrics.prometheusText() : metrics.prometheusText() + fleet.metrics());
             }
-            case "/control/out-of-service" -> service.takeOutOfService();
-            default -> service.returnToService();
+            case "/control/out-of-service" -> {
+                return serviceResponse(service.takeOutOfService());
+            }
+            default -> {
+                return serviceResponse(service.returnToService());
+            }
         }
-        return HttpRequestReader.response(200, "done\n");
+    }
+
+    private static byte[] serviceResponse(boolean accepted) {
+        return HttpRequestReader.response(accepted ? 200 : 503, accepted ? "done\n" : "the process is ending\n");
     }
 }
--- a/src/main/java/dappleseam/control/ServiceControl.java
+++ b/src/main/java/dappleseam/control/ServiceControl.java
@@ -5,9 +5,9 @@
     /** Whether the proxy accepts clients. */
     boolean isReady();
 
-    /** Sends clients away, until {@link #returnToService}. */
-    void takeOutOfService();
+    /** Sends clients away, until {@link #returnToService}. False if that can't be carried out. */
+    boolean takeOutOfService();
 
-    /** Accepts clients again. */
-    void returnToService();
+    /** Accepts clients again. False if that can't be carried out. */
+    boolean returnToService();
 }
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -466,17 +466,13 @@
             }
 
             @Override
-            public void takeOutOfService() {
-                service.takeOutOfService();
-                worker.getIoThread().execute(Serve.this::applyServiceState);
-                LOG.log(Level.INFO, "out of service: clients are sent away");
+            public boolean takeOutOfService() {
+                return changeService(service.takeOutOfService(), "out of service: clients are sent away");
             }
 
             @Override
-            public void returnToService() {
-                service.returnToService();
-                worker.getIoThread().execute(Serve.this::applyServiceState);
-                LOG.log(Level.INFO, "in service: clients are taken");
+            public boolean returnToService() {
+                return changeService(service.returnToService(), "in service: clients are taken");
             }
         }, metrics, fleet, () -> {
             addressLocks.refresh();
@@ -499,6 +495,15 @@
         });
     }
 
+    /** Carries out a call that the state has accepted; returns whether it has. */
+    private boolean changeService(boolean accepted, String logged) {
+        if (accepted) {
+            worker.getIoThread().execute(this::applyServiceState);
+            LOG.log(Level.INFO, logged);
+        }
+        return accepted;
+    }
+
     /** Brings the client connections in line with the state as it is now, however many calls have changed it meanwhile. On the I/O thread. */
     private void applyServiceState() {
         if (front == null || service.phase() == ServiceState.Phase.ENDING) { // what starts does so as its start ends; what ends is closed by the shutdown
--- a/src/test/java/dappleseam/proxy/OperatorCallsTest.java
+++ b/src/test/java/dappleseam/proxy/OperatorCallsTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Operators' calls to the running program in each of its phases: what was answered with yes stays true, and ready and PING agree. */
@@ -30,6 +31,9 @@
     @TempDir
     Path folder;
     private ServeFixture fixture;
+    /** Another process on the same address; null if there is none. */
+    private Process second;
+    private ServeFixture.Client client;
 
     @BeforeEach
     void prepare() throws Exception {
@@ -40,9 +44,19 @@
 
     @AfterEach
     void end() throws Exception {
+        if (second != null) {
+            second.destroyForcibly().waitFor();
+        }
         fixture.close();
     }
 
+    /** Starts another process on the address, with a control address of its own, and waits until it listens. */
+    private void startSecond() throws Exception {
+        fixture.controlPort = ServeFixture.freePort();
+        second = fixture.launch(folder, fixture.config(folder, ""));
+        ServeFixture.awaitAnswer(fixture.controlPort, "GET /control/ready", "HTTP/1.1 200");
+    }
+
     private void awaitListening() throws Exception {
         fixture.awaitLog(folder, "serves on");
     }
@@ -53,9 +67,9 @@
 
     private String ping() throws Exception {
         try (Socket socket = new Socket("127.0.0.1", fixture.port)) {
-            ServeFixture.Client client = new ServeFixture.Client(socket);
-            client.send("PING");
-            return client.answer();
+            ServeFixture.Client pinging = new ServeFixture.Client(socket);
+            pinging.send("PING");
+            return pinging.answer();
         }
     }
 
@@ -93,6 +107,32 @@
         assertTakesClients(true);
     }
 
+    /** Starts the program with a query open at the cache, which keeps it from ending at once. */
+    private void startWithOpenQuery() throws Exception {
+        fixture.start(folder, "");
+        awaitListening();
+        client = fixture.client();
+        client.send("C.GET", "00000000000000aa", "id", "c=read,d=9000");
+        fixture.cache.next();
+    }
+
+    /** Guards against an ending process that says ready again, or that answers calls with yes which it forgets. */
+    @ParameterizedTest
+    @CsvSource({"in-service, false", "out-of-service, false", "in-service, true", "out-of-service, true"})
+    void endingProcessRefusesCalls(String call, boolean handsOver) throws Exception {
+        startWithOpenQuery();
+        int control = fixture.controlPort;
+        if (handsOver) {
+            startSecond();
+        }
+        fixture.program.destroy(); // SIGTERM
+        fixture.awaitLog(folder, "told to end");
+        for (int i = 0; i < 20; i++) { // a yes that takes effect on another thread shows later
+            assertThat(ServeFixture.request(control, "POST /control/" + call + " HTTP/1.1")).startsWith("HTTP/1.1 503");
+            assertThat(ServeFixture.request(control, "GET /control/ready HTTP/1.1")).startsWith("HTTP/1.1 503");
+        }
+    }
+
     /** Guards against a check that takes the refusal of its own PING for a failed start. */
     @Test
     void checkPassesOutOfService() throws Exception {
