--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -584,14 +584,13 @@
         double signalledAt = EventLoop.monotonicMs(); // the platform's kill delay starts here, however late the I/O thread reacts
         service.end();
         boolean handOver = addressLocks != null && addressLocks.isOtherListening();
-        LOG.log(Level.INFO, "told to end: answering what was taken, {0}",
-                handOver ? "another process takes the clients" : "no other process is here");
         boolean inFleet = fleet != null && isStarted;
         if (inFleet && handOver) {
             fleet.stop(true);
         }
         worker.getIoThread().execute(() -> {
             if (front == null || !front.isListening()) { // and it will not start to: that would happen on this thread
+                LOG.log(Level.INFO, "told to end before it listened for clients");
                 shutdownDone.countDown();
             } else {
                 shutdown.begin(handOver, loop.nowMs() - signalledAt, killDelay.earliestMs(EventLoop.monotonicMs()));
--- a/src/main/java/dappleseam/proxy/Shutdown.java
+++ b/src/main/java/dappleseam/proxy/Shutdown.java
@@ -2,12 +2,16 @@
 
 import dappleseam.clients.ClientFrontend;
 import dappleseam.wire.IoLoop;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 
 /**
  * A graceful shutdown, as a sequence of states on the I/O thread. Connected clients are served until shortly before the platform would kill the
  * process, so that the gap until the next start is short for them. Everything read before the last state is answered; in the last state nothing is read.
  */
 final class Shutdown {
+    private static final Logger LOG = System.getLogger(Shutdown.class.getName());
+
     /** The states in order; none is entered twice. */
     private enum State {
         /** Normal operation: clients may still connect for a while. */
@@ -61,6 +65,8 @@
             front.handOver();
             state = State.CLOSING;
         }
+        LOG.log(Level.INFO, "told to end: answering what was taken, {0}", // from here on the other process alone gets new clients
+                handOver ? "another process takes the clients" : "no other process is here");
         step();
     }
 
