A process told to end during its start does not begin to listen any more

What could be seen: SIGTERM while a process waits for its first list ends it at once, but in the moment between the decision and the end the I/O thread could still open the listener, and a client accepted then had no answer.

Cause, by reading: the I/O thread checked whether it listened, let the process end, and went on polling for the list. Nothing told the start.

Change: the start looks at ServiceState before it listens.

No test plays that moment (some milliseconds before the process halts); RaceConditionsTest plays SIGTERM during the start.

--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -257,6 +257,9 @@
      * the process, or were sent to the other process on the address. If the list service cannot be reached, a process that is alone listens at once.
      */
     private void listen(ProxyConfig proxyConfig, double waitUntilMs, Exception[] failure, CountDownLatch startDone) {
+        if (service.phase() == ServiceState.Phase.ENDING) {
+            return;
+        }
         boolean shared = addressLocks != null && addressLocks.isShared();
         boolean listMayCome = !proxy.hasReceivedList() && (shared || !proxy.hasListFailed());
         if (listMayCome && loop.nowMs() < waitUntilMs) {
