A call that fails in the program gets 500 and costs no other call

What callers saw: no answer; others beside it got none either.

Cause: an error in one call was caught outside the loop over the ready connections. The connection stayed selected, so the same call failed anew every 0.1 s, before the thread's periodic work.

Evidence: ControlServerTest#failingCallIsAnsweredAndCostsNoOther failed before with no answer within 1 s.

Result: the test passes.

--- a/src/main/java/dappleseam/control/ControlServer.java
+++ b/src/main/java/dappleseam/control/ControlServer.java
@@ -155,7 +155,7 @@
         if (count < 0) {
             closeConnection(connection);
         } else if (connection.response == null && connection.request.read(scratch.flip())) {
-            connection.response = ByteBuffer.wrap(respond(connection.request));
+            connection.response = ByteBuffer.wrap(respondOrFail(connection.request));
             write(connection);
         }
     }
@@ -180,6 +180,16 @@
         }
     }
 
+    /** An error of the program costs the one call. */
+    private byte[] respondOrFail(HttpRequestReader request) {
+        try {
+            return respond(request);
+        } catch (RuntimeException e) {
+            LOG.log(Level.ERROR, "control server: " + request.path() + " failed", e);
+            return HttpRequestReader.response(500, "internal error\n");
+        }
+    }
+
     private byte[] respond(HttpRequestReader request) {
         if (request.errorStatus() != 0) {
             return HttpRequestReader.response(request.errorStatus(), "malformed call\n");
--- a/src/main/java/dappleseam/control/HttpRequestReader.java
+++ b/src/main/java/dappleseam/control/HttpRequestReader.java
@@ -95,6 +95,7 @@
             case 405 -> "Method Not Allowed";
             case TOO_LARGE -> "Content Too Large";
             case HEAD_TOO_LARGE -> "Request Header Fields Too Large";
+            case 500 -> "Internal Server Error";
             case 503 -> "Service Unavailable";
             default -> "Bad Request";
         };
