A member is reported as ended with yes only where that is carried out

What callers saw: POST /control/fleet/ended/NAME had no answer during the start (NullPointerException), and was answered 200 where it did nothing: while another process has the fleet's address, after a hand-over, and for a name of which the proxy knows no failed member.

Cause: the call was posted to the fleet's thread, whether or not it ran and whatever it would find.

A test that was wrong: the last one asked for 200 for a name that nobody has; it asks for 409 now, and the new one for 200 for a member that has failed.

Change: the published view decides: 503 without one or while leaving, 409 where no failed member has the name, else 200.

--- a/src/main/java/dappleseam/control/ControlServer.java
+++ b/src/main/java/dappleseam/control/ControlServer.java
@@ -208,8 +208,7 @@
             return HttpRequestReader.response(405, "use " + allowedMethod + "\n");
         }
         if (endedMember != null) {
-            boolean valid = fleet.reportEnded(endedMember);
-            return HttpRequestReader.response(valid ? 200 : 400, valid ? "done\n" : "no name of a member\n");
+            return endedResponse(fleet.reportEnded(endedMember));
         }
         switch (request.path()) {
             case "/control/fleet" -> {
@@ -231,6 +230,15 @@
         }
     }
 
+    private static byte[] endedResponse(FleetControl.EndedReport report) {
+        return switch (report) {
+            case ACCEPTED -> HttpRequestReader.response(200, "done\n");
+            case INVALID_NAME -> HttpRequestReader.response(400, "no name of a member\n");
+            case NOT_FAILED -> HttpRequestReader.response(409, "no failed member has this name\n");
+            case NOT_JOINED -> HttpRequestReader.response(503, "this process is not in the fleet\n");
+        };
+    }
+
     private static byte[] serviceResponse(boolean accepted) {
         return HttpRequestReader.response(accepted ? 200 : 503, accepted ? "done\n" : "the process is ending\n");
     }
--- a/src/main/java/dappleseam/control/FleetControl.java
+++ b/src/main/java/dappleseam/control/FleetControl.java
@@ -8,6 +8,17 @@
     /** This proxy's view of the fleet as JSON. */
     String viewJson();
 
-    /** Records that a member will not come back; false if the name is invalid. */
-    boolean reportEnded(String name);
+    /** What becomes of an operator's word that a member will not come back. */
+    enum EndedReport {
+        ACCEPTED,
+        /** No member can have that name. */
+        INVALID_NAME,
+        /** This proxy knows no failed member of that name. */
+        NOT_FAILED,
+        /** This process is not in the fleet, or not any more. */
+        NOT_JOINED
+    }
+
+    /** Records that a failed member will not come back. */
+    EndedReport reportEnded(String name);
 }
--- a/src/main/java/dappleseam/control/HttpRequestReader.java
+++ b/src/main/java/dappleseam/control/HttpRequestReader.java
@@ -93,6 +93,7 @@
             case 200 -> "OK";
             case 404 -> "Not Found";
             case 405 -> "Method Not Allowed";
+            case 409 -> "Conflict";
             case TOO_LARGE -> "Content Too Large";
             case HEAD_TOO_LARGE -> "Request Header Fields Too Large";
             case 500 -> "Internal Server Error";
--- a/src/main/java/dappleseam/fleet/peers/FleetAgent.java
+++ b/src/main/java/dappleseam/fleet/peers/FleetAgent.java
@@ -140,6 +140,11 @@
         });
     }
 
+    /** Whether this process has begun to leave the fleet. */
+    public boolean isStopping() {
+        return stopping;
+    }
+
     /** An operator declares that a member has ended and will not come back. */
     public void markEnded(MemberName name) {
         post(() -> {
--- a/src/main/java/dappleseam/proxy/FleetMembership.java
+++ b/src/main/java/dappleseam/proxy/FleetMembership.java
@@ -6,6 +6,7 @@
 import dappleseam.fleet.lastlist.LastListTask;
 import dappleseam.fleet.lastlist.ListStore;
 import dappleseam.fleet.membership.MemberName;
+import dappleseam.fleet.peers.FleetSnapshot;
 import dappleseam.fleet.peers.FleetStatusWriter;
 import dappleseam.fleet.peers.FleetConfig;
 import dappleseam.fleet.peers.FleetAgent;
@@ -146,12 +147,21 @@
     }
 
     @Override
-    public boolean reportEnded(String name) {
+    public EndedReport reportEnded(String name) {
+        MemberName member;
         try {
-            agent.markEnded(new MemberName(name));
-            return true;
+            member = new MemberName(name);
         } catch (IllegalArgumentException e) {
-            return false;
+            return EndedReport.INVALID_NAME;
         }
+        FleetSnapshot snapshot = agent.snapshot();
+        if (snapshot == null || agent.isStopping()) {
+            return EndedReport.NOT_JOINED;
+        }
+        if (snapshot.view().stream().noneMatch(entry -> entry.name().equals(member) && !entry.state().isLive())) {
+            return EndedReport.NOT_FAILED;
+        }
+        agent.markEnded(member);
+        return EndedReport.ACCEPTED;
     }
 }
--- a/src/test/java/dappleseam/proxy/FleetMembershipTest.java
+++ b/src/test/java/dappleseam/proxy/FleetMembershipTest.java
@@ -73,11 +73,32 @@
         assertThat(fixture.request("GET /control/counters")).contains("app_fleet_members{state=\"alive\"} 1\n", "app_fleet_counted 1\n",
                 "app_fleet_standing{kind=\"starting\"} 1\n");
         assertThat(fixture.request("GET /control/fleet")).contains("\"standing\":\"starting\"", "\"name\":\"p\"");
-        assertThat(fixture.request("POST /control/fleet/ended/x")).startsWith("HTTP/1.1 200");
+        assertThat(fixture.request("POST /control/fleet/ended/x")).startsWith("HTTP/1.1 409");
         assertThat(fixture.request("POST /control/fleet/ended/x!")).startsWith("HTTP/1.1 400");
         assertThat(fleetCommand("fleet", "127.0.0.1:" + fixture.controlPort)).startsWith("0 p: status starting").contains("alive    p ");
     }
 
+    /** Guards against the report of an ended member that is answered with yes and does nothing, or not answered at all. */
+    @Test
+    void reportOfAnEndedMemberIsAcceptedOnceItCanBeCarriedOut() throws Exception {
+        fixture.list.firstAnswer = null; // the start waits for the list
+        fixture.start(folder, "");
+        ServeFixture.awaitAnswer(fixture.controlPort, "GET /control/ready", "HTTP/1.1 503");
+        assertThat(fixture.request("POST /control/fleet/ended/x")).startsWith("HTTP/1.1 503");
+        ServeFixture.awaitAnswer(fixture.controlPort, "GET /control/counters", "app_fleet_joined 1\n");
+        assertThat(fixture.request("POST /control/fleet/ended/x")).startsWith("HTTP/1.1 409");
+        try (DatagramSocket silent = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress address = (InetSocketAddress) silent.getLocalSocketAddress();
+            MemberEntry member = new MemberEntry(new MemberName("x"), address, new Generation(1, 1), 0, MemberEntry.State.ALIVE, 0);
+            byte[] message = new MessageCodec("f").encode(new FleetMessage(FleetMessage.Kind.NACK, member, 1, null, null, List.of(member), false, null));
+            silent.send(new DatagramPacket(message, message.length, InetAddress.getLoopbackAddress(), fleetPort));
+            ServeFixture.awaitAnswer(fixture.controlPort, "GET /control/counters", "app_fleet_members{state=\"failed\"} 1\n");
+            assertThat(fixture.request("POST /control/fleet/ended/x")).startsWith("HTTP/1.1 200");
+            ServeFixture.awaitAnswer(fixture.controlPort, "GET /control/counters", "app_fleet_members{state=\"ended\"} 1\n");
+            assertThat(fixture.request("POST /control/fleet/ended/x")).startsWith("HTTP/1.1 200");
+        }
+    }
+
     /** Thousands of invalid datagrams are counted by kind and have no other effect; queries are answered meanwhile. */
     @Test
     void garbageIsCountedAndQueriesGoOn() throws Exception {
@@ -143,6 +164,7 @@
             ServeFixture.Client client = fixture.start(folder, "").client();
             fixture.awaitLog(folder, "which another process has");
             assertThat(fixture.request("GET /control/counters")).contains("app_fleet_joined 0\n");
+            assertThat(fixture.request("POST /control/fleet/ended/x")).startsWith("HTTP/1.1 503");
             client.send("C.GET", "00000000000000aa", "q1", "c=read,d=9000");
             fixture.cache.next().answer(hit("value"));
             assertThat(client.answer()).isEqualTo("value");
