A call out of service holds for both processes of an upgrade

What callers saw: a proxy is out of service, a new version is started beside it, and PING at the clients' address is answered +PONG, though no call has ended the drain; the same where the call came while two processes listen.

Cause: the call changed the one process that was asked.

Change: ServiceCalls writes a call to a file beside the locks of the address, which both processes follow and one that takes over begins with. Where it can't be written and there is another process, the call gets 503. The state ends with the last process on the address: one that starts alone is in service.

--- a/src/main/java/dappleseam/control/ControlServer.java
+++ b/src/main/java/dappleseam/control/ControlServer.java
@@ -239,7 +239,11 @@
         };
     }
 
-    private static byte[] serviceResponse(boolean accepted) {
-        return HttpRequestReader.response(accepted ? 200 : 503, accepted ? "done\n" : "the process is ending\n");
+    private static byte[] serviceResponse(ServiceControl.Result result) {
+        return switch (result) {
+            case ACCEPTED -> HttpRequestReader.response(200, "done\n");
+            case ENDING -> HttpRequestReader.response(503, "the process is ending\n");
+            case OTHER_PROCESS_NOT_TOLD -> HttpRequestReader.response(503, "the other process on the address cannot be told\n");
+        };
     }
 }
--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -4,7 +4,6 @@
 import dappleseam.clients.ClientFrontend;
 import dappleseam.control.ControlServer;
 import dappleseam.control.Metrics;
-import dappleseam.control.ServiceControl;
 import dappleseam.control.ServiceState;
 import dappleseam.list.ListFile;
 import dappleseam.list.NodeList;
@@ -82,6 +81,7 @@
     private static final String HEALTH_SUFFIX = "-learnt";
     private static final String FLEET_SUFFIX = "-fleet";
     private static final String IDS_SUFFIX = "-ids";
+    private static final String SERVICE_SUFFIX = "-service";
 
     @Option(names = "--config", defaultValue = "${env:NODE_CONFIG}", required = true,
             description = "This proxy's configuration, as JSON (default: the file that NODE_CONFIG names).")
@@ -105,7 +105,9 @@
     private List<NodeHealth> savedHealth = List.of();
     private double healthSavedAt;
     private final Metrics metrics = new Metrics();
+    /** Null without a control server, as are the calls. */
     private AddressLocks addressLocks;
+    private ServiceCalls serviceCalls;
     private final double socketWaitEndsAt = EventLoop.monotonicMs() + SOCKET_WAIT_MS;
     private final ServiceState service = new ServiceState();
     private volatile boolean isStarted;
@@ -445,6 +447,9 @@
     /** Starts the control server; prints the cause and returns false if that fails. */
     private boolean openControlServer(ProxyConfig proxyConfig) throws InterruptedException {
         addressLocks = AddressLocks.acquire(stateFolder(), proxyConfig.listen());
+        serviceCalls = new ServiceCalls(service, new ServiceFile(handoverFile(proxyConfig, SERVICE_SUFFIX)), addressLocks,
+                () -> worker.getIoThread().execute(this::applyServiceState));
+        serviceCalls.begin();
         while (true) {
             try {
                 startControlServer(proxyConfig);
@@ -462,23 +467,9 @@
     private void startControlServer(ProxyConfig proxyConfig) throws IOException {
         boolean[] shared = {addressLocks.isShared()};
         boolean[] primary = {addressLocks.isPrimary()};
-        new ControlServer(proxyConfig.control(), new ServiceControl() {
-            @Override
-            public boolean isReady() {
-                return service.takesClients();
-            }
-
-            @Override
-            public boolean takeOutOfService() {
-                return changeService(service.takeOutOfService(), "out of service: clients are sent away");
-            }
-
-            @Override
-            public boolean returnToService() {
-                return changeService(service.returnToService(), "in service: clients are taken");
-            }
-        }, metrics, fleet, () -> {
+        new ControlServer(proxyConfig.control(), serviceCalls, metrics, fleet, () -> {
             addressLocks.refresh();
+            serviceCalls.follow();
             saveList(proxyConfig);
             saveHealth(proxyConfig);
             if (addressLocks.isPrimary() && !primary[0]) {
@@ -498,15 +489,6 @@
         });
     }
 
-    /** Carries out a call that the state has accepted; returns whether it has. */
-    private boolean changeService(boolean accepted, String logged) {
-        if (accepted) {
-            worker.getIoThread().execute(this::applyServiceState);
-            LOG.log(Level.INFO, logged);
-        }
-        return accepted;
-    }
-
     /** Brings the client connections in line with the state as it is now, however many calls have changed it meanwhile. On the I/O thread. */
     private void applyServiceState() {
         if (front == null || service.phase() == ServiceState.Phase.ENDING) { // what starts does so as its start ends; what ends is closed by the shutdown
@@ -599,6 +581,9 @@
                 shutdown.begin(handOver, loop.nowMs() - signalledAt, killDelay.earliestMs(EventLoop.monotonicMs()));
             }
         });
+        if (!handOver && addressLocks != null && addressLocks.isPrimary()) {
+            serviceCalls.endInFile();
+        }
         awaitShutdown(signalledAt);
         if (inFleet && !handOver) {
             fleet.stop(false); // only now: up to here this proxy uses its share of the fleet's limits
--- a/src/test/java/dappleseam/control/ControlServerTest.java
+++ b/src/test/java/dappleseam/control/ControlServerTest.java
@@ -24,12 +24,12 @@
         }
 
         @Override
-        public boolean takeOutOfService() {
+        public Result takeOutOfService() {
             throw new IllegalStateException("planted");
         }
 
         @Override
-        public boolean returnToService() {
+        public Result returnToService() {
             throw new IllegalStateException("planted");
         }
     };
--- a/src/test/java/dappleseam/proxy/OperatorCallsTest.java
+++ b/src/test/java/dappleseam/proxy/OperatorCallsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -29,6 +30,9 @@
         }
     }
 
+    /** Connections asked by PING: where two processes listen, each gets some. */
+    private static final int PINGS = 20;
+
     @TempDir
     Path folder;
     private ServeFixture fixture;
@@ -41,7 +45,6 @@
     void prepare() throws Exception {
         fixture = new ServeFixture();
         fixture.controlPort = ServeFixture.freePort();
-        fixture.list.firstAnswer = null; // the start waits for the list
     }
 
     @AfterEach
@@ -54,15 +57,27 @@
 
     /** Starts another process on the address, with a control address of its own, and waits until it listens. */
     private void startSecond() throws Exception {
+        Files.writeString(folder.resolve("log"), ""); // of the first one
         fixture.controlPort = ServeFixture.freePort();
+        fixture.list.firstAnswer = ServeFixture.unchangedList(1);
         second = fixture.launch(folder, fixture.config(folder, ""));
-        ServeFixture.awaitAnswer(fixture.controlPort, "GET /control/ready", "HTTP/1.1 200");
+        awaitListening();
+    }
+
+    /** Starts the program while the list service says nothing, so that its start takes a second and a half. */
+    private void startWaitingForList() throws Exception {
+        fixture.list.firstAnswer = null;
+        fixture.start(folder, "");
     }
 
     private void awaitListening() throws Exception {
         fixture.awaitLog(folder, "serves on");
     }
 
+    private void awaitReady(int control, boolean expected) throws Exception {
+        ServeFixture.awaitAnswer(control, "GET /control/ready", expected ? "HTTP/1.1 200" : "HTTP/1.1 503");
+    }
+
     private void call(String name, int status) throws Exception {
         assertThat(fixture.request("POST /control/" + name)).startsWith("HTTP/1.1 " + status);
     }
@@ -77,14 +92,16 @@
 
     private void assertTakesClients(boolean expected) throws Exception {
         assertThat(fixture.request("GET /control/ready")).startsWith(expected ? "HTTP/1.1 200" : "HTTP/1.1 503");
-        assertThat(ping()).startsWith(expected ? "+PONG" : "-ERR");
+        for (int i = 0; i < PINGS; i++) {
+            assertThat(ping()).startsWith(expected ? "+PONG" : "-ERR");
+        }
     }
 
     /** Guards against a call out of service that is answered with yes and forgotten by a process that does not listen yet. */
     @ParameterizedTest
     @EnumSource
     void outOfServiceHoldsUntilInService(At phase) throws Exception {
-        fixture.start(folder, "");
+        startWaitingForList();
         phase.await(this);
         call("out-of-service", 200);
         awaitListening();
@@ -97,7 +114,7 @@
     @ParameterizedTest
     @EnumSource
     void lastCallOfSeveralHolds(At phase) throws Exception {
-        fixture.start(folder, "");
+        startWaitingForList();
         phase.await(this);
         call("out-of-service", 200);
         call("in-service", 200);
@@ -153,11 +170,94 @@
         assertThat(client.answer()).startsWith("-ERR");
     }
 
+    /** Guards against a drain that a new version forgets: the two processes of an upgrade are one proxy. */
+    @Test
+    void processThatTakesOverIsOutOfServiceAsTheOldOne() throws Exception {
+        fixture.start(folder, "");
+        awaitListening();
+        call("out-of-service", 200);
+        startSecond();
+        assertTakesClients(false);
+        fixture.program.destroy(); // SIGTERM
+        fixture.awaitLog(folder, "another process takes the clients");
+        assertThat(fixture.program.waitFor(ServeFixture.TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+        fixture.awaitLog(folder, "alone on this address");
+        assertTakesClients(false);
+        call("in-service", 200);
+        assertTakesClients(true);
+    }
+
+    /** Guards against a call to one of two processes that the other one does not hear of. */
+    @Test
+    void callToOneProcessHoldsForBoth() throws Exception {
+        fixture.start(folder, "");
+        awaitListening();
+        int firstControl = fixture.controlPort;
+        startSecond();
+        for (int control : new int[] {firstControl, fixture.controlPort}) {
+            int other = firstControl + fixture.controlPort - control;
+            assertThat(ServeFixture.request(control, "POST /control/out-of-service HTTP/1.1")).startsWith("HTTP/1.1 200");
+            awaitReady(other, false);
+            assertTakesClients(false);
+            assertThat(ServeFixture.request(other, "POST /control/in-service HTTP/1.1")).startsWith("HTTP/1.1 200");
+            awaitReady(control, true);
+            assertTakesClients(true);
+        }
+    }
+
+    /** Guards against a new version that ends without taking over, and with it the drain of the old one. */
+    @Test
+    void newProcessThatEndsLeavesTheOldOneOutOfService() throws Exception {
+        fixture.start(folder, "");
+        awaitListening();
+        int firstControl = fixture.controlPort;
+        call("out-of-service", 200);
+        startSecond();
+        second.destroy(); // SIGTERM
+        assertThat(second.waitFor(ServeFixture.TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+        fixture.awaitLog(folder, "alone on this address");
+        fixture.controlPort = firstControl;
+        assertTakesClients(false);
+    }
+
+    /** Guards against a process that starts alone, and is out of service by a call to one that has ended. */
+    @ParameterizedTest
+    @ValueSource(strings = {"TERM", "KILL"})
+    void processThatStartsAloneIsInService(String signal) throws Exception {
+        fixture.start(folder, "");
+        awaitListening();
+        call("out-of-service", 200);
+        fixture.signal(signal);
+        assertThat(fixture.program.waitFor(ServeFixture.TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+        startSecond();
+        assertTakesClients(true);
+    }
+
+    /** Guards against a yes that the other process cannot be told of; a process that is alone needs no file. */
+    @Test
+    void callThatCannotBeToldToTheOtherProcessIsRefused() throws Exception {
+        fixture.start(folder, "");
+        awaitListening();
+        Path inTheWay = folder.resolve(AddressLocks.VERSION).resolve("127.0.0.1-" + fixture.port + "-service");
+        Files.createDirectories(inTheWay.resolve("in-the-way"));
+        call("out-of-service", 200);
+        call("in-service", 200);
+        int firstControl = fixture.controlPort;
+        startSecond();
+        call("out-of-service", 503);
+        assertTakesClients(true);
+        Files.delete(inTheWay.resolve("in-the-way"));
+        Files.delete(inTheWay);
+        call("out-of-service", 200);
+        awaitReady(firstControl, false);
+        assertTakesClients(false);
+    }
+
     /** Guards against a check that takes the refusal of its own PING for a failed start. */
     @Test
     void checkPassesOutOfService() throws Exception {
         fixture.command = "serve --check";
-        fixture.start(folder, "");
+        startWaitingForList();
         At.STARTING.await(this);
         call("out-of-service", 200);
         assertThat(fixture.program.waitFor(ServeFixture.TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
