SIGHUP while the configuration is read does not end the process

What operators saw: settings rolled out while a proxy restarts can end it, with status 129.

Cause: the handler of SIGHUP was set after the configuration, the fleet's file and the I/O thread; until then the system's default ends the process.

Evidence: OperatorCallsTest#hangUpWhileTheConfigurationIsReadEndsNothing, which reads the configuration from a pipe, failed before with status 129.

Change: the handler is set first; it waits for the end of the start, as before.

Result: the test, RaceConditionsTest, KillDelayTest and OperationsTest#brokenFileChangesNothing pass.

--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -131,6 +131,11 @@
 
     @Override
     public Integer call() throws Exception {
+        CountDownLatch started = new CountDownLatch(1);
+        Signal.handle(new Signal("HUP"), signal -> { // first of all, as it would end the process; each signal runs on its own thread, an early one waits
+            awaitStart(started);
+            reload();
+        });
         AsyncLogHandler.start();
         ProxyConfig proxyConfig;
         try {
@@ -143,11 +148,6 @@
         killDelay = new KillDelay(proxyConfig.settings().routerSettings());
         worker = openWorker();
         worker.getIoThread().setUncaughtExceptionHandler((thread, cause) -> endAfter(cause));
-        CountDownLatch started = new CountDownLatch(1);
-        Signal.handle(new Signal("HUP"), signal -> { // each signal runs on its own thread; an early one waits
-            awaitStart(started);
-            reload();
-        });
         // Not a shutdown hook: java.util.logging removes its handlers in a hook of its own at the same time, and log lines were lost.
         AtomicBoolean isSignalled = new AtomicBoolean();
         for (String name : List.of("TERM", "INT")) {
--- a/src/test/java/dappleseam/proxy/OperatorCallsTest.java
+++ b/src/test/java/dappleseam/proxy/OperatorCallsTest.java
@@ -2,9 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -253,6 +255,21 @@
         assertTakesClients(false);
     }
 
+    /** Guards against SIGHUP that ends a process which still reads its configuration. */
+    @Test
+    void hangUpWhileTheConfigurationIsReadEndsNothing() throws Exception {
+        fixture.port = ServeFixture.freePort();
+        byte[] configuration = Files.readAllBytes(fixture.config(folder, ""));
+        Path pipe = folder.resolve("pipe");
+        assertThat(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor()).isZero();
+        fixture.program = fixture.launch(folder, pipe);
+        try (OutputStream writer = Files.newOutputStream(pipe, StandardOpenOption.WRITE)) { // waits for the program to read
+            fixture.sendHangUp();
+            writer.write(configuration);
+        }
+        assertThat(fixture.client().socket.isConnected()).isTrue();
+    }
+
     /** Guards against a check that takes the refusal of its own PING for a failed start. */
     @Test
     void checkPassesOutOfService() throws Exception {
