--- a/src/test/java/dappleseam/proxy/OperatorCallsTest.java
+++ b/src/test/java/dappleseam/proxy/OperatorCallsTest.java
@@ -2,11 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -34,6 +37,7 @@
 
     /** Connections asked by PING: where two processes listen, each gets some. */
     private static final int PINGS = 20;
+    private static final int FLOODS = 4;
 
     @TempDir
     Path folder;
@@ -255,6 +259,95 @@
         assertTakesClients(false);
     }
 
+    /** Guards against new settings that are dropped in some phase, or that change whether clients are taken. */
+    @ParameterizedTest
+    @CsvSource({"STARTING, false", "STARTING, true", "WAITING_FOR_LIST, false", "WAITING_FOR_LIST, true", "LISTENING, false", "LISTENING, true"})
+    void hangUpIsCarriedOutAndKeepsTheState(At phase, boolean out) throws Exception {
+        startWaitingForList();
+        phase.await(this);
+        if (out) {
+            call("out-of-service", 200);
+        }
+        renameReadGrade();
+        awaitListening();
+        assertTakesClients(!out);
+        call("in-service", 200);
+        client = fixture.client();
+        client.send("C.GET", "00000000000000aa", "id", "c=fresh,d=9000");
+        fixture.cache.next().answer(ServeFixture.hit("value"));
+        assertThat(client.answer()).isEqualTo("value");
+    }
+
+    /** Replaces the grade "read" by "fresh" in the configuration, sends SIGHUP and waits until the file is counted as taken. */
+    private void renameReadGrade() throws Exception {
+        fixture.grades = fixture.grades.replace("\"read\"", "\"fresh\"");
+        fixture.config(folder, "");
+        fixture.sendHangUp();
+        ServeFixture.awaitAnswer(fixture.controlPort, "GET /control/counters", "app_config_reloads_total 1\n");
+    }
+
+    /** Guards against new settings that revive an ending process. */
+    @Test
+    void hangUpIsCarriedOutByAnEndingProcess() throws Exception {
+        startWithOpenQuery();
+        fixture.program.destroy(); // SIGTERM
+        fixture.awaitLog(folder, "told to end");
+        renameReadGrade();
+        assertThat(fixture.request("GET /control/ready")).startsWith("HTTP/1.1 503");
+        client.send("PING");
+        client.send("C.GET", "00000000000000aa", "id2", "c=fresh,d=9000");
+        openQuery.answer(ServeFixture.hit("value"));
+        assertThat(client.answer()).isEqualTo("value");
+        assertThat(client.answer()).startsWith("-ERR");
+        fixture.cache.next().answer(ServeFixture.hit("fresh value"));
+        assertThat(client.answer()).isEqualTo("fresh value");
+    }
+
+    /** Guards against a yes that is told before it holds: the I/O thread, where calls take effect, is busy with floods. */
+    @Test
+    void callsHoldAtOnceBesideLoad() throws Exception {
+        fixture.start(folder, "");
+        awaitListening();
+        for (int i = 0; i < FLOODS; i++) {
+            flood(fixture.client());
+        }
+        for (int i = 0; i < 40; i++) {
+            call("out-of-service", 200);
+            assertThat(fixture.request("GET /control/ready")).startsWith("HTTP/1.1 503");
+            assertThat(ping()).startsWith("-ERR");
+            call("in-service", 200);
+            assertThat(fixture.request("GET /control/ready")).startsWith("HTTP/1.1 200");
+            assertThat(ping()).startsWith("+PONG");
+        }
+    }
+
+    /** Sends commands as fast as they are answered, until the test is over. */
+    private static void flood(ServeFixture.Client flooding) {
+        byte[] commands = "*1\r\n$6\r\nSELECT\r\n".repeat(500).getBytes(StandardCharsets.US_ASCII);
+        Thread sender = new Thread(() -> {
+            try {
+                while (true) {
+                    flooding.socket.getOutputStream().write(commands);
+                }
+            } catch (IOException e) {
+                // the test is over
+            }
+        });
+        Thread receiver = new Thread(() -> {
+            try {
+                while (flooding.bytes(1 << 16).length > 0) {
+                    // only takes the answers
+                }
+            } catch (IOException e) {
+                // the test is over
+            }
+        });
+        for (Thread thread : List.of(sender, receiver)) {
+            thread.setDaemon(true);
+            thread.start();
+        }
+    }
+
     /** Guards against SIGHUP that ends a process which still reads its configuration. */
     @Test
     void hangUpWhileTheConfigurationIsReadEndsNothing() throws Exception {
