An error in a callback closes its connection, whatever is thrown

Cause: a connection caught RuntimeException around arriving bytes, and nothing around its other callbacks and timers. Other errors went to XNIO, which logs them: the connection stayed open, half handled, without a timer, and could not be evicted.

Evidence: LinkTest#errorInACallbackClosesTheConnection failed before in 7 of 7 rows (adapted to the old interface), ClientFrontendTest#errorInTheHandler FreesTheClientsPlace in 3 of 4.

Change: Link guards every callback; clients' timers, accepts, new connections to nodes, tasks, deadlines and the control thread catch every error, too. IoThreadRunner of the tests passes on errors, so that a failing test ends.

Result: LinkTest, ClientFrontendTest, EventLoopTest, LostAnswersTest, BadClientsTest, ServeTest, ControlServerTest and ConnectionEndTest pass, 129.

--- a/src/main/java/dappleseam/clients/ClientConnection.java
+++ b/src/main/java/dappleseam/clients/ClientConnection.java
@@ -120,8 +120,8 @@
         this.frontend = frontend;
         reader = new RespReader(loop.pool(), LargeValueHandler.MAX_BYTES);
         link = loop.createLink(connection, this);
-        hold = new WholeValueHold(loop, frontend.holdBudget(), this::flushReplies);
-        nextResume = new NextTurnTask(loop::executeNextTurn, this::resume);
+        hold = new WholeValueHold(loop, frontend.holdBudget(), link.guarded(this::flushReplies));
+        nextResume = new NextTurnTask(loop::executeNextTurn, link.guarded(this::resume));
         lastReplyAt = loop.nowMs();
     }
 
@@ -131,14 +131,19 @@
         inputWaitingSince = loop.nowMs() - maxWaitedMs;
         link.resume();
         link.readAvailable();
-        scheduleSilenceCheck();
+        link.guarded(this::scheduleSilenceCheck).run();
+    }
+
+    /** Runs the task after that time in ms; an error in it closes this connection. */
+    private IoLoop.PendingTask schedule(double delayMs, Runnable task) {
+        return loop.scheduleAt(loop.nowMs() + delayMs, link.guarded(task));
     }
 
     /** Closes clients that send nothing or only part of a command, so that they do not use up the file descriptors. */
     private void scheduleSilenceCheck() {
         if (!link.isClosed()) {
             double now = loop.nowMs();
-            silenceTimer = loop.scheduleAt(Math.min(Math.max(silenceDeadline(), now + READ_TIMEOUT_MS / 10), now + IDLE_TIMEOUT_MS), () -> {
+            silenceTimer = schedule(Math.min(Math.max(silenceDeadline() - now, READ_TIMEOUT_MS / 10), IDLE_TIMEOUT_MS), () -> {
                 link.readAvailable();
                 if (!link.isClosed() && silenceDeadline() <= loop.nowMs()) {
                     closeForSilence();
@@ -177,7 +182,7 @@
     private void ignoreFurtherInput(CloseReason reason) {
         isClosing = true;
         closingReason = reason;
-        loop.scheduleAt(loop.nowMs() + RECHECK_MS, () -> rejectQueries(RefusalReason.CLOSING));
+        schedule(RECHECK_MS, () -> rejectQueries(RefusalReason.CLOSING));
     }
 
     @Override
@@ -389,7 +394,7 @@
         }
         if (loop.pool().availableBytes() < MIN_REPLY_ROOM_BYTES) {
             flushTimer.cancelTask();
-            flushTimer = loop.scheduleAt(loop.nowMs() + RECHECK_MS, this::flushReplies);
+            flushTimer = schedule(RECHECK_MS, this::flushReplies);
             return;
         }
         boolean wroteAny = false;
@@ -410,7 +415,7 @@
                 hold.release();
                 wroteAny = true;
             }
-        } catch (RuntimeException e) { // a partly written reply cannot be followed by another
+        } catch (RuntimeException | Error e) { // a partly written reply cannot be followed by another
             close(CloseReason.INTERNAL_ERROR);
             return;
         }
@@ -479,7 +484,7 @@
     private void scheduleStallCheck() {
         if (link.out().size() > 0 && stallTimer == null) {
             long before = link.bytesWritten();
-            stallTimer = loop.scheduleAt(loop.nowMs() + WRITE_STALL_MS, () -> {
+            stallTimer = schedule(WRITE_STALL_MS, () -> {
                 stallTimer = null;
                 if (link.isClosed()) {
                     return;
@@ -504,7 +509,7 @@
         if (isClosing && pendingReplies.isEmpty()) {
             close(closingReason);
         } else if (frontend.isClosingIdle() && isIdle()) {
-            loop.scheduleAt(loop.nowMs(), this::closeIfIdle); // deferred: bytes of this connection may be being processed
+            schedule(0, this::closeIfIdle); // deferred: bytes of this connection may be being processed
         } else if (isPaused() && !isSubmitting) {
             resume();
         } // else by the resume timer: resuming within submission would recurse for each synchronous reply
@@ -534,7 +539,7 @@
         if (backpressure != Backpressure.NONE) {
             pausedSince = loop.nowMs();
             link.pauseDelivery();
-            resumeTimer = loop.scheduleAt(loop.nowMs() + RECHECK_MS, this::resume);
+            resumeTimer = schedule(RECHECK_MS, this::resume);
         }
     }
 
@@ -550,7 +555,7 @@
         Backpressure backpressure = isPassingOn ? Backpressure.REPLIES_PENDING : backpressure();
         refusesForBuffers = backpressure == Backpressure.BUFFERS_SCARCE && loop.nowMs() >= pausedSince + SCARCE_WAIT_MS;
         if (backpressure != Backpressure.NONE && !refusesForBuffers) {
-            resumeTimer = loop.scheduleAt(loop.nowMs() + RECHECK_MS, this::resume);
+            resumeTimer = schedule(RECHECK_MS, this::resume);
             return;
         }
         if (link.hasUndeliveredInput()) {
@@ -577,7 +582,7 @@
     }
 
     @Override
-    public void failed(RuntimeException error) {
+    public void failed(Throwable error) {
         cleanUp(CloseReason.INTERNAL_ERROR);
     }
 
@@ -645,12 +650,15 @@
     }
 
     private void cleanUp(CloseReason reason) {
-        silenceTimer.cancelTask();
-        hold.release();
-        reader.release();
-        releaseGrant();
-        frontend.logUnanswered(reason, dropPendingReplies());
-        frontend.connectionClosed(slot, hasQueried, reason);
+        try {
+            silenceTimer.cancelTask();
+            hold.release();
+            reader.release();
+            releaseGrant();
+            frontend.logUnanswered(reason, dropPendingReplies());
+        } finally { // whatever fails here, its place is free for another client
+            frontend.connectionClosed(slot, hasQueried, reason);
+        }
     }
 
     /** Gives up all queries that have no whole reply, and returns their ids. */
--- a/src/main/java/dappleseam/clients/ClientFrontend.java
+++ b/src/main/java/dappleseam/clients/ClientFrontend.java
@@ -130,7 +130,7 @@
                     return;
                 }
                 acceptsLeft -= isStopping ? 1 : 0;
-                addClient(next, backlogAgeMs());
+                addOrClose(next);
             }
             markBacklog();
             nextAccepts.queue();
@@ -182,6 +182,16 @@
         return Double.isNaN(backlogSince) ? 0 : loop.nowMs() - backlogSince;
     }
 
+    /** An error with one client costs that one only. */
+    private void addOrClose(StreamConnection connection) {
+        try {
+            addClient(connection, backlogAgeMs());
+        } catch (RuntimeException | Error e) {
+            acceptLog.warn(loop.nowMs(), "a new client is closed after an internal error: " + e);
+            IoUtils.safeClose(connection);
+        }
+    }
+
     /** Adds a newly accepted client connection. */
     public void addClient(StreamConnection connection) {
         addClient(connection, 0);
--- a/src/main/java/dappleseam/control/ControlServer.java
+++ b/src/main/java/dappleseam/control/ControlServer.java
@@ -104,7 +104,7 @@
                     List.copyOf(connections).stream().filter(Connection::isExpired).forEach(this::closeConnection);
                     periodicTask.run();
                 }
-            } catch (IOException | RuntimeException e) { // an error must not stop the server
+            } catch (IOException | RuntimeException | Error e) { // an error must not stop the server
                 LOG.log(Level.WARNING, "control server: {0}", e.toString());
                 pauseAfterError();
             }
@@ -146,6 +146,9 @@
             }
         } catch (IOException e) { // the caller has closed the connection
             closeConnection(connection);
+        } catch (RuntimeException | Error e) { // costs this caller only
+            LOG.log(Level.ERROR, "control server: a connection failed", e);
+            closeConnection(connection);
         }
     }
 
@@ -184,7 +187,7 @@
     private byte[] respondOrFail(HttpRequestReader request) {
         try {
             return respond(request);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.log(Level.ERROR, "control server: " + request.path() + " failed", e);
             return HttpRequestReader.response(500, "internal error\n");
         }
--- a/src/main/java/dappleseam/origin/Origin.java
+++ b/src/main/java/dappleseam/origin/Origin.java
@@ -164,7 +164,7 @@
                 write(e, Math.max(1, Math.round(e.deadlineMs - loop.nowMs())), link.out());
                 valueBytesQueued = 0;
                 queueValue();
-            } catch (RuntimeException fault) { // a partly written request must not be followed by another
+            } catch (RuntimeException | Error fault) { // a partly written request must not be followed by another
                 disconnected("internal error: " + fault);
                 return;
             }
@@ -194,7 +194,7 @@
             } else if (current != null && endOffset == Long.MAX_VALUE) {
                 try {
                     queueValue();
-                } catch (RuntimeException fault) { // less was sent than Content-Length announced
+                } catch (RuntimeException | Error fault) { // less was sent than Content-Length announced
                     disconnected("internal error: " + fault);
                     return;
                 }
--- a/src/main/java/dappleseam/proxy/EventLoop.java
+++ b/src/main/java/dappleseam/proxy/EventLoop.java
@@ -164,7 +164,7 @@
                 Runnable task = scheduledTasks.pollFirst().task;
                 try {
                     task.run();
-                } catch (RuntimeException e) { // a failing task must not stop the others
+                } catch (RuntimeException | Error e) { // a failing task must not stop the others
                     LOG.log(Level.ERROR, "a deadline failed", e);
                 }
             }
@@ -227,7 +227,13 @@
             isDone = true;
             connection.setCloseListener(closed -> openConnections.addAndGet(-weight));
             timeout.cancelTask();
-            onConnected.accept(connection);
+            try {
+                onConnected.accept(connection);
+            } catch (RuntimeException | Error e) { // nobody has the connection
+                LOG.log(Level.ERROR, "a new connection failed", e);
+                IoUtils.safeClose(connection);
+                onFailed.accept("internal error: " + e);
+            }
         }
 
         private void fail(String cause) {
--- a/src/main/java/dappleseam/proxy/Proxy.java
+++ b/src/main/java/dappleseam/proxy/Proxy.java
@@ -263,7 +263,7 @@
             while (!pendingEvents.isEmpty()) {
                 try {
                     pendingEvents.poll().run();
-                } catch (RuntimeException e) { // the affected query is aborted at its deadline; the others go on
+                } catch (RuntimeException | Error e) { // the affected query is aborted at its deadline; the others go on
                     LOG.log(Level.ERROR, "the router failed", e);
                 }
             }
--- a/src/main/java/dappleseam/proxy/TurnQueue.java
+++ b/src/main/java/dappleseam/proxy/TurnQueue.java
@@ -71,7 +71,7 @@
     private static void run(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) { // a failing task must not stop the others
+        } catch (RuntimeException | Error e) { // a failing task must not stop the others
             LOG.log(Level.ERROR, "a postponed task failed", e);
         }
     }
--- a/src/main/java/dappleseam/servers/CacheNode.java
+++ b/src/main/java/dappleseam/servers/CacheNode.java
@@ -222,7 +222,7 @@
             long startOffset = link.bytesQueued();
             try {
                 write(e.command, Math.max(1, Math.round(e.deadlineMs - loop.nowMs())), link.out());
-            } catch (RuntimeException fault) { // a partly written command must not be followed by another
+            } catch (RuntimeException | Error fault) { // a partly written command must not be followed by another
                 sent.add(new SentCommand(e, startOffset, Long.MAX_VALUE));
                 disconnected("internal error: " + fault);
                 return;
--- a/src/main/java/dappleseam/wire/Link.java
+++ b/src/main/java/dappleseam/wire/Link.java
@@ -44,7 +44,7 @@
         }
 
         /** As {@link #disconnected}, for an error of the listener itself. */
-        default void failed(RuntimeException error) {
+        default void failed(Throwable error) {
             disconnected("internal error: " + error);
         }
 
@@ -195,7 +195,20 @@
             handleFailure("write: " + e.getMessage());
             return;
         }
-        listener.flushed();
+        guard(listener::flushed);
+    }
+
+    /** The task, for a timer or another connection's event: an error in it ends this connection only. */
+    public Runnable guarded(Runnable task) {
+        return () -> guard(task);
+    }
+
+    private void guard(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | Error e) { // what other peers are owed goes on
+            handleError(e);
+        }
     }
 
     /** Whether no input and no close has arrived on a connection on which none is expected. A byte read by this check is lost. */
@@ -236,11 +249,11 @@
         int count = 1;
         long passBytes = 0;
         for (int i = 0; i < MAX_READS && !closed && count > 0; i++) {
-            int allowance = listener.readAllowance(passBytes);
-            if (allowance <= 0) {
-                break;
-            }
             try {
+                int allowance = listener.readAllowance(passBytes);
+                if (allowance <= 0) {
+                    break;
+                }
                 count = undelivered != null ? readAhead(into) : source.read(into.clear().limit(Math.min(into.capacity(), allowance)));
                 passBytes += count;
                 if (count > 0 && undelivered == null) {
@@ -249,7 +262,7 @@
             } catch (IOException e) {
                 handleFailure("read: " + e.getMessage());
                 return;
-            } catch (RuntimeException e) { // an internal error ends this connection only
+            } catch (RuntimeException | Error e) { // an internal error ends this connection only
                 handleError(e);
                 return;
             }
@@ -264,7 +277,7 @@
         hasMore = !closed && count > 0;
         scheduleNextPass();
         if (!closed && !hasMore) {
-            listener.readComplete();
+            guard(listener::readComplete);
         }
     }
 
@@ -285,13 +298,9 @@
     }
 
     private void deliver(ByteBuffer input) {
-        try {
-            listener.received(input);
-        } catch (RuntimeException e) { // see read
-            handleError(e);
-        }
+        guard(() -> listener.received(input));
         if (!closed && readingEnded) {
-            listener.readComplete();
+            guard(listener::readComplete);
         } else if (!closed) { // a close may follow input that could not be read ahead
             read(ByteBuffer.allocate(NESTED_READ_BYTES));
         }
@@ -326,22 +335,22 @@
     private void handleEndOfStream() {
         if (!closed) {
             close();
-            listener.endOfStream();
+            guard(listener::endOfStream);
         }
     }
 
     private void handleFailure(String cause) {
         if (!closed) {
             close();
-            listener.disconnected(cause);
+            guard(() -> listener.disconnected(cause));
         }
     }
 
-    private void handleError(RuntimeException error) {
+    private void handleError(Throwable error) {
         ERROR_LOG.warn(System.nanoTime() / NANOS_PER_MS, "a connection is closed after an internal error: " + error);
         if (!closed) {
             close();
-            listener.failed(error);
+            guard(() -> listener.failed(error));
         }
     }
 
--- a/src/test/java/dappleseam/clients/ClientFrontendTest.java
+++ b/src/test/java/dappleseam/clients/ClientFrontendTest.java
@@ -4,11 +4,14 @@
 
 import dappleseam.wire.BufferChain;
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.ChannelPipe;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
@@ -36,6 +39,37 @@
         client.getSinkChannel().write(ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII)));
     }
 
+    /** Guards against a client whose handling fails and that keeps its place: an error in the router's part ends that connection only. */
+    @ParameterizedTest
+    @ValueSource(strings = {"submit", "clientTimeoutMs", "clientLeft", "reject"})
+    void errorInTheHandlerFreesTheClientsPlace(String failing) throws Exception {
+        String value = "$100000\r\n"; // more than the buffers grant, so that its client's time is asked for
+        String sent = failing.equals("clientTimeoutMs") ? "*5\r\n$5\r\nC.SET\r\n$1\r\na\r\n$1\r\n1\r\n$3\r\nc=r\r\n" + value
+                : failing.equals("reject") ? QUERY + "nonsense" : QUERY;
+        boolean hasClients = IoThreadRunner.run((worker, result) -> {
+            ManualIoLoop loop = new ManualIoLoop();
+            QueryHandler handler = (QueryHandler) Proxy.newProxyInstance(QueryHandler.class.getClassLoader(), new Class<?>[] {QueryHandler.class}, (proxy, method, args) -> {
+                if (method.getName().equals(failing)) {
+                    throw new StackOverflowError("planted");
+                }
+                return method.invoke(loop, args);
+            });
+            ClientFrontend frontend = new ClientFrontend(loop, handler, 100, 100, loop.closes, () -> true);
+            List<StreamConnection> clients = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                ChannelPipe<StreamConnection, StreamConnection> pipe = worker.getIoThread().createFullDuplexPipeConnection();
+                write(pipe.getRightSide(), sent);
+                frontend.addClient(pipe.getLeftSide());
+                clients.add(pipe.getRightSide());
+            }
+            loop.advanceTo(loop.now + 100);
+            clients.forEach(IoUtils::safeClose);
+            loop.advanceTo(loop.now + 6000); // a close is seen by the check for silence at the latest
+            result.complete(frontend.hasClients());
+        });
+        assertThat(hasClients).isFalse();
+    }
+
     /** On shutdown, queries read after the last abort would never be answered, so they must not be read. */
     @Test
     void noQueryIsSubmittedOnceReadingHasStopped() throws Exception {
--- a/src/test/java/dappleseam/clients/IoThreadRunner.java
+++ b/src/test/java/dappleseam/clients/IoThreadRunner.java
@@ -22,7 +22,7 @@
         worker.getIoThread().execute(() -> {
             try {
                 steps.run(worker, result);
-            } catch (Exception e) {
+            } catch (Exception | Error e) { // else a failing test would wait for ever
                 result.completeExceptionally(e);
             }
         });
--- a/src/test/java/dappleseam/wire/LinkTest.java
+++ b/src/test/java/dappleseam/wire/LinkTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -13,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.Option;
 import org.xnio.OptionMap;
@@ -129,6 +131,106 @@
         }
     }
 
+    /** A callback of a listener, and the event that leads to it. */
+    private enum Callback {
+        READ_ALLOWANCE, RECEIVED, READ_COMPLETE, FLUSHED, END_OF_STREAM, DISCONNECTED, GUARDED_TASK
+    }
+
+    /** Throws an error in one callback, and counts the calls that tell it of the end. */
+    private static final class ThrowingListener implements Link.Listener {
+        private final Callback failing;
+        int failures;
+
+        ThrowingListener(Callback failing) {
+            this.failing = failing;
+        }
+
+        private void called(Callback callback) {
+            if (callback == failing) {
+                throw new StackOverflowError("planted");
+            }
+        }
+
+        @Override
+        public int readAllowance(long passBytes) {
+            called(Callback.READ_ALLOWANCE);
+            return Integer.MAX_VALUE;
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            bytes.position(bytes.limit());
+            called(Callback.RECEIVED);
+        }
+
+        @Override
+        public void readComplete() {
+            called(Callback.READ_COMPLETE);
+        }
+
+        @Override
+        public void flushed() {
+            called(Callback.FLUSHED);
+        }
+
+        @Override
+        public void endOfStream() {
+            called(Callback.END_OF_STREAM);
+        }
+
+        @Override
+        public void disconnected(String cause) {
+            called(Callback.DISCONNECTED);
+        }
+
+        @Override
+        public void failed(Throwable error) {
+            failures++;
+        }
+    }
+
+    /** Guards against an error in a callback that leaves its connection half handled and open: clients held their places for good. */
+    @ParameterizedTest
+    @EnumSource
+    void errorInACallbackClosesTheConnection(Callback failing) throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        CloseRecordingConnection connection = new CloseRecordingConnection(worker.getIoThread());
+        if (failing == Callback.DISCONNECTED) {
+            connection.setSource(new FailingSource(worker.getIoThread()));
+        } else if (failing != Callback.END_OF_STREAM) {
+            connection.setSource(new CountedReads(worker.getIoThread(), 1));
+        }
+        ThrowingListener listener = new ThrowingListener(failing);
+        BlockingQueue<Boolean> closed = new LinkedBlockingQueue<>();
+        worker.getIoThread().execute(() -> {
+            Link link = new Link(connection, new BufferPool(1), ByteBuffer.allocate(1), connection.getIoThread(), listener);
+            if (failing == Callback.FLUSHED) {
+                link.flush();
+            } else if (failing == Callback.GUARDED_TASK) {
+                link.guarded(() -> listener.called(Callback.GUARDED_TASK)).run();
+            } else {
+                link.readAvailable();
+            }
+            closed.add(link.isClosed()); // reached, as nothing is thrown
+        });
+        assertThat(closed.poll(20, TimeUnit.SECONDS)).isEqualTo(true);
+        boolean wasTold = failing == Callback.END_OF_STREAM || failing == Callback.DISCONNECTED;
+        assertThat(listener.failures).isEqualTo(wasTold ? 0 : 1);
+        worker.shutdownNow();
+    }
+
+    /** A source whose connection has failed. */
+    private static final class FailingSource extends AbstractStreamSourceConduit<EmptyStreamSourceConduit> {
+        FailingSource(XnioIoThread thread) {
+            super(new EmptyStreamSourceConduit(thread));
+        }
+
+        @Override
+        public int read(ByteBuffer into) throws IOException {
+            throw new IOException("planted");
+        }
+    }
+
     /**
      * Random orders of arriving parts, signals, pauses and resumes: whenever nothing more is due to happen, all input that arrived has been delivered and
      * reported as complete, unless the listener has paused the connection.
