A header with many blanks does not keep the control thread busy

What operators could see: one call with thousands of blanks and a lone carriage return in a header, and nobody is answered at the operators' address.

Cause: the pattern of a header shared a run of blanks among three places in all ways; a value that does not match took the third power of their number.

Change: a header is split at its colon. A NUL in a value gets 400 (RFC 9110).

--- a/src/main/java/dappleseam/control/HttpRequestReader.java
+++ b/src/main/java/dappleseam/control/HttpRequestReader.java
@@ -10,7 +10,8 @@
     /** Maximum size in bytes of the head, and of the body. No request needs a body; a short one is skipped. */
     static final int MAX_BYTES = 4 << 10;
     private static final Pattern REQUEST_LINE = Pattern.compile("([A-Z]{1,16}) (/[!-~]{0,255}) HTTP/1\\.[01]");
-    private static final Pattern HEADER = Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \\t]*(.*?)[ \\t]*");
+    private static final Pattern HEADER_NAME = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
+    private static final Pattern LENGTH = Pattern.compile("\\d{1,9}");
     private static final int BAD_REQUEST = 400;
     private static final int TOO_LARGE = 413;
     private static final int HEAD_TOO_LARGE = 431;
@@ -60,19 +61,27 @@
         path = requestLine.group(2);
         int length = 0;
         for (int i = 1; i < lines.length; i++) {
-            Matcher header = HEADER.matcher(lines[i]);
-            if (!header.matches() || header.group(1).equalsIgnoreCase("transfer-encoding")) {
+            int colon = lines[i].indexOf(':');
+            String name = lines[i].substring(0, Math.max(0, colon));
+            String value = lines[i].substring(colon + 1);
+            if (!HEADER_NAME.matcher(name).matches() || !isValue(value) || name.equalsIgnoreCase("transfer-encoding")) {
                 errorStatus = BAD_REQUEST; // no request here needs a chunked body
                 return;
             }
-            if (header.group(1).equalsIgnoreCase("content-length")) {
-                length = header.group(2).matches("\\d{1,9}") ? Integer.parseInt(header.group(2)) : -1;
+            if (name.equalsIgnoreCase("content-length")) {
+                String digits = value.strip();
+                length = LENGTH.matcher(digits).matches() ? Integer.parseInt(digits) : -1;
             }
         }
         errorStatus = length < 0 ? BAD_REQUEST : length > MAX_BYTES ? TOO_LARGE : 0;
         bodyBytesLeft = Math.max(0, length);
     }
 
+    /** Whether a header may have this value: RFC 9110 rules out these three characters. */
+    private static boolean isValue(String text) {
+        return text.indexOf('\r') < 0 && text.indexOf('\n') < 0 && text.indexOf('\0') < 0;
+    }
+
     /** The HTTP status with which an invalid request is answered; 0 for a valid one. */
     int errorStatus() {
         return errorStatus;
