A service grade that loses a key at SIGHUP is refused with the key's name

What operators saw: a file in which a grade has lost group or windowS is taken and counted as taken; the grade goes by the stricter default.

Cause: what a file must not lose was compared outside lists only.

Change: a grade that keeps its name and its semantics keeps its keys. New grades and those with another effect are read by themselves, as before.

--- a/src/main/java/dappleseam/site/ConfigReader.java
+++ b/src/main/java/dappleseam/site/ConfigReader.java
@@ -51,10 +51,29 @@
             JsonNode found = require(now, at, field.getKey());
             if (field.getValue().isObject() && !field.getKey().equals("known")) {
                 requireAll(field.getValue(), found, at + field.getKey() + ".");
+            } else if (field.getKey().equals("serviceGrades")) {
+                requireGradeKeys(field.getValue(), found, at);
             }
         });
     }
 
+    /** The same for service grades, which may come and go: one that keeps its name and its effect keeps its keys. */
+    private static void requireGradeKeys(JsonNode before, JsonNode now, String at) {
+        for (int i = 0; i < now.size(); i++) {
+            JsonNode grade = now.get(i);
+            String inGrade = at + "serviceGrades[" + i + "].";
+            for (JsonNode earlier : before) {
+                if (isSame(earlier, grade, "name") && isSame(earlier, grade, "semantics")) {
+                    requireAll(earlier, grade, inGrade);
+                }
+            }
+        }
+    }
+
+    private static boolean isSame(JsonNode one, JsonNode other, String key) {
+        return one.path(key).equals(other.path(key));
+    }
+
     private static ProxyConfig config(JsonNode root) {
         int descriptors = limit(root, "sockets", DEFAULT_DESCRIPTORS, MIN_DESCRIPTORS);
         int memoryMb = limit(root, "memory_mb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB);
--- a/src/test/java/dappleseam/proxy/OperationsTest.java
+++ b/src/test/java/dappleseam/proxy/OperationsTest.java
@@ -220,6 +220,28 @@
         assertThat(fixture.request("GET /control/counters")).contains("app_config_reloads_total 0\n").doesNotContain("fresh");
     }
 
+    /** Guards against a grade that loses a key at SIGHUP, as from a file that was cut by hand: it would go by a default. */
+    @Test
+    void gradeThatLacksAKeyOfTheLastFileIsRefused() throws Exception {
+        fixture.grades = OLD_GRADES.replace("\"semantics\":\"read_like\",\"sloTimeS\":20,\"statementTimeoutS\":30}",
+                "\"semantics\":\"idempotency_key\",\"group\":\"zone\",\"windowS\":5,\"sloTimeS\":20,\"statementTimeoutS\":30}");
+        fixture.start(folder, "").client();
+        String sound = fixture.grades;
+        int errors = 0;
+        for (String key : List.of("\"group\":\"zone\",", "\"windowS\":5,")) {
+            fixture.grades = sound.replaceFirst(key, "");
+            fixture.config(folder, "");
+            fixture.sendHangUp();
+            awaitMetrics("app_config_reload_errors_total " + ++errors + "\n");
+            fixture.awaitLog(folder, "configuration not taken: settings.serviceGrades[0]." + key.split("\"")[1] + ": is missing");
+        }
+        fixture.grades = "{\"name\":\"fresh\",\"semantics\":\"read_like\",\"sloTimeS\":20,\"statementTimeoutS\":30}," // another grade, and another effect of an old one
+                + "{\"name\":\"put\",\"semantics\":\"read_like\",\"sloTimeS\":20,\"statementTimeoutS\":30}";
+        fixture.config(folder, "");
+        fixture.sendHangUp();
+        awaitMetrics("app_config_reloads_total 1\n");
+    }
+
     private int startSecond() throws Exception {
         int first = fixture.controlPort;
         fixture.controlPort = ServeFixture.freePort();
