HandoverFiles takes the files between processes out of Serve; one retry loop

Behaviour stays, but for one thing: without a control server the line "learnt before of 0 nodes" is gone.

--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -1,13 +1,9 @@
 package dappleseam.proxy;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import dappleseam.clients.ClientFrontend;
 import dappleseam.control.ControlServer;
 import dappleseam.control.Metrics;
 import dappleseam.control.ServiceState;
-import dappleseam.list.ListFile;
-import dappleseam.list.NodeList;
-import dappleseam.router.NodeHealth;
 import dappleseam.site.InvalidConfigException;
 import dappleseam.site.ProxyConfig;
 import dappleseam.site.ConfigReader;
@@ -70,19 +66,6 @@
     /** Maximum wait in ms for the first list: while another process serves the address, and otherwise. */
     private static final double SHARED_LIST_WAIT_MS = 2500;
     private static final double ALONE_LIST_WAIT_MS = 1500;
-    /** Pause between two writes of the list, as a multiple of a write's duration, so that a long list that changes often does not use up the processor. */
-    private static final double LIST_WRITE_REST_FACTOR = 20;
-    /** Time in ms until a failed write of the list is retried. */
-    private static final double LIST_WRITE_RETRY_MS = 500;
-    /** Interval in ms between writes of the node health; a fraction of the time for which it is valid. */
-    private static final double HEALTH_WRITE_INTERVAL_MS = 1000;
-    /** File name suffixes of the state that one process leaves for the next. */
-    private static final String LIST_SUFFIX = "-list";
-    private static final String HEALTH_SUFFIX = "-learnt";
-    private static final String FLEET_SUFFIX = "-fleet";
-    private static final String IDS_SUFFIX = "-ids";
-    private static final String SERVICE_SUFFIX = "-service";
-
     @Option(names = "--config", defaultValue = "${env:NODE_CONFIG}", required = true,
             description = "This proxy's configuration, as JSON (default: the file that NODE_CONFIG names).")
     private Path config;
@@ -99,14 +82,10 @@
     /** Null if no fleet file was given; no fleet class is loaded then. */
     private FleetMembership fleet;
     private volatile Proxy proxy;
-    /** The list last written for the next process; used on the control thread only. */
-    private NodeList savedList;
-    private double nextListWriteAt;
-    private List<NodeHealth> savedHealth = List.of();
-    private double healthSavedAt;
     private final Metrics metrics = new Metrics();
-    /** Null without a control server, as are the calls. */
+    /** Null without a control server, as are the files and the calls. */
     private AddressLocks addressLocks;
+    private HandoverFiles handoverFiles;
     private ServiceCalls serviceCalls;
     private final double socketWaitEndsAt = EventLoop.monotonicMs() + SOCKET_WAIT_MS;
     private final ServiceState service = new ServiceState();
@@ -140,7 +119,7 @@
         ProxyConfig proxyConfig;
         try {
             proxyConfig = reader.readConfig(config);
-            fleet = fleetFile == null ? null : new FleetMembership(fleetFile, proxyConfig, handoverFile(proxyConfig, FLEET_SUFFIX), () -> proxy == null ? null : proxy.publishedList());
+            fleet = fleetFile == null ? null : new FleetMembership(fleetFile, proxyConfig, HandoverFiles.fleetFile(proxyConfig), () -> proxy == null ? null : proxy.publishedList());
         } catch (InvalidConfigException | IOException e) {
             System.err.println("dappleseam serve: " + e.getMessage());
             return 1;
@@ -186,16 +165,16 @@
         if (proxyConfig.control() != null && !openControlServer(proxyConfig)) {
             return false;
         }
-        ProxyConfig withList = addressLocks != null && addressLocks.isShared() ? withSavedList(proxyConfig) : proxyConfig;
+        ProxyConfig withList = addressLocks != null && addressLocks.isShared() ? handoverFiles.withSavedList() : proxyConfig;
         ProxyConfig effective = fleet == null ? withList : fleet.withStoredList(withList);
         loop = openLoop(proxyConfig);
-        RecentIds recentIds = openRecentIds(proxyConfig);
+        RecentIds recentIds = addressLocks == null ? RecentIds.ofProcess() : handoverFiles.openRecentIds();
         CountDownLatch startDone = new CountDownLatch(1);
         Exception[] failure = new Exception[1];
         worker.getIoThread().execute(() -> {
             try {
                 proxy = new Proxy(loop, effective, metrics, recentIds);
-                proxy.restoreNodeHealth(readHealth(proxyConfig));
+                proxy.restoreNodeHealth(addressLocks == null ? List.of() : handoverFiles.readHealth(loop.nowMs()));
                 if (fleet != null) {
                     fleet.attach(proxy, loop, worker.getIoThread());
                 }
@@ -321,13 +300,13 @@
         return retryOpening(() -> new EventLoop(worker.getIoThread(), pool, peerLimit(proxyConfig, 1)));
     }
 
-    /** Retries until the time limit: descriptors may be short for a moment. */
+    /** Retries until the time limit what may succeed then: descriptors may be short for a moment. */
     private <T> T retryOpening(Opening<T> opening) throws IOException, InterruptedException {
         while (true) {
             try {
                 return opening.open();
             } catch (IOException e) {
-                if (EventLoop.monotonicMs() > socketWaitEndsAt) {
+                if (!isTransient(e) || EventLoop.monotonicMs() > socketWaitEndsAt) {
                     throw e;
                 }
                 Thread.sleep((long) POLL_INTERVAL_MS);
@@ -337,13 +316,13 @@
 
     /** Waits until a socket can be opened; after the time limit, the code that needs one reports the error. */
     private void awaitSockets() throws InterruptedException {
-        while (EventLoop.monotonicMs() < socketWaitEndsAt) {
-            try {
+        try {
+            retryOpening(() -> {
                 ReusePortListener.probeReusePort();
-                return;
-            } catch (IOException e) {
-                Thread.sleep((long) POLL_INTERVAL_MS);
-            }
+                return null;
+            });
+        } catch (IOException e) {
+            LOG.log(Level.DEBUG, "no socket: {0}", e.toString());
         }
     }
 
@@ -352,12 +331,6 @@
         return e instanceof IOException && !(e instanceof BindException);
     }
 
-    /** The folder for files shared with the next process. */
-    private static Path stateFolder() {
-        String configured = System.getenv("TMPDIR");
-        return Path.of(configured == null || configured.isEmpty() ? System.getProperty("java.io.tmpdir") : configured);
-    }
-
     /** Publishes state periodically if a control server or a fleet reads it: that takes a pass over all nodes. */
     private void publish() {
         if (addressLocks == null && fleet == null) {
@@ -367,111 +340,31 @@
         loop.scheduleAt(loop.nowMs() + PUBLISH_INTERVAL_MS, this::publish);
     }
 
-    /** Rule 3 during an upgrade: drains known to the other process hold for this one, too. */
-    private static ProxyConfig withSavedList(ProxyConfig proxyConfig) {
-        try {
-            JsonNode list = ListFile.read(handoverFile(proxyConfig, LIST_SUFFIX));
-            long version = proxyConfig.knownList().path("rev").asLong(-1);
-            if (list.path("rev").asLong() >= version) {
-                LOG.log(Level.INFO, "list taken over at version {0}, the file had {1}", list.path("rev").asLong(), version);
-                return proxyConfig.withKnownList(list);
-            }
-        } catch (IOException | RuntimeException e) { // optional
-            LOG.log(Level.INFO, "no list taken over: {0}", e.toString());
-        }
-        return proxyConfig;
-    }
-
-    /** Reads the node health of the previous process, so that nodes known to fail are avoided in the first seconds after a switch. */
-    private List<NodeHealth> readHealth(ProxyConfig proxyConfig) {
-        try {
-            List<NodeHealth> health = addressLocks == null ? List.of() : NodeHealthFile.read(handoverFile(proxyConfig, HEALTH_SUFFIX), proxyConfig.settings(), loop.nowMs());
-            LOG.log(Level.INFO, "learnt before of {0} nodes", health.size());
-            return health;
-        } catch (IOException | RuntimeException e) { // optional
-            LOG.log(Level.INFO, "nothing learnt is taken over: {0}", e.toString());
-            return List.of();
-        }
-    }
-
-    /** A file that processes on one address use to hand state over. */
-    private static Path handoverFile(ProxyConfig proxyConfig, String suffix) {
-        return stateFolder().resolve(AddressLocks.VERSION).resolve(AddressLocks.name(proxyConfig.listen()) + suffix);
-    }
-
-    /** The ids of recent queries, shared with another process on the address if there can be one. */
-    private RecentIds openRecentIds(ProxyConfig proxyConfig) {
-        try {
-            return addressLocks == null ? RecentIds.ofProcess() : RecentIds.shared(handoverFile(proxyConfig, IDS_SUFFIX));
-        } catch (IOException | RuntimeException e) {
-            LOG.log(Level.WARNING, "another process on this address would not know the ids taken here: {0}", e.toString());
-            return RecentIds.ofProcess();
-        }
-    }
-
-    /** Writes the list for the next process if it has changed. On the control thread. */
-    private void saveList(ProxyConfig proxyConfig) {
-        Proxy serving = proxy;
-        double now = EventLoop.monotonicMs();
-        NodeList last = serving == null ? savedList : serving.publishedList();
-        if (last == savedList || now < nextListWriteAt || !addressLocks.isPrimary()) {
-            return;
-        }
-        try {
-            ListFile.write(handoverFile(proxyConfig, LIST_SUFFIX), last);
-            savedList = last;
-            nextListWriteAt = now + LIST_WRITE_REST_FACTOR * (EventLoop.monotonicMs() - now);
-        } catch (IOException | RuntimeException e) {
-            nextListWriteAt = now + LIST_WRITE_RETRY_MS;
-            LOG.log(Level.WARNING, "the list is not kept yet for a process that takes over: {0}", e.toString());
-        }
-    }
-
-    /** Writes the node health for the next process. On the control thread. */
-    private void saveHealth(ProxyConfig proxyConfig) {
-        Proxy serving = proxy;
-        double now = EventLoop.monotonicMs();
-        boolean hasHealth = serving != null && !(serving.nodeHealth().isEmpty() && savedHealth.isEmpty());
-        if (hasHealth && now > healthSavedAt + HEALTH_WRITE_INTERVAL_MS && addressLocks.isPrimary()) {
-            healthSavedAt = now;
-            List<NodeHealth> last = serving.nodeHealth();
-            try {
-                NodeHealthFile.write(handoverFile(proxyConfig, HEALTH_SUFFIX), proxyConfig.settings(), now, last);
-                savedHealth = last;
-            } catch (IOException | RuntimeException e) {
-                LOG.log(Level.WARNING, "what was learnt is not kept: {0}", e.toString());
-            }
-        }
-    }
-
     /** Starts the control server; prints the cause and returns false if that fails. */
     private boolean openControlServer(ProxyConfig proxyConfig) throws InterruptedException {
-        addressLocks = AddressLocks.acquire(stateFolder(), proxyConfig.listen());
-        serviceCalls = new ServiceCalls(service, new ServiceFile(handoverFile(proxyConfig, SERVICE_SUFFIX)), addressLocks,
+        addressLocks = AddressLocks.acquire(HandoverFiles.folder(), proxyConfig.listen());
+        handoverFiles = new HandoverFiles(proxyConfig);
+        serviceCalls = new ServiceCalls(service, HandoverFiles.serviceFile(proxyConfig), addressLocks,
                 () -> worker.getIoThread().execute(this::applyServiceState));
         serviceCalls.begin();
-        while (true) {
-            try {
-                startControlServer(proxyConfig);
-                return true;
-            } catch (IOException | RuntimeException e) {
-                if (!isTransient(e) || EventLoop.monotonicMs() > socketWaitEndsAt) {
-                    System.err.println("dappleseam serve: control: cannot listen on " + proxyConfig.control() + ": " + e.getMessage());
-                    return false;
-                }
-            }
-            Thread.sleep((long) POLL_INTERVAL_MS);
+        try {
+            retryOpening(() -> startControlServer(proxyConfig));
+            return true;
+        } catch (IOException | RuntimeException e) {
+            System.err.println("dappleseam serve: control: cannot listen on " + proxyConfig.control() + ": " + e.getMessage());
+            return false;
         }
     }
 
-    private void startControlServer(ProxyConfig proxyConfig) throws IOException {
+    private ControlServer startControlServer(ProxyConfig proxyConfig) throws IOException {
         boolean[] shared = {addressLocks.isShared()};
         boolean[] primary = {addressLocks.isPrimary()};
-        new ControlServer(proxyConfig.control(), serviceCalls, metrics, fleet, () -> {
+        return new ControlServer(proxyConfig.control(), serviceCalls, metrics, fleet, () -> {
             addressLocks.refresh();
             serviceCalls.follow();
-            saveList(proxyConfig);
-            saveHealth(proxyConfig);
+            if (addressLocks.isPrimary()) {
+                handoverFiles.save(proxy);
+            }
             if (addressLocks.isPrimary() && !primary[0]) {
                 primary[0] = true;
                 worker.getIoThread().execute(() -> {
