A start in which an error is thrown ends with its cause; SIGTERM in its midst

Change: any error ends the start with its message and status 1; the shutdown asks for the calls, not for the locks. No test plays these moments.

--- a/src/main/java/dappleseam/proxy/Serve.java
+++ b/src/main/java/dappleseam/proxy/Serve.java
@@ -170,7 +170,7 @@
         loop = openLoop(proxyConfig);
         RecentIds recentIds = addressLocks == null ? RecentIds.ofProcess() : handoverFiles.openRecentIds();
         CountDownLatch startDone = new CountDownLatch(1);
-        Exception[] failure = new Exception[1];
+        Throwable[] failure = new Throwable[1];
         worker.getIoThread().execute(() -> {
             try {
                 proxy = new Proxy(loop, effective, metrics, recentIds);
@@ -179,7 +179,7 @@
                     fleet.attach(proxy, loop, worker.getIoThread());
                 }
                 proxy.followList(); // answered while the warm-up runs
-            } catch (IOException | RuntimeException e) {
+            } catch (IOException | RuntimeException | Error e) {
                 failure[0] = e;
                 startDone.countDown();
                 return;
@@ -195,7 +195,7 @@
                     publish();
                     applyLimits(proxyConfig);
                     listen(proxyConfig, listWaitEnd, failure, startDone);
-                } catch (RuntimeException e) {
+                } catch (RuntimeException | Error e) { // else the start would never end
                     failure[0] = e;
                     startDone.countDown();
                 }
@@ -237,7 +237,7 @@
      * Opens the client listener, once the first list is there. Drains that the configuration file does not contain yet count as known from the start of
      * the process, or were sent to the other process on the address. If the list service cannot be reached, a process that is alone listens at once.
      */
-    private void listen(ProxyConfig proxyConfig, double waitUntilMs, Exception[] failure, CountDownLatch startDone) {
+    private void listen(ProxyConfig proxyConfig, double waitUntilMs, Throwable[] failure, CountDownLatch startDone) {
         if (service.phase() == ServiceState.Phase.ENDING) {
             return;
         }
@@ -254,7 +254,7 @@
         try {
             proxy.prepare();
             front.listen(worker, proxyConfig.listen());
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException | RuntimeException | Error e) {
             if (isTransient(e) && EventLoop.monotonicMs() < socketWaitEndsAt) {
                 loop.scheduleAt(loop.nowMs() + POLL_INTERVAL_MS, () -> listen(proxyConfig, waitUntilMs, failure, startDone));
                 return;
@@ -327,7 +327,7 @@
     }
 
     /** Whether a retry may succeed: the system lacks a resource at the moment, and the address is valid. */
-    private static boolean isTransient(Exception e) {
+    private static boolean isTransient(Throwable e) {
         return e instanceof IOException && !(e instanceof BindException);
     }
 
@@ -474,7 +474,7 @@
                 shutdown.begin(handOver, loop.nowMs() - signalledAt, killDelay.earliestMs(EventLoop.monotonicMs()));
             }
         });
-        if (!handOver && addressLocks != null && addressLocks.isPrimary()) {
+        if (!handOver && serviceCalls != null && addressLocks.isPrimary()) {
             serviceCalls.endInFile();
         }
         awaitShutdown(signalledAt);
--- a/src/test/java/dappleseam/proxy/OperatorCallsTest.java
+++ b/src/test/java/dappleseam/proxy/OperatorCallsTest.java
@@ -76,6 +76,11 @@
         fixture.start(folder, "");
     }
 
+    private void startListening() throws Exception {
+        fixture.start(folder, "");
+        awaitListening();
+    }
+
     private void awaitListening() throws Exception {
         fixture.awaitLog(folder, "serves on");
     }
@@ -134,8 +139,7 @@
 
     /** Starts the program with a query open at the cache, which keeps it from ending at once. */
     private void startWithOpenQuery() throws Exception {
-        fixture.start(folder, "");
-        awaitListening();
+        startListening();
         client = fixture.client();
         client.send("C.GET", "00000000000000aa", "id", "c=read,d=9000");
         openQuery = fixture.cache.next();
@@ -179,8 +183,7 @@
     /** Guards against a drain that a new version forgets: the two processes of an upgrade are one proxy. */
     @Test
     void processThatTakesOverIsOutOfServiceAsTheOldOne() throws Exception {
-        fixture.start(folder, "");
-        awaitListening();
+        startListening();
         call("out-of-service", 200);
         startSecond();
         assertTakesClients(false);
@@ -196,8 +199,7 @@
     /** Guards against a call to one of two processes that the other one does not hear of. */
     @Test
     void callToOneProcessHoldsForBoth() throws Exception {
-        fixture.start(folder, "");
-        awaitListening();
+        startListening();
         int firstControl = fixture.controlPort;
         startSecond();
         for (int control : new int[] {firstControl, fixture.controlPort}) {
@@ -214,8 +216,7 @@
     /** Guards against a new version that ends without taking over, and with it the drain of the old one. */
     @Test
     void newProcessThatEndsLeavesTheOldOneOutOfService() throws Exception {
-        fixture.start(folder, "");
-        awaitListening();
+        startListening();
         int firstControl = fixture.controlPort;
         call("out-of-service", 200);
         startSecond();
@@ -230,8 +231,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"TERM", "KILL"})
     void processThatStartsAloneIsInService(String signal) throws Exception {
-        fixture.start(folder, "");
-        awaitListening();
+        startListening();
         call("out-of-service", 200);
         fixture.signal(signal);
         assertThat(fixture.program.waitFor(ServeFixture.TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
@@ -242,8 +242,7 @@
     /** Guards against a yes that the other process cannot be told of; a process that is alone needs no file. */
     @Test
     void callThatCannotBeToldToTheOtherProcessIsRefused() throws Exception {
-        fixture.start(folder, "");
-        awaitListening();
+        startListening();
         Path inTheWay = folder.resolve(AddressLocks.VERSION).resolve("127.0.0.1-" + fixture.port + "-service");
         Files.createDirectories(inTheWay.resolve("in-the-way"));
         call("out-of-service", 200);
@@ -306,8 +305,7 @@
     /** Guards against a yes that is told before it holds: the I/O thread, where calls take effect, is busy with floods. */
     @Test
     void callsHoldAtOnceBesideLoad() throws Exception {
-        fixture.start(folder, "");
-        awaitListening();
+        startListening();
         for (int i = 0; i < FLOODS; i++) {
             flood(fixture.client());
         }
