A voter is silent for as long as what it granted before may bind it

Cause: a voter that starts is silent for the lease time of its new file; what it granted before binds it for the old one.

Change: a voter's file tells the longest lease time that may bind, also over a change of the set. Without a file a voter takes previous_lease_ms, which the operator may state; unstated it is lease_ms for number 1, else the longest that is allowed, 10 minutes: such voters are silent that long after each start.

--- a/src/main/java/dappleseam/fleet/lease/Voter.java
+++ b/src/main/java/dappleseam/fleet/lease/Voter.java
@@ -35,6 +35,8 @@
     private final Token floor;
     /** Until then the voter abstains after a start, unless its storage can be trusted. */
     private double silentUntil;
+    /** The longest lease time under which this voter may have accepted a holder that is still bound to it, while it abstains. */
+    private double bindingLeaseMs;
     private long startNumber;
     private boolean trustsStorage;
     private boolean isClosed;
@@ -70,10 +72,11 @@
         this.config = config;
         this.out = out;
         this.storage = storage;
-        silentUntil = nowMs + config.leaseMs();
+        bindingLeaseMs = Math.max(config.leaseMs(), config.previousLeaseMs());
         if (storage != null) {
             recover(nowMs);
         }
+        silentUntil = nowMs + bindingLeaseMs;
         woken();
     }
 
@@ -87,17 +90,23 @@
     /** Another process uses this one's name: abstains for one lease time, so that two processes that know of each other do not both answer as one voter. */
     public void duplicateSeen(double nowMs) {
         trustsStorage = false;
-        silentUntil = nowMs + config.leaseMs();
+        silentUntil = Math.max(silentUntil, nowMs + config.leaseMs());
     }
 
     /**
-     * Reads the stored promises. A file that is truncated, another voter's or of another configuration is ignored, and the voter starts as if it had no
-     * storage. Rounds are taken from any valid file; answering at once also requires a cleanly closed one, because a copy made earlier lacks the last promises.
+     * Reads the stored promises. A file that is truncated or another voter's is ignored, and the voter starts as if it had no storage. One of another
+     * configuration tells only for how long its promises bind: then the voter need not take the longest time that may have been configured. Rounds are taken
+     * from any valid file of this configuration; answering at once also requires a cleanly closed one, because a copy made earlier lacks the last promises.
      */
     private void recover(double nowMs) {
         try {
             VoterState stored = storage.read();
-            if (stored.voter().equals(name) && stored.configFingerprint() == config.fingerprint()) {
+            boolean isOfThisConfig = stored.configFingerprint() == config.fingerprint();
+            if (stored.voter().equals(name)) {
+                double storedLeaseMs = Double.isNaN(stored.bindingLeaseMs()) && isOfThisConfig ? config.leaseMs() : stored.bindingLeaseMs();
+                bindingLeaseMs = Double.isNaN(storedLeaseMs) ? bindingLeaseMs : Math.max(config.leaseMs(), storedLeaseMs);
+            }
+            if (stored.voter().equals(name) && isOfThisConfig) {
                 startNumber = stored.startNumber() + 1;
                 stored.votes().forEach((lease, vote) -> {
                     LeaseState leaseState = new LeaseState(vote.promised().isBelow(floor) ? floor : vote.promised());
@@ -106,7 +115,7 @@
                     leaseState.heldUntil = nowMs + config.leaseMs(); // the monotonic clock does not carry over a restart
                     leases.put(lease, leaseState);
                 });
-                trustsStorage = stored.cleanlyClosed();
+                trustsStorage = stored.cleanlyClosed() && bindingLeaseMs <= config.leaseMs();
             }
         } catch (IOException e) {
             trustsStorage = false;
@@ -122,7 +131,7 @@
         if (storage != null) {
             Map<LeaseName, Vote> all = new LinkedHashMap<>();
             leases.forEach((lease, leaseState) -> all.put(lease, new Vote(leaseState.promised, leaseState.accepted, leaseState.holder)));
-            storage.write(new VoterState(name, config.fingerprint(), startNumber, cleanlyClosed, all));
+            storage.write(new VoterState(name, config.fingerprint(), startNumber, cleanlyClosed, bindingLeaseMs, all));
         }
     }
 
@@ -141,6 +150,7 @@
      */
     public boolean isActive(double nowMs) {
         boolean silenceOver = nowMs >= silentUntil;
+        bindingLeaseMs = silenceOver ? config.leaseMs() : bindingLeaseMs;
         if (isClosed || storage == null) {
             return silenceOver && !isClosed;
         }
@@ -282,7 +292,7 @@
     /** Everything that determines future behaviour, with times relative to now. Lets a model checker compare states. */
     public String state(double nowMs) {
         StringBuilder text = new StringBuilder().append(startNumber).append(trustsStorage).append(isClosed).append(registeredBy).append(confirmedBy).append(knownStarts)
-                .append(Math.round(Math.max(-1, silentUntil - nowMs)));
+                .append(Math.round(Math.max(-1, silentUntil - nowMs))).append('/').append(Math.round(bindingLeaseMs));
         leases.forEach((lease, leaseState) -> text.append(lease).append(leaseState.promised).append(leaseState.accepted).append(leaseState.holder)
                 .append(Math.round(Math.max(-1, leaseState.heldUntil - nowMs))));
         return text.toString();
--- a/src/main/java/dappleseam/fleet/lease/VoterStorage.java
+++ b/src/main/java/dappleseam/fleet/lease/VoterStorage.java
@@ -11,9 +11,10 @@
 
     /**
      * The whole state. {@code configFingerprint}: {@link LeaseConfig#fingerprint}; {@code startNumber} counts the voter's starts; {@code cleanlyClosed}:
-     * written as the last step of a clean shutdown, so nothing was promised after it.
+     * written as the last step of a clean shutdown, so nothing was promised after it. {@code bindingLeaseMs}: the longest lease time under which a holder
+     * may still be accepted; NaN if the state does not tell.
      */
-    record VoterState(MemberName voter, int configFingerprint, long startNumber, boolean cleanlyClosed, Map<LeaseName, Vote> votes) {}
+    record VoterState(MemberName voter, int configFingerprint, long startNumber, boolean cleanlyClosed, double bindingLeaseMs, Map<LeaseName, Vote> votes) {}
 
     /** Reads the state and verifies its checksum; throws if there is no state that can be trusted. */
     VoterState read() throws IOException;
--- a/src/main/java/dappleseam/fleet/peers/VoterFile.java
+++ b/src/main/java/dappleseam/fleet/peers/VoterFile.java
@@ -14,6 +14,7 @@
 /** A voter's state in a file that is replaced as a whole and forced to the disk, with a header line of format version and checksum. */
 public final class VoterFile implements VoterStorage {
     private static final String VERSION = "dappleseam-voter-1";
+    private static final String LEASE_MS = "lease_ms";
 
     private final Path file;
 
@@ -32,7 +33,7 @@
                         holder.isEmpty() ? null : new MemberName(holder)));
             }
             return new VoterState(new MemberName(root.path("voter").asText()), root.path("set").asInt(), root.path("start").asLong(),
-                    root.path("closed").asBoolean(), votes);
+                    root.path("closed").asBoolean(), root.path(LEASE_MS).asDouble(Double.NaN), votes);
         } catch (IllegalArgumentException e) {
             throw new IOException("invalid content: " + e.getMessage(), e);
         }
@@ -50,6 +51,7 @@
             json.writeNumberField("set", state.configFingerprint());
             json.writeNumberField("start", state.startNumber());
             json.writeBooleanField("closed", state.cleanlyClosed());
+            json.writeNumberField(LEASE_MS, state.bindingLeaseMs());
             json.writeArrayFieldStart("votes");
             for (Map.Entry<LeaseName, Vote> entry : state.votes().entrySet()) {
                 json.writeStartObject();
--- a/src/main/java/dappleseam/lab/fleet/LeaseModel.java
+++ b/src/main/java/dappleseam/lab/fleet/LeaseModel.java
@@ -42,7 +42,9 @@
         /** Clocks drift beyond their bound: only the fencing at the resource still protects it. */
         OVER_BOUND,
         /** A new voter starts before the remaining voters have the new set. */
-        WRONG_ORDER
+        WRONG_ORDER,
+        /** Voters that restart with a shorter lease time abstain for that one. */
+        UNSTATED_LEASE_TIME
     }
 
     /** The possible events. */
@@ -56,6 +58,9 @@
     private static final int MAX_VOTERS = 4;
     private static final int NEW_VOTER = 3;
     private static final double LEASE_MS = 1000;
+    /** Lease times of a changed configuration. */
+    private static final double SHORTER_LEASE_MS = LEASE_MS / 4;
+    private static final double LONGER_LEASE_MS = LEASE_MS * 1.25;
     /** Large, so that its effect shows within a few steps. */
     private static final double DRIFT = 0.2;
     private static final double STEP_MS = LEASE_MS / 16;
@@ -149,7 +154,7 @@
             if (onDisk == null) {
                 throw new IOException("no voter state on disk");
             }
-            return planted == PlantedLeaseFault.EVER_CLOSED ? new VoterState(onDisk.voter(), onDisk.configFingerprint(), onDisk.startNumber(), true, onDisk.votes()) : onDisk;
+            return planted == PlantedLeaseFault.EVER_CLOSED ? new VoterState(onDisk.voter(), onDisk.configFingerprint(), onDisk.startNumber(), true, onDisk.bindingLeaseMs(), onDisk.votes()) : onDisk;
         }
 
         @Override
@@ -314,7 +319,9 @@
         this.disks = disks;
         this.changing = changing;
         oldConfig = new LeaseConfig(List.of(voterName(0), voterName(1), voterName(2)), 1, LEASE_MS, DRIFT);
-        newConfig = new LeaseConfig(List.of(voterName(0), voterName(1), voterName(NEW_VOTER)), 2, LEASE_MS, DRIFT);
+        double newLeaseMs = !changing ? LEASE_MS : (fastClocks & 1) == 0 ? SHORTER_LEASE_MS : LONGER_LEASE_MS;
+        newConfig = new LeaseConfig(List.of(voterName(0), voterName(1), voterName(NEW_VOTER)), 2, newLeaseMs, DRIFT,
+                planted == PlantedLeaseFault.UNSTATED_LEASE_TIME ? newLeaseMs : LEASE_MS);
         double drift = planted == PlantedLeaseFault.OVER_BOUND ? 2 * DRIFT : DRIFT;
         for (int i = 0; i < VOTERS; i++) {
             voters.add(new VoterNode(i, (fastClocks >> i & 1) == 1 ? 1 + drift : 1 - drift));
--- a/src/main/java/dappleseam/site/FleetConfigReader.java
+++ b/src/main/java/dappleseam/site/FleetConfigReader.java
@@ -24,7 +24,10 @@
 public final class FleetConfigReader {
     private static final Set<String> KEYS = Set.of("fleet", "name", "bind", "advertise", "seeds", "period_ms", "counted", "most",
             "forget_s", "record", "leases", "signals", "shares", "turns", "subsets");
-    private static final Set<String> LEASE_KEYS = Set.of("voters", "number", "lease_ms", "drift", "voter_file", "list_store");
+    /** Number of the first set of voters. */
+    private static final int FIRST_NUMBER = 1;
+    private static final double MIN_LEASE_MS = 500;
+    private static final Set<String> LEASE_KEYS = Set.of("voters", "number", "lease_ms", "previous_lease_ms", "drift", "voter_file", "list_store");
     private static final int MAX_SEEDS = 64;
     private static final double MS_PER_S = 1000;
     private static final String NAME_FORM = "is not 1 to 48 letters, digits, dots, dashes and underscores";
@@ -107,9 +110,11 @@
         if (voters.stream().distinct().count() < voters.size()) {
             throw new InvalidConfigException("leases.voters", "names a member twice");
         }
-        return new LeaseConfig(voters, (int) number(leases, "leases.", "number", 1, 0, 1_000_000),
-                number(leases, "leases.", "lease_ms", LeaseConfig.DEFAULT_LEASE_MS, 500, 600_000),
-                number(leases, "leases.", "drift", LeaseConfig.DEFAULT_DRIFT, 0, 0.1));
+        int number = (int) number(leases, "leases.", "number", FIRST_NUMBER, 0, 1_000_000);
+        double leaseMs = number(leases, "leases.", "lease_ms", LeaseConfig.DEFAULT_LEASE_MS, MIN_LEASE_MS, LeaseConfig.MAX_LEASE_MS);
+        double unstatedMs = number <= FIRST_NUMBER ? leaseMs : LeaseConfig.MAX_LEASE_MS; // a later set may follow on one with any lease time
+        return new LeaseConfig(voters, number, leaseMs, number(leases, "leases.", "drift", LeaseConfig.DEFAULT_DRIFT, 0, 0.1),
+                number(leases, "leases.", "previous_lease_ms", unstatedMs, MIN_LEASE_MS, LeaseConfig.MAX_LEASE_MS));
     }
 
     private static String listStore(JsonNode leases) {
--- a/src/test/java/dappleseam/fleet/lease/VoterTest.java
+++ b/src/test/java/dappleseam/fleet/lease/VoterTest.java
@@ -68,6 +68,45 @@
         assertThat(last()).contains("refused x l 5 LOWER 6");
     }
 
+    /** The lease time is shortened: what was accepted before the restart binds for the longer one. */
+    private static final LeaseConfig SHORTER = new LeaseConfig(List.of(A, B, C), 2, 250, 0.01, 1000);
+    /** The same where the operator does not state the time before. */
+    private static final LeaseConfig UNSTATED = new LeaseConfig(List.of(A, B, C), 2, 250, 0.01, LeaseConfig.MAX_LEASE_MS);
+
+    /** Guards against a voter that grants a lease while the last one, of a longer lease time, may still run: two members held it at once. */
+    @Test
+    void abstainsForThePreviousLeaseTimeWithoutStorage() {
+        Voter voter = new Voter(A, 1, SHORTER, out, null, 0, 0);
+        assertThat(voter.isActive(999)).isFalse();
+        assertThat(voter.isActive(1000)).isTrue();
+        Voter unstated = new Voter(A, 1, UNSTATED, out, null, 0, 0);
+        assertThat(unstated.isActive(LeaseConfig.MAX_LEASE_MS - 1)).isFalse();
+        unstated.duplicateSeen(10);
+        assertThat(unstated.isActive(LeaseConfig.MAX_LEASE_MS - 1)).as("a duplicate does not shorten it").isFalse();
+        assertThat(unstated.isActive(LeaseConfig.MAX_LEASE_MS)).isTrue();
+    }
+
+    /** The voter's file tells the lease time under which it accepted, also over another restart within the silence, and whatever the operator states. */
+    @Test
+    void abstainsForTheLeaseTimeInItsFile() throws Exception {
+        Voter first = voter(storage(), 0);
+        registerStart(first, 0, -1);
+        first.propose(2000, CANDIDATE, CONFIG.fingerprint(), LEASE, new Token(5, 1), 0);
+        first.close(2100);
+        Voter second = new Voter(A, 1, UNSTATED, out, storage(), 2200, 0);
+        registerStart(second, 0, -1);
+        assertThat(second.isActive(3199)).isFalse();
+        Voter third = new Voter(A, 1, UNSTATED, out, storage(), 3000, 0);
+        registerStart(third, 1, 0);
+        assertThat(third.isActive(3999)).isFalse();
+        assertThat(third.isActive(4000)).isTrue();
+        third.prepare(4001, CANDIDATE, UNSTATED.fingerprint(), LEASE, new Token(6, 1));
+        Voter fourth = new Voter(A, 1, UNSTATED, out, storage(), 5000, 0);
+        registerStart(fourth, 2, 1);
+        assertThat(fourth.isActive(5249)).isFalse();
+        assertThat(fourth.isActive(5250)).as("the longer lease is over").isTrue();
+    }
+
     @Test
     void refusesMessagesOfAnotherConfig() {
         Voter voter = voter(null, 0);
--- a/src/test/java/dappleseam/lab/fleet/LeaseExplorationTest.java
+++ b/src/test/java/dappleseam/lab/fleet/LeaseExplorationTest.java
@@ -42,9 +42,11 @@
     @ParameterizedTest
     @CsvSource({"NO_MARGIN, false, 5000, two candidates act at once", "FORGETFUL, false, 5000, two candidates act at once", "EARLY_CHECK, false, 5000, two candidates act at once",
         "MINORITY, false, 500, two candidates act at once", "NO_FENCE, false, 20000, the resource accepted", "LATE_FORCE, true, 3000, a token did not increase",
-        "EVER_CLOSED, true, 36000, two candidates act at once", "WRONG_ORDER, false, 5000, two candidates act at once"})
+        "EVER_CLOSED, true, 36000, two candidates act at once", "WRONG_ORDER, false, 5000, two candidates act at once",
+        "UNSTATED_LEASE_TIME, false, 10000, two candidates act at once"})
     void aPlantedFaultIsDetected(PlantedLeaseFault planted, boolean disks, int seeds, String expectedViolation) {
-        assertThat(walks(2, disks, planted == PlantedLeaseFault.WRONG_ORDER, planted, seeds)).anyMatch(w -> w.violation() != null && w.violation().startsWith(expectedViolation));
+        boolean changing = planted == PlantedLeaseFault.WRONG_ORDER || planted == PlantedLeaseFault.UNSTATED_LEASE_TIME;
+        assertThat(walks(2, disks, changing, planted, seeds)).anyMatch(w -> w.violation() != null && w.violation().startsWith(expectedViolation));
     }
 
     @Test
--- a/src/test/java/dappleseam/site/FleetConfigReaderTest.java
+++ b/src/test/java/dappleseam/site/FleetConfigReaderTest.java
@@ -49,6 +49,7 @@
     @CsvSource(delimiter = '|', value = {"[\"a\",\"b\",\"c\"] | {} | ''", "[\"a\",\"b\"] | {} | leases.voters: does not name three or five members",
         "[\"a\",\"b\",\"a\"] | {} | leases.voters: names a member twice", "[\"a\",\"b\",\"\"] | {} | leases.voters[2]: is not 1 to 48 letters",
         "[\"a\",\"b\",\"c\"] | {\"lease_ms\":5} | leases.lease_ms: is not a number from 500 to 600000",
+        "[\"a\",\"b\",\"c\"] | {\"previous_lease_ms\":5} | leases.previous_lease_ms: is not a number from 500 to 600000",
         "[\"a\",\"b\",\"c\"] | {\"drift\":0.5} | leases.drift: is not a number from 0 to 0.1",
         "[\"a\",\"b\",\"c\"] | {\"lease\":5} | leases.lease: is not known",
         "[\"a\",\"b\",\"c\"] | {\"list_store\":\"http://127.0.0.1:80/l\"} | ''", "[\"a\",\"b\",\"c\"] | {\"list_store\":\"http:///l\"} | leases.list_store: is not an address",
@@ -64,6 +65,14 @@
         }
     }
 
+    /** A set after the first one may follow on one with a longer lease time: the longest allowed, unless the operator states it. */
+    @ParameterizedTest
+    @CsvSource({"'', 10000", "'\"number\":2,', 600000", "'\"number\":2,\"previous_lease_ms\":15000,', 15000", "'\"lease_ms\":700,', 700"})
+    void previousLeaseTimeIsTheLongestUnlessStated(String keys, double expectedMs) throws Exception {
+        String text = Files.readString(SHIPPED).replace("\"forget_s\": 600", "\"forget_s\": 600, \"leases\": {" + keys + "\"voters\": [\"a\",\"b\",\"c\"]}");
+        assertThat(read(text).leases().previousLeaseMs()).isEqualTo(expectedMs);
+    }
+
     @Test
     void aMissingFileIsReported() {
         assertThatThrownBy(() -> FleetConfigReader.read(folder.resolve("none"), "n1", 1)).isInstanceOf(InvalidConfigException.class)
