--- a/src/main/java/dappleseam/fleet/lease/LeaseConfig.java
+++ b/src/main/java/dappleseam/fleet/lease/LeaseConfig.java
@@ -42,8 +42,8 @@
     }
 
     /**
-     * Hash of the configuration, the order of the voters included, but for the previous lease time, which concerns one voter's start only. Voters refuse messages of another configuration: a holder with a longer lease time
-     * than its voters would overlap with the next holder.
+     * Hash of the configuration, the order of the voters included, but for the previous lease time, which concerns one voter's start only. Voters refuse
+     * messages of another configuration: a holder with a longer lease time than its voters would overlap with the next holder.
      */
     public int fingerprint() {
         return (voters.stream().map(MemberName::text).collect(Collectors.joining("/")) + '/' + number + '/' + leaseMs + '/' + drift).hashCode();
